Add the design page, the workspace and the shared record types

The repository was empty. The design page fixes modules, interfaces, state owners, messages and code style; the core types and the zod schemas fix the records that several packages share.

Ruled out: PascalCase file names (XO requires kebab case) and the default XO rules against abbreviations and null (the completions protocol uses null; customary abbreviations are what readers expect).

No behaviour yet.

--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,1 @@
+export * from './types/index.js';
--- /dev/null
+++ b/packages/core/src/types/claim.ts
@@ -0,0 +1,26 @@
+import type {OutcomeKind} from './reasons.js';
+
+/** Claim on the single execution of a non-idempotent request. */
+export type ClaimRecord = {
+	workspaceId: string;
+	/** Digest of method, path and body, to detect a key reused for another request. */
+	bodyDigest: string;
+	/** Identifies the attempt that wrote the claim, to resolve a lost answer by reading back. */
+	nonce: string;
+	entryId: string;
+	epoch: string;
+	state: 'claimed' | 'dispatched' | 'finished';
+	/** Wall clock time in ms at creation. */
+	createdAt: number;
+	outcome?: ClaimOutcome | undefined;
+};
+
+/** Stored answer of a finished claim. */
+export type ClaimOutcome = {
+	kind: OutcomeKind;
+	status?: number | undefined;
+	contentType?: string | undefined;
+	/** Body as text; undefined when it was too large to keep. */
+	body?: string | undefined;
+	reason?: string | undefined;
+};
--- /dev/null
+++ b/packages/core/src/types/permit.ts
@@ -0,0 +1,78 @@
+import type {RefusalReason} from './reasons.js';
+
+/** Caller-selected priorities; lower values are served first. */
+export const priorities = {high: 0, normal: 1, low: 2} as const;
+/** Priority of a request. */
+export type Priority = (typeof priorities)[keyof typeof priorities];
+
+/** Asks the owner of a backend server for permission to start one attempt. */
+export type PermitRequest = {
+	requestId: string;
+	attemptId: string;
+	/** Entry that will run the attempt. */
+	entryId: string;
+	serverId: string;
+	workspaceId: string;
+	/** Share of the workspace under contention, from its plan. */
+	weight: number;
+	priority: Priority;
+	/** Estimated prompt tokens that are not in the server's prefix cache. */
+	prefillTokens: number;
+	/** Expected number of generated tokens. */
+	decodeTokens: number;
+	/** KV cache tokens held until the end of the attempt. */
+	kvTokens: number;
+	/** Time left until the deadline of the request, in ms at sending time. */
+	deadlineInMs: number;
+	/** Time left until the first token is due, in ms at sending time. */
+	firstTokenInMs: number;
+	/** True when the content was in flight at a crash; such a request runs alone on the server. */
+	isSuspect: boolean;
+};
+
+/** Permission to run one attempt on one backend server. */
+export type Permit = {
+	permitId: string;
+	requestId: string;
+	attemptId: string;
+	serverId: string;
+	/** Boot id for which the permit is valid. */
+	bootId: string;
+	/** Lifetime in ms from receipt, unless renewed. */
+	lifetimeMs: number;
+	fencingNumber: number;
+	/** Engine priority of the attempt; lower values run first. */
+	enginePriority: number;
+};
+
+/** Answer of the owner to a permit request. */
+export type PermitReply =
+	| {type: 'granted'; permit: Permit; load: LoadSnapshot}
+	| {type: 'refused'; reason: RefusalReason; retryAfterMs: number; load?: LoadSnapshot | undefined};
+
+/** Load of one backend server as seen by its owner; piggybacked on permit replies. */
+export type LoadSnapshot = {
+	serverId: string;
+	queuedPrefillTokens: number;
+	runningPrefillTokens: number;
+	kvTokensUsed: number;
+	kvTokens: number;
+	running: number;
+	/** Requests allowed to run at the same time at the present warm-up level. */
+	concurrencyLimit: number;
+	/** Estimated time to first token in ms for a short prompt arriving now. */
+	shortFirstTokenMs: number;
+	/** Estimated time to first token in ms for a long prompt arriving now. */
+	longFirstTokenMs: number;
+};
+
+/** How an attempt ended, reported with the release of its permit. */
+export const attemptResults = {
+	completed: 'completed',
+	notStarted: 'not_started',
+	failed: 'failed',
+	crashed: 'crashed',
+	cancelled: 'cancelled',
+} as const;
+/** One of the attempt results. */
+export type AttemptResult = (typeof attemptResults)[keyof typeof attemptResults];
--- /dev/null
+++ b/packages/core/src/types/session.ts
@@ -0,0 +1,40 @@
+/** Session of one entry, kept in the object API and renewed by the entry. */
+export type SessionRecord = {
+	entryId: string;
+	/** Changes with each start of the process. */
+	epoch: string;
+	/** `host:port` of the listener for callers. */
+	callerAddress: string;
+	/** `host:port` of the listener for other entries. */
+	peerAddress: string;
+	failureDomain: string;
+	region: string;
+	state: 'serving' | 'stopping';
+	configurationRevision: number;
+	availabilityRevision: number;
+	/** Increases with each renewal, so that observers see a change. */
+	renewal: number;
+};
+
+/** Owner of a backend server; written only when ownership changes. */
+export type OwnerRecord = {
+	serverId: string;
+	owner: string;
+	epoch: string;
+	/** Increases with each change of ownership. */
+	fencingNumber: number;
+	/** True once the owner gave up ownership and issues no more permits. */
+	released: boolean;
+};
+
+/** Exchanged between entries once a second. */
+export type Heartbeat = {
+	entryId: string;
+	epoch: string;
+	failureDomain: string;
+	state: 'serving' | 'stopping';
+	/** True when the entry's last call to the object API succeeded recently. */
+	reachesStore: boolean;
+	configurationRevision: number;
+	availabilityRevision: number;
+};
--- /dev/null
+++ b/packages/protocol/src/peer/peer-records.ts
@@ -0,0 +1,145 @@
+import {z} from 'zod';
+import {
+	attemptResults, priorities, refusalReasons,
+	type Heartbeat, type LoadSnapshot, type Permit, type PermitReply, type PermitRequest,
+} from '@knapweedrack/core';
+
+const identifier = z.string().min(1).max(200);
+const count = z.number().int().nonnegative();
+const durationMs = z.number().nonnegative();
+
+/** A permit request between entries. */
+export const permitRequestSchema: z.ZodType<PermitRequest> = z.object({
+	requestId: identifier,
+	attemptId: identifier,
+	entryId: identifier,
+	serverId: identifier,
+	workspaceId: identifier,
+	weight: z.number().positive(),
+	priority: z.union([z.literal(priorities.high), z.literal(priorities.normal), z.literal(priorities.low)]),
+	prefillTokens: count,
+	decodeTokens: count,
+	kvTokens: count,
+	deadlineInMs: z.number(),
+	firstTokenInMs: z.number(),
+	isSuspect: z.boolean(),
+});
+
+/** Load of one backend server. */
+export const loadSnapshotSchema: z.ZodType<LoadSnapshot> = z.object({
+	serverId: identifier,
+	queuedPrefillTokens: count,
+	runningPrefillTokens: count,
+	kvTokensUsed: count,
+	kvTokens: count,
+	running: count,
+	concurrencyLimit: count,
+	shortFirstTokenMs: durationMs,
+	longFirstTokenMs: durationMs,
+});
+
+/** A granted permit. */
+export const permitSchema: z.ZodType<Permit> = z.object({
+	permitId: identifier,
+	requestId: identifier,
+	attemptId: identifier,
+	serverId: identifier,
+	bootId: z.string(),
+	lifetimeMs: durationMs,
+	fencingNumber: count,
+	enginePriority: z.number().int(),
+});
+
+/** Answer to a permit request. */
+export const permitReplySchema: z.ZodType<PermitReply> = z.discriminatedUnion('type', [
+	z.object({type: z.literal('granted'), permit: permitSchema, load: loadSnapshotSchema}),
+	z.object({
+		type: z.literal('refused'),
+		reason: z.enum(refusalReasons),
+		retryAfterMs: durationMs,
+		load: loadSnapshotSchema.optional(),
+	}),
+]);
+
+/** End of an attempt, sent to the owner of the backend server. */
+export const permitReleaseSchema = z.object({
+	permitId: identifier,
+	serverId: identifier,
+	result: z.enum(attemptResults),
+	/** Time from dispatch to the first token; undefined when there was none. */
+	firstTokenMs: durationMs.optional(),
+});
+/** End of an attempt. */
+export type PermitRelease = z.infer<typeof permitReleaseSchema>;
+
+/** Renewal of open permits of one entry, batched per owner. */
+export const permitRenewalSchema = z.object({
+	entryId: identifier,
+	permitIds: z.array(identifier),
+});
+/** Renewal of open permits. */
+export type PermitRenewal = z.infer<typeof permitRenewalSchema>;
+
+/** Withdrawal of a queued request. */
+export const permitWithdrawalSchema = z.object({
+	serverId: identifier,
+	requestId: identifier,
+	attemptId: identifier,
+});
+/** Withdrawal of a queued request. */
+export type PermitWithdrawal = z.infer<typeof permitWithdrawalSchema>;
+
+/** Asks the owner of a workspace for a slice of its rates. */
+export const sliceRequestSchema = z.object({
+	entryId: identifier,
+	workspaceId: identifier,
+	/** Demand seen by the entry since its last request. */
+	requests: z.number().nonnegative(),
+	tokens: z.number().nonnegative(),
+	concurrency: count,
+});
+/** A request for a slice. */
+export type SliceRequest = z.infer<typeof sliceRequestSchema>;
+
+/** A slice of a workspace's rates. */
+export const sliceSchema = z.object({
+	workspaceId: identifier,
+	requestsPerSecond: z.number().nonnegative(),
+	tokensPerSecond: z.number().nonnegative(),
+	concurrency: count,
+	lifetimeMs: durationMs,
+});
+/** A slice of a workspace's rates. */
+export type Slice = z.infer<typeof sliceSchema>;
+
+/** Heartbeat between entries. */
+export const heartbeatSchema: z.ZodType<Heartbeat> = z.object({
+	entryId: identifier,
+	epoch: identifier,
+	failureDomain: z.string(),
+	state: z.enum(['serving', 'stopping']),
+	reachesStore: z.boolean(),
+	configurationRevision: count,
+	availabilityRevision: count,
+});
+
+/** Result of one attempt for a content fingerprint. */
+export const fingerprintReportSchema = z.object({
+	fingerprint: identifier,
+	attemptId: identifier,
+	serverId: identifier,
+	/** `crashed` when the server died while it ran the content. */
+	result: z.enum(['crashed', 'completed']),
+	/** Fingerprints that were running on the same server at the time. */
+	runningFingerprints: z.array(identifier),
+});
+/** Result of one attempt for a content fingerprint. */
+export type FingerprintReport = z.infer<typeof fingerprintReportSchema>;
+
+/** Standing of a content fingerprint. */
+export const fingerprintStandingSchema = z.object({
+	standing: z.enum(['clear', 'suspect', 'quarantined']),
+	retryAfterMs: durationMs.optional(),
+});
+/** Standing of a content fingerprint. */
+export type FingerprintStanding = z.infer<typeof fingerprintStandingSchema>;
--- /dev/null
+++ b/xo.config.js
@@ -0,0 +1,23 @@
+/** @type {import('xo').FlatXoConfig} */
+const config = [
+	{ignores: ['**/dist/**', 'docs/**']},
+	{
+		rules: {
+			// Customary short names (id, args, req, res, ttl) are what readers expect.
+			'unicorn/prevent-abbreviations': 'off',
+			// The completions protocol and JSON replies use null.
+			'unicorn/no-null': 'off',
+			'@typescript-eslint/no-restricted-types': 'off',
+			// Retries, polling and ordered sends are sequential on purpose.
+			'no-await-in-loop': 'off',
+		},
+	},
+	{
+		files: ['**/*.test.ts'],
+		rules: {
+			'@typescript-eslint/no-unused-expressions': 'off',
+		},
+	},
+];
+
+export default config;
