Add the contracts between the tasks of an entry and of the object store

Request tasks and control tasks of an entry are written at the same time, so the functions between them are fixed first. Failures of the object API are values; a lost answer is a kind of its own because the write may have taken effect.

--- /dev/null
+++ b/packages/entry/src/index.ts
@@ -0,0 +1,1 @@
+export type * from './contracts.js';
--- /dev/null
+++ b/packages/platform-client/src/index.ts
@@ -0,0 +1,1 @@
+export type * from './object-store.js';
--- /dev/null
+++ b/packages/platform-client/src/object-store.ts
@@ -0,0 +1,35 @@
+import type {Result} from '@knapweedrack/core';
+import type {ObjectList, StoredObject, WatchAnswer} from '@knapweedrack/protocol';
+
+/**
+ * Why a call of the object API failed.
+ * `unknown` means that the answer was lost and a write may have taken effect.
+ */
+export type StoreFailure =
+	| {kind: 'not_found'}
+	| {kind: 'version_mismatch'; version: number}
+	| {kind: 'too_large'}
+	| {kind: 'rate_limited'; retryAfterMs: number}
+	| {kind: 'compacted'}
+	| {kind: 'unavailable'; message: string}
+	| {kind: 'unknown'; message: string};
+
+/** Condition of a write: the object must not exist, or must have this version. */
+export type WriteCondition = {create: true} | {version: number};
+
+/** Options of one call. */
+export type CallOptions = {
+	/** Longest wait for an answer, in ms. */
+	timeoutMs?: number | undefined;
+	signal?: AbortSignal | undefined;
+};
+
+/** Client of the object API; failures are values. */
+export type ObjectStore = {
+	get: (key: string, options?: CallOptions) => Promise<Result<StoredObject, StoreFailure>>;
+	list: (prefix: string, options?: CallOptions) => Promise<Result<ObjectList, StoreFailure>>;
+	put: (key: string, value: unknown, condition?: WriteCondition, options?: CallOptions) => Promise<Result<{version: number}, StoreFailure>>;
+	delete: (key: string, condition?: WriteCondition, options?: CallOptions) => Promise<Result<{version: number}, StoreFailure>>;
+	/** Waits for changes after a revision; ends with an empty list when there are none within `waitMs`. */
+	watch: (prefix: string, after: number, waitMs: number, options?: CallOptions) => Promise<Result<WatchAnswer, StoreFailure>>;
+};
