--- /dev/null
+++ b/packages/core/src/admission/admission-point.ts
@@ -0,0 +1,594 @@
+import {
+	attemptResults, refusalReasons,
+	type AttemptResult, type BackendServerProfile, type EngineReport, type LoadSnapshot, type Permit, type PermitRequest,
+	type RefusalReason,
+} from '../types/index.js';
+import {WarmupLevel} from '../warmup/index.js';
+import {computeBounds, type AdmissionBounds} from './admission-bounds.js';
+import type {AdmissionCommand, AdmissionEvent, AdmissionMode} from './admission-events.js';
+import {resolveAdmissionOptions, type AdmissionOptions, type ResolvedAdmissionOptions} from './admission-options.js';
+import {AdmissionQueue, type QueuedRequest} from './admission-queue.js';
+import {DrainEstimator} from './drain-estimator.js';
+import {computeEnginePriority, computeLane, lanes} from './lanes.js';
+import {buildPermitId, parsePermitAttemptId} from './permit-id.js';
+import {PermitLedger, type HeldPermit} from './permit-ledger.js';
+
+/** Capacity set aside for a request that waited for long. */
+type Claim = {queued: QueuedRequest; waitedMs: number};
+
+const minRetryAfterMs = 100;
+const maxRetryAfterMs = 60_000;
+const deadlineScanMs = 250;
+/** Share of the KV memory that shorter prompts may use while a longer one collects memory. */
+const claimReserveShare = 0.125;
+/** Waiting time, in multiples of the aging time, after which a longer prompt may collect all memory. */
+const claimAllFactor = 3;
+/** Lengths in tokens for which the load snapshot gives estimates. */
+const shortSampleTokens = 1024;
+const longSampleTokens = 131_072;
+
+/** Results after which the engine is known not to run the attempt. */
+const endedResults: ReadonlySet<AttemptResult> = new Set([attemptResults.completed, attemptResults.notStarted]);
+const errorResults: ReadonlySet<AttemptResult> = new Set([attemptResults.failed, attemptResults.crashed]);
+
+/** Issues the permits of one owned backend server. */
+export class AdmissionPoint {
+	readonly #options: ResolvedAdmissionOptions;
+	readonly #queue: AdmissionQueue;
+	readonly #ledger: PermitLedger;
+	readonly #warmup: WarmupLevel;
+	readonly #estimator: DrainEstimator;
+	#profile: BackendServerProfile;
+	#mode: AdmissionMode = 'full';
+	#bootId: string | undefined;
+	#isLeaving = false;
+	/** True until a report shows the state of the server, initially and after a crash. */
+	#needsReport: boolean;
+	#sequence = 0;
+	#now = 0;
+	#scannedAt = 0;
+	/** Prefill tokens that lanes below a waiting or running longer prompt may still start. */
+	#credit = 0;
+	#creditAt = 0;
+	#commands: AdmissionCommand[] = [];
+
+	constructor(profile: BackendServerProfile, options: AdmissionOptions = {}) {
+		this.#options = resolveAdmissionOptions(options);
+		this.#profile = profile;
+		this.#needsReport = this.#options.hasReports;
+		this.#queue = new AdmissionQueue(lanes.length, this.#options.agingMs);
+		this.#warmup = new WarmupLevel(profile, this.#options.warmup);
+		this.#estimator = new DrainEstimator(lanes.length, this.#options.decodeMsPerToken);
+		this.#ledger = new PermitLedger({
+			laneCount: lanes.length,
+			reportLagMs: this.#options.hasReports ? this.#options.reportLagMs : 0,
+			foreignGraceMs: this.#options.permitLifetimeMs,
+		});
+	}
+
+	/** Load at the time of the last event. */
+	get load(): LoadSnapshot {
+		const {bounds} = this;
+		return {
+			serverId: this.#profile.id,
+			queuedPrefillTokens: this.#queue.backlogs.reduce((sum, backlog) => sum + backlog.prefillTokens, 0),
+			runningPrefillTokens: this.#ledger.prefillTokens,
+			kvTokensUsed: this.#ledger.kvTokens,
+			kvTokens: this.#profile.kvTokens,
+			running: this.#ledger.concurrency,
+			concurrencyLimit: this.#isServing ? bounds.concurrency : 0,
+			shortFirstTokenMs: this.#estimateSample(shortSampleTokens),
+			longFirstTokenMs: this.#estimateSample(longSampleTokens),
+		};
+	}
+
+	/** Bounds in force. */
+	get bounds(): AdmissionBounds {
+		return computeBounds(this.#profile, this.#warmup.limits, this.#mode);
+	}
+
+	/** Boot id of the last report. */
+	get bootId(): string | undefined {
+		return this.#bootId;
+	}
+
+	/** True when a permit is known; entries drop renewals of unknown ones. */
+	hasPermit(permitId: string): boolean {
+		return this.#ledger.get(permitId) !== undefined;
+	}
+
+	/** Applies an event and returns the commands that follow from it. */
+	handle(event: AdmissionEvent, now: number): AdmissionCommand[] {
+		this.#now = now;
+		this.#updateExpired();
+		this.#apply(event);
+		this.#refuseUnreachable();
+		this.#grantQueued();
+		const commands = this.#commands;
+		this.#commands = [];
+		return commands;
+	}
+
+	get #isServing(): boolean {
+		return !this.#needsReport && !this.#isLeaving && this.#mode !== 'stopped';
+	}
+
+	#apply(event: AdmissionEvent): void {
+		const handlers: {[Type in AdmissionEvent['type']]: (event: AdmissionEvent & {type: Type}) => void} = {
+			request: ({request}) => {
+				this.#handleRequest(request);
+			},
+			renew: ({permitIds}) => {
+				for (const permitId of permitIds) {
+					this.#handleRenew(permitId);
+				}
+			},
+			firstToken: ({permitId}) => {
+				this.#handleFirstToken(permitId);
+			},
+			release: ({permitId, result}) => {
+				this.#handleRelease(permitId, result);
+			},
+			withdraw: ({attemptId}) => {
+				this.#handleWithdraw(attemptId);
+			},
+			report: ({report}) => {
+				this.#handleReport(report);
+			},
+			mode: ({mode}) => {
+				this.#mode = mode;
+			},
+			tick: () => undefined,
+		};
+		(handlers[event.type] as (event: AdmissionEvent) => void)(event);
+	}
+
+	#handleRequest(request: PermitRequest): void {
+		const held = this.#ledger.findByAttempt(request.attemptId);
+		if (held !== undefined) {
+			// The reply to the first copy of the message was lost.
+			this.#commands.push({type: 'grant', permit: held.permit});
+			return;
+		}
+
+		if (this.#queue.has(request.attemptId)) {
+			return;
+		}
+
+		const queued: QueuedRequest = {
+			request,
+			lane: computeLane(request.prefillTokens),
+			enqueuedAt: this.#now,
+			deadlineAt: this.#now + request.deadlineInMs,
+		};
+		const reason = this.#findObstacle(queued);
+		if (reason !== undefined) {
+			this.#refuse(queued, reason.reason, reason.retryAfterMs);
+			return;
+		}
+
+		this.#queue.add(queued);
+	}
+
+	/** Reason to refuse a new request at once. */
+	#findObstacle(queued: QueuedRequest): {reason: RefusalReason; retryAfterMs: number} | undefined {
+		const {request} = queued;
+		const misfit = this.#findMisfit(request);
+		if (misfit !== undefined) {
+			return misfit;
+		}
+
+		const firstTokenMs = this.#estimateFirstToken(request);
+		if (this.#queue.size >= this.#options.maxQueued) {
+			return {reason: refusalReasons.queueFull, retryAfterMs: firstTokenMs / 4};
+		}
+
+		const lateMs = firstTokenMs + this.#estimateDecodeMs(request) - request.deadlineInMs;
+		// The excess over the deadline is the part of the queue that must drain before a retry can succeed.
+		return lateMs > 0 ? {reason: refusalReasons.deadlineUnreachable, retryAfterMs: lateMs} : undefined;
+	}
+
+	/** Reason why a request cannot run even when the server is empty. */
+	#findMisfit(request: PermitRequest): {reason: RefusalReason; retryAfterMs: number} | undefined {
+		const {permitLifetimeMs} = this.#options;
+		if (request.kvTokens > this.#profile.kvTokens) {
+			return {reason: refusalReasons.promptTooLong, retryAfterMs: 0};
+		}
+
+		if (this.#isLeaving) {
+			return {reason: refusalReasons.noBackendServer, retryAfterMs: minRetryAfterMs};
+		}
+
+		const {limits} = this.#warmup;
+		if (this.#mode !== 'full' && !this.#isFitting(request, this.bounds)) {
+			return {reason: refusalReasons.ownershipDisputed, retryAfterMs: permitLifetimeMs};
+		}
+
+		return this.#isFitting(request, {kvTokens: this.#profile.kvTokens, ...limits})
+			? undefined
+			: {reason: refusalReasons.deadlineUnreachable, retryAfterMs: permitLifetimeMs};
+	}
+
+	#isFitting(request: PermitRequest, bounds: AdmissionBounds): boolean {
+		return bounds.concurrency >= 1 && request.kvTokens <= bounds.kvTokens && request.prefillTokens <= bounds.prefillTokens;
+	}
+
+	#handleRenew(permitId: string): void {
+		const held = this.#ledger.get(permitId);
+		const expiresAt = this.#now + this.#options.permitLifetimeMs;
+		if (held !== undefined) {
+			this.#ledger.renew(held, expiresAt);
+			return;
+		}
+
+		const attemptId = parsePermitAttemptId(permitId);
+		if (attemptId !== undefined && this.#mode !== 'stopped' && this.#ledger.findByAttempt(attemptId) === undefined) {
+			this.#addAdopted(permitId, attemptId);
+		}
+	}
+
+	#addAdopted(permitId: string, attemptId: string): void {
+		this.#ledger.addAdopted({
+			permitId,
+			requestId: '',
+			attemptId,
+			serverId: this.#profile.id,
+			bootId: this.#bootId ?? '',
+			lifetimeMs: this.#options.permitLifetimeMs,
+			fencingNumber: this.#options.fencingNumber,
+			enginePriority: 0,
+		}, this.#now);
+	}
+
+	#handleFirstToken(permitId: string): void {
+		const held = this.#ledger.get(permitId);
+		if (held === undefined || held.firstTokenAt !== undefined) {
+			return;
+		}
+
+		held.firstTokenAt = this.#now;
+		this.#ledger.recordFirstToken(held);
+		if (!held.isAdopted) {
+			this.#warmup.recordFirstToken({
+				grantedAt: held.grantedAt,
+				firstTokenMs: this.#now - held.grantedAt,
+				expectedMs: held.expectedFirstTokenMs,
+			}, this.#now);
+		}
+	}
+
+	#handleRelease(permitId: string, result: AttemptResult): void {
+		const held = this.#ledger.get(permitId);
+		if (held === undefined) {
+			return;
+		}
+
+		if (errorResults.has(result)) {
+			this.#warmup.reset(this.#now);
+		}
+
+		if (result === attemptResults.crashed) {
+			this.#needsReport = this.#options.hasReports;
+		}
+
+		if (result === attemptResults.completed) {
+			this.#estimator.recordHold(this.#now - held.grantedAt);
+			this.#estimator.recordDecode(this.#now - (held.firstTokenAt ?? held.grantedAt), held.decodeTokens);
+		}
+
+		if (endedResults.has(result) || !this.#options.hasReports) {
+			this.#ledger.remove(held, this.#now);
+		} else {
+			this.#ledger.recordAbandoned(held, this.#now);
+		}
+	}
+
+	#handleWithdraw(attemptId: string): void {
+		if (this.#queue.remove(attemptId) !== undefined) {
+			return;
+		}
+
+		const held = this.#ledger.findByAttempt(attemptId);
+		if (held !== undefined) {
+			this.#handleRelease(held.permit.permitId, attemptResults.cancelled);
+		}
+	}
+
+	#handleReport(report: EngineReport): void {
+		this.#profile = report.profile;
+		this.#warmup.updateProfile(report.profile);
+		if (this.#bootId !== report.bootId) {
+			this.#handleBoot(report.bootId);
+		}
+
+		this.#needsReport = false;
+		this.#isLeaving = report.state === 'leaving';
+		for (const orphan of this.#ledger.reconcileReport(report, this.#now)) {
+			this.#commands.push({type: 'cancel', ...orphan});
+		}
+	}
+
+	#handleBoot(bootId: string): void {
+		if (this.#bootId !== undefined) {
+			this.#ledger.reset();
+		}
+
+		this.#bootId = bootId;
+		this.#warmup.reset(this.#now);
+	}
+
+	#updateExpired(): void {
+		for (const held of this.#ledger.updateExpired(this.#now)) {
+			if (!this.#options.hasReports) {
+				this.#ledger.remove(held, this.#now);
+			}
+		}
+	}
+
+	/** Refuses queued requests that can no longer finish in time or no longer fit. */
+	#refuseUnreachable(): void {
+		if (this.#mode === 'stopped' || this.#isLeaving) {
+			this.#refuseAll();
+			return;
+		}
+
+		if (this.#now - this.#scannedAt < deadlineScanMs) {
+			return;
+		}
+
+		this.#scannedAt = this.#now;
+		for (const queued of this.#queue.list()) {
+			const leastMs = this.#computePrefillMs(queued.request.prefillTokens) + this.#estimateDecodeMs(queued.request);
+			const misfit = this.#findMisfit(queued.request);
+			if (misfit !== undefined || this.#now + leastMs > queued.deadlineAt) {
+				this.#queue.remove(queued.request.attemptId);
+				this.#refuse(
+					queued,
+					misfit?.reason ?? refusalReasons.deadlineUnreachable,
+					misfit?.retryAfterMs ?? this.#estimateFirstToken(queued.request),
+				);
+			}
+		}
+	}
+
+	#refuseAll(): void {
+		const reason = this.#isLeaving ? refusalReasons.noBackendServer : refusalReasons.ownershipDisputed;
+		for (const queued of this.#queue.list()) {
+			this.#queue.remove(queued.request.attemptId);
+			this.#refuse(queued, reason, minRetryAfterMs);
+		}
+	}
+
+	#refuse({request}: QueuedRequest, reason: RefusalReason, retryAfterMs: number): void {
+		this.#commands.push({
+			type: 'refuse',
+			requestId: request.requestId,
+			attemptId: request.attemptId,
+			reason,
+			retryAfterMs: Math.ceil(Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, retryAfterMs))),
+		});
+	}
+
+	#grantQueued(): void {
+		if (!this.#isServing || this.#queue.size === 0 || this.#ledger.usage.suspects > 0) {
+			return;
+		}
+
+		const {bounds} = this;
+		if (this.#tryGrantSuspect(bounds)) {
+			return;
+		}
+
+		this.#updateCredit();
+		const claim = this.#findClaim(bounds);
+		for (let lane = 0; lane < lanes.length; lane++) {
+			this.#grantLane(lane, bounds, claim);
+		}
+	}
+
+	/** Grants a suspect on an empty server; true when nothing else may be granted. */
+	#tryGrantSuspect(bounds: AdmissionBounds): boolean {
+		const suspect = this.#queue.getFirstSuspect();
+		if (suspect === undefined) {
+			return false;
+		}
+
+		if (this.#ledger.concurrency === 0 && this.#ledger.kvTokens === 0 && this.#isFitting(suspect.request, bounds)) {
+			this.#queue.remove(suspect.request.attemptId);
+			this.#grant(suspect);
+			return true;
+		}
+
+		// A busy server is never empty by itself.
+		return this.#now - suspect.enqueuedAt >= this.#options.agingMs;
+	}
+
+	/** Longest-waiting head of a lane past the aging time; it is served first or capacity is set aside for it. */
+	#findClaim(bounds: AdmissionBounds): Claim | undefined {
+		for (;;) {
+			const oldest = this.#findOldestHead();
+			const waitedMs = oldest === undefined ? 0 : this.#now - oldest.enqueuedAt;
+			if (oldest === undefined || waitedMs < this.#options.agingMs) {
+				return undefined;
+			}
+
+			if (!this.#hasRoom(oldest, bounds, undefined)) {
+				return {queued: oldest, waitedMs};
+			}
+
+			this.#queue.removeFirst(oldest.lane);
+			this.#grant(oldest);
+		}
+	}
+
+	#findOldestHead(): QueuedRequest | undefined {
+		let oldest: QueuedRequest | undefined;
+		for (let lane = 0; lane < lanes.length; lane++) {
+			const head = this.#queue.getFirst(lane);
+			if (head !== undefined && (oldest === undefined || head.enqueuedAt < oldest.enqueuedAt)) {
+				oldest = head;
+			}
+		}
+
+		return oldest;
+	}
+
+	#grantLane(lane: number, bounds: AdmissionBounds, claim: Claim | undefined): void {
+		for (;;) {
+			const head = this.#queue.getFirst(lane);
+			if (head === undefined || !this.#hasCredit(lane, claim) || !this.#hasRoom(head, bounds, claim)) {
+				return;
+			}
+
+			this.#queue.removeFirst(lane);
+			this.#grant(head);
+		}
+	}
+
+	#hasRoom({request, lane}: QueuedRequest, bounds: AdmissionBounds, claim: Claim | undefined): boolean {
+		const ledger = this.#ledger;
+		return ledger.concurrency + 1 <= this.#computeConcurrencyBound(bounds, claim)
+			&& ledger.kvTokens + request.kvTokens <= this.#computeKvBound(bounds, claim)
+			&& ledger.prefillTokens + request.prefillTokens <= bounds.prefillTokens
+			&& this.#hasLaneRoom(request, lane, bounds);
+	}
+
+	#computeConcurrencyBound({concurrency}: AdmissionBounds, claim: Claim | undefined): number {
+		return claim !== undefined && concurrency > 1 ? concurrency - 1 : concurrency;
+	}
+
+	#computeKvBound({kvTokens}: AdmissionBounds, claim: Claim | undefined): number {
+		if (claim === undefined) {
+			return kvTokens;
+		}
+
+		const isUrgent = claim.waitedMs >= claimAllFactor * this.#options.agingMs;
+		const reserve = isUrgent ? 0 : kvTokens * claimReserveShare;
+		return Math.max(reserve, kvTokens - claim.queued.request.kvTokens);
+	}
+
+	#hasLaneRoom(request: PermitRequest, lane: number, bounds: AdmissionBounds): boolean {
+		const {usage} = this.#ledger;
+		const inFlight = usage.lanePrefillTokens[lane]!;
+		if (inFlight > 0 && inFlight + request.prefillTokens > this.#computeWindowTokens()) {
+			return false;
+		}
+
+		const {concurrencyShare, kvShare} = lanes[lane]!;
+		const concurrency = this.#sumFrom(usage.laneConcurrency, lane);
+		const kvTokens = this.#sumFrom(usage.laneKvTokens, lane);
+		return concurrency + 1 <= Math.max(1, Math.floor(bounds.concurrency * concurrencyShare))
+			&& (kvTokens === 0 || kvTokens + request.kvTokens <= bounds.kvTokens * kvShare);
+	}
+
+	#sumFrom(values: readonly number[], lane: number): number {
+		let sum = 0;
+		for (let index = lane; index < values.length; index++) {
+			sum += values[index]!;
+		}
+
+		return sum;
+	}
+
+	#computeWindowTokens(): number {
+		return (this.#profile.prefillTokensPerSecond * this.#options.prefillWindowMs) / 1000;
+	}
+
+	/** The engine runs shorter prompts first, so their rate is limited while a longer prompt needs its share. */
+	#hasCredit(lane: number, claim: Claim | undefined): boolean {
+		const isLongerWaiting = (claim?.queued.lane ?? -1) > lane
+			|| this.#sumFrom(this.#ledger.usage.lanePrefillTokens, lane + 1) > 0;
+		return !isLongerWaiting || this.#credit > 0;
+	}
+
+	#updateCredit(): void {
+		const rate = this.#profile.prefillTokensPerSecond * (1 - this.#options.longPrefillShare);
+		const added = (rate * Math.max(0, this.#now - this.#creditAt)) / 1000;
+		this.#credit = Math.min(this.#computeWindowTokens(), this.#credit + added);
+		this.#creditAt = this.#now;
+	}
+
+	#grant({request, lane}: QueuedRequest): void {
+		const {fencingNumber, permitLifetimeMs} = this.#options;
+		const permit: Permit = {
+			permitId: buildPermitId(fencingNumber, ++this.#sequence, request.attemptId),
+			requestId: request.requestId,
+			attemptId: request.attemptId,
+			serverId: this.#profile.id,
+			bootId: this.#bootId ?? '',
+			lifetimeMs: permitLifetimeMs,
+			fencingNumber,
+			enginePriority: computeEnginePriority(request.prefillTokens, request.priority),
+		};
+		const held: HeldPermit = {
+			permit,
+			lane,
+			kvTokens: request.kvTokens,
+			prefillInFlight: request.prefillTokens,
+			decodeTokens: request.decodeTokens,
+			grantedAt: this.#now,
+			firstTokenAt: undefined,
+			expiresAt: this.#now + permitLifetimeMs,
+			expectedFirstTokenMs: this.#estimateGranted(request, lane),
+			isSuspect: request.isSuspect,
+			abandonedAt: undefined,
+			isAdopted: false,
+		};
+		this.#ledger.add(held);
+		this.#credit -= request.prefillTokens;
+		this.#estimator.recordGrant(lane, request.prefillTokens, this.#now);
+		this.#commands.push({type: 'grant', permit});
+	}
+
+	/** First-token time in ms of a request granted now. */
+	#estimateGranted(request: PermitRequest, lane: number): number {
+		const inFlight = this.#sumUpTo(this.#ledger.usage.lanePrefillTokens, lane);
+		const share = lane === 0 ? 1 : this.#options.longPrefillShare;
+		return this.#computePrefillMs((inFlight + request.prefillTokens) / share);
+	}
+
+	#sumUpTo(values: readonly number[], lane: number): number {
+		let sum = 0;
+		for (let index = 0; index <= lane; index++) {
+			sum += values[index]!;
+		}
+
+		return sum;
+	}
+
+	#computePrefillMs(tokens: number): number {
+		return (tokens * 1000) / this.#profile.prefillTokensPerSecond;
+	}
+
+	#estimateDecodeMs(request: PermitRequest): number {
+		return request.decodeTokens * this.#estimator.decodeMsPerToken;
+	}
+
+	#estimateSample(prefillTokens: number): number {
+		return Math.ceil(this.#estimate(prefillTokens, prefillTokens, 1, 1));
+	}
+
+	/** Estimated time in ms to the first token of a request that arrives now. */
+	#estimateFirstToken(request: PermitRequest): number {
+		const share = this.#queue.estimateShareAhead(computeLane(request.prefillTokens), request.workspaceId, request.weight);
+		return this.#estimate(request.prefillTokens, request.kvTokens, share, request.isSuspect ? 0 : 1);
+	}
+
+	/** The slowest of prefill rate, concurrency and KV memory decides. */
+	#estimate(prefillTokens: number, kvTokens: number, shareAhead: number, slots: number): number {
+		const lane = computeLane(prefillTokens);
+		const backlog = this.#queue.backlogs[lane]!;
+		const {bounds} = this;
+		const rate = Math.max(
+			this.#profile.prefillTokensPerSecond * this.#options.longPrefillShare,
+			this.#profile.prefillTokensPerSecond - this.#estimator.computeRateBelow(lane, this.#now),
+		);
+		const inFlight = this.#sumUpTo(this.#ledger.usage.lanePrefillTokens, lane);
+		const prefillMs = ((inFlight + (backlog.prefillTokens * shareAhead) + prefillTokens) * 1000) / rate;
+		const ownMs = (prefillTokens * 1000) / rate;
+		const missingSlots = (backlog.size * shareAhead) + slots - (bounds.concurrency - this.#ledger.concurrency);
+		const missingKv = (backlog.kvTokens * shareAhead) + kvTokens - (bounds.kvTokens - this.#ledger.kvTokens);
+		const turnover = Math.max(missingSlots / Math.max(1, bounds.concurrency), missingKv / Math.max(1, bounds.kvTokens));
+		return Math.max(prefillMs, ownMs + (Math.max(0, turnover) * this.#estimator.holdMs));
+	}
+}
--- a/packages/core/src/admission/index.ts
+++ b/packages/core/src/admission/index.ts
@@ -1,1 +1,5 @@
-export {};
+export * from './admission-events.js';
+export * from './admission-options.js';
+export * from './admission-point.js';
+export * from './lanes.js';
+export * from './permit-id.js';
--- /dev/null
+++ b/packages/core/src/admission/permit-ledger.ts
@@ -0,0 +1,332 @@
+import type {EngineReport, EngineRunningRequest, Permit} from '../types/index.js';
+
+/** Capacity that one attempt holds. */
+export type HeldPermit = {
+	permit: Permit;
+	lane: number;
+	kvTokens: number;
+	/** Prefill tokens not known to be finished. */
+	prefillInFlight: number;
+	/** Expected number of generated tokens. */
+	decodeTokens: number;
+	grantedAt: number;
+	firstTokenAt: number | undefined;
+	expiresAt: number;
+	/** First-token time in ms expected at the time of the grant. */
+	expectedFirstTokenMs: number;
+	isSuspect: boolean;
+	/** Time since which nobody owns the attempt; its capacity waits for the engine to drop it. */
+	abandonedAt: number | undefined;
+	/** True when only its renewal is known; figures come from the engine's reports. */
+	isAdopted: boolean;
+};
+
+/** Capacity in use, per lane where the bounds are per lane. */
+export type LedgerUsage = {
+	kvTokens: number;
+	concurrency: number;
+	prefillTokens: number;
+	laneKvTokens: number[];
+	laneConcurrency: number[];
+	lanePrefillTokens: number[];
+	suspects: number;
+};
+
+/** Work listed by the engine that no permit covers. */
+export type ForeignWork = {
+	requestId: string;
+	attemptId: string;
+	kvTokens: number;
+	prefillTokens: number;
+	firstSeenAt: number;
+};
+
+/** Settings of a ledger. */
+export type LedgerOptions = {
+	laneCount: number;
+	reportLagMs: number;
+	/** Time in ms for which work without a permit is left alone, because its holder may still renew. */
+	foreignGraceMs: number;
+};
+
+/** An attempt to cancel on the engine. */
+export type OrphanedAttempt = {requestId: string; attemptId: string};
+
+const createUsage = (laneCount: number): LedgerUsage => ({
+	kvTokens: 0,
+	concurrency: 0,
+	prefillTokens: 0,
+	laneKvTokens: Array.from({length: laneCount}, () => 0),
+	laneConcurrency: Array.from({length: laneCount}, () => 0),
+	lanePrefillTokens: Array.from({length: laneCount}, () => 0),
+	suspects: 0,
+});
+
+const isPrefilling = (running: EngineRunningRequest): boolean => running.phase === 'queued' || running.phase === 'prefill';
+
+/** Capacity of one backend server that permits, abandoned attempts and foreign work hold. */
+export class PermitLedger {
+	readonly #options: LedgerOptions;
+	readonly #held = new Map<string, HeldPermit>();
+	readonly #permitIds = new Map<string, string>();
+	readonly #foreign = new Map<string, ForeignWork>();
+	/** End time by attempt id; a lagging report may still list the attempt. */
+	readonly #ended = new Map<string, number>();
+	readonly #usage: LedgerUsage;
+	#foreignKvTokens = 0;
+	#foreignPrefillTokens = 0;
+	#reservedKvTokens = 0;
+	#earliestExpiry = Number.POSITIVE_INFINITY;
+
+	constructor(options: LedgerOptions) {
+		this.#options = options;
+		this.#usage = createUsage(options.laneCount);
+	}
+
+	/** KV tokens held by permits, foreign work and reservations. */
+	get kvTokens(): number {
+		return this.#usage.kvTokens + this.#foreignKvTokens + this.#reservedKvTokens;
+	}
+
+	/** Attempts that hold capacity. */
+	get concurrency(): number {
+		return this.#held.size + this.#foreign.size;
+	}
+
+	/** Prefill tokens in flight. */
+	get prefillTokens(): number {
+		return this.#usage.prefillTokens + this.#foreignPrefillTokens;
+	}
+
+	/** Use by permits, per lane. */
+	get usage(): Readonly<LedgerUsage> {
+		return this.#usage;
+	}
+
+	/** Permit by id. */
+	get(permitId: string): HeldPermit | undefined {
+		return this.#held.get(permitId);
+	}
+
+	/** Permit by attempt id. */
+	findByAttempt(attemptId: string): HeldPermit | undefined {
+		return this.#held.get(this.#permitIds.get(attemptId) ?? '');
+	}
+
+	/** Ids of all permits that hold capacity. */
+	listPermitIds(): string[] {
+		return [...this.#held.keys()];
+	}
+
+	/** Adds a permit; foreign work of the same attempt is covered by it from now on. */
+	add(held: HeldPermit): void {
+		this.#removeForeign(held.permit.attemptId);
+		this.#held.set(held.permit.permitId, held);
+		this.#permitIds.set(held.permit.attemptId, held.permit.permitId);
+		this.#earliestExpiry = Math.min(this.#earliestExpiry, held.expiresAt);
+		this.#updateUsage(held, 1);
+	}
+
+	/** Adds a permit of a former owner; its figures come from the next report that lists the attempt. */
+	addAdopted(permit: Permit, now: number): void {
+		const work = this.#foreign.get(permit.attemptId);
+		this.add({
+			permit: {...permit, requestId: work?.requestId ?? permit.requestId},
+			lane: 0,
+			kvTokens: work?.kvTokens ?? 0,
+			prefillInFlight: work?.prefillTokens ?? 0,
+			decodeTokens: 0,
+			grantedAt: now,
+			firstTokenAt: undefined,
+			expiresAt: now + permit.lifetimeMs,
+			expectedFirstTokenMs: 0,
+			isSuspect: false,
+			abandonedAt: undefined,
+			isAdopted: true,
+		});
+	}
+
+	/** Removes a permit and returns its capacity. */
+	remove(held: HeldPermit, now: number): void {
+		this.#held.delete(held.permit.permitId);
+		this.#permitIds.delete(held.permit.attemptId);
+		this.#updateUsage(held, -1);
+		if (this.#options.reportLagMs > 0) {
+			this.#ended.set(held.permit.attemptId, now);
+		}
+	}
+
+	/** Forgets everything, because the engine restarted. */
+	reset(): void {
+		this.#held.clear();
+		this.#permitIds.clear();
+		this.#foreign.clear();
+		this.#ended.clear();
+		this.#reservedKvTokens = 0;
+		this.#foreignKvTokens = 0;
+		this.#foreignPrefillTokens = 0;
+		this.#earliestExpiry = Number.POSITIVE_INFINITY;
+		Object.assign(this.#usage, createUsage(this.#options.laneCount));
+	}
+
+	/** Records that the prefill of a permit is finished. */
+	recordFirstToken(held: HeldPermit): void {
+		this.#usage.prefillTokens -= held.prefillInFlight;
+		this.#usage.lanePrefillTokens[held.lane]! -= held.prefillInFlight;
+		held.prefillInFlight = 0;
+	}
+
+	/** Extends the lifetime of a permit. */
+	renew(held: HeldPermit, expiresAt: number): void {
+		held.expiresAt = expiresAt;
+		held.abandonedAt = undefined;
+		this.#earliestExpiry = Math.min(this.#earliestExpiry, expiresAt);
+	}
+
+	/** Marks a permit that nobody owns; its capacity is returned by a later report. */
+	recordAbandoned(held: HeldPermit, now: number): void {
+		held.abandonedAt ??= now;
+	}
+
+	/** Marks expired permits and returns them. */
+	updateExpired(now: number): HeldPermit[] {
+		if (now < this.#earliestExpiry) {
+			return [];
+		}
+
+		const expired: HeldPermit[] = [];
+		this.#earliestExpiry = Number.POSITIVE_INFINITY;
+		for (const held of this.#held.values()) {
+			if (held.abandonedAt !== undefined) {
+				continue;
+			}
+
+			if (held.expiresAt <= now) {
+				held.abandonedAt = now;
+				expired.push(held);
+			} else {
+				this.#earliestExpiry = Math.min(this.#earliestExpiry, held.expiresAt);
+			}
+		}
+
+		return expired;
+	}
+
+	/** Compares the ledger with a report; returns running attempts that nobody owns. */
+	reconcileReport(report: EngineReport, now: number): OrphanedAttempt[] {
+		const listed = new Map(report.running.map(running => [running.attemptId, running]));
+		this.#updateEnded(listed, now);
+		this.#updateAdopted(listed);
+		const orphans = this.#reconcileHeld(listed, now);
+		this.#updateReserved(report);
+		return [...orphans, ...this.#reconcileForeign(listed, now)];
+	}
+
+	#reconcileHeld(listed: ReadonlyMap<string, EngineRunningRequest>, now: number): OrphanedAttempt[] {
+		const orphans: OrphanedAttempt[] = [];
+		for (const held of this.#held.values()) {
+			if (held.abandonedAt === undefined) {
+				continue;
+			}
+
+			const {requestId, attemptId} = held.permit;
+			if (listed.has(attemptId)) {
+				orphans.push({requestId, attemptId});
+			} else if (now - held.abandonedAt >= this.#options.reportLagMs) {
+				this.remove(held, now);
+			}
+		}
+
+		return orphans;
+	}
+
+	#reconcileForeign(listed: ReadonlyMap<string, EngineRunningRequest>, now: number): OrphanedAttempt[] {
+		for (const attemptId of this.#foreign.keys()) {
+			if (!listed.has(attemptId)) {
+				this.#removeForeign(attemptId);
+			}
+		}
+
+		const orphans: OrphanedAttempt[] = [];
+		for (const running of listed.values()) {
+			const endedAt = this.#ended.get(running.attemptId);
+			const isRecentlyEnded = endedAt !== undefined && now - endedAt < this.#options.reportLagMs;
+			if (this.#permitIds.has(running.attemptId) || isRecentlyEnded) {
+				continue;
+			}
+
+			const work = this.#updateForeign(running, now);
+			if (endedAt !== undefined || now - work.firstSeenAt >= this.#options.foreignGraceMs) {
+				orphans.push({requestId: work.requestId, attemptId: work.attemptId});
+			}
+		}
+
+		return orphans;
+	}
+
+	#updateForeign(running: EngineRunningRequest, now: number): ForeignWork {
+		const known = this.#foreign.get(running.attemptId);
+		this.#removeForeign(running.attemptId);
+		const work: ForeignWork = {
+			requestId: running.requestId,
+			attemptId: running.attemptId,
+			kvTokens: running.kvTokens,
+			prefillTokens: isPrefilling(running) ? running.kvTokens : 0,
+			firstSeenAt: known?.firstSeenAt ?? now,
+		};
+		this.#foreign.set(running.attemptId, work);
+		this.#foreignKvTokens += work.kvTokens;
+		this.#foreignPrefillTokens += work.prefillTokens;
+		return work;
+	}
+
+	#removeForeign(attemptId: string): void {
+		const work = this.#foreign.get(attemptId);
+		if (work !== undefined) {
+			this.#foreign.delete(attemptId);
+			this.#foreignKvTokens -= work.kvTokens;
+			this.#foreignPrefillTokens -= work.prefillTokens;
+		}
+	}
+
+	#updateAdopted(listed: ReadonlyMap<string, EngineRunningRequest>): void {
+		for (const held of this.#held.values()) {
+			const running = held.isAdopted ? listed.get(held.permit.attemptId) : undefined;
+			if (running !== undefined) {
+				this.#updateUsage(held, -1);
+				held.permit = {...held.permit, requestId: running.requestId};
+				held.kvTokens = running.kvTokens;
+				held.prefillInFlight = isPrefilling(running) ? running.kvTokens : 0;
+				this.#updateUsage(held, 1);
+			}
+		}
+	}
+
+	/** Reservations of requests that also hold a permit are part of the permit. */
+	#updateReserved(report: EngineReport): void {
+		const requestIds = new Set([...this.#held.values()].map(held => held.permit.requestId));
+		this.#reservedKvTokens = 0;
+		for (const reservation of report.reservations) {
+			this.#reservedKvTokens += requestIds.has(reservation.requestId) ? 0 : reservation.kvTokens;
+		}
+	}
+
+	#updateEnded(listed: ReadonlyMap<string, EngineRunningRequest>, now: number): void {
+		for (const [attemptId, endedAt] of this.#ended) {
+			if (now - endedAt >= this.#options.reportLagMs && !listed.has(attemptId)) {
+				this.#ended.delete(attemptId);
+			}
+		}
+	}
+
+	#updateUsage(held: HeldPermit, sign: 1 | -1): void {
+		const usage = this.#usage;
+		usage.kvTokens += sign * held.kvTokens;
+		usage.concurrency += sign;
+		usage.prefillTokens += sign * held.prefillInFlight;
+		usage.laneKvTokens[held.lane]! += sign * held.kvTokens;
+		usage.laneConcurrency[held.lane]! += sign;
+		usage.lanePrefillTokens[held.lane]! += sign * held.prefillInFlight;
+		usage.suspects += held.isSuspect ? sign : 0;
+	}
+}
--- a/packages/core/src/fairness/index.ts
+++ b/packages/core/src/fairness/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from './binary-heap.js';
+export * from './fair-queue.js';
--- a/packages/core/src/group/index.ts
+++ b/packages/core/src/group/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from './group-reservation.js';
+export * from './plan-group.js';
--- /dev/null
+++ b/packages/core/src/limits/slice-holder.ts
@@ -0,0 +1,181 @@
+import {refusalReasons, type RefusalReason} from '../types/index.js';
+import {computeStaticFloor, type LimitSlice, type PlanLimits} from './plan-limits.js';
+import {TokenBucket} from './token-bucket.js';
+
+/** Settings of a slice holder. */
+export type SliceHolderOptions = {
+	/** Last known number of sessions; divides the plan into static floors. */
+	entries: number;
+	/** Time in ms without contact to the owner before the static floor applies. */
+	floorDelayMs?: number;
+	/** Capacity of the buckets in ms of their rate. */
+	burstMs?: number;
+};
+
+/** What happens to a slice holder. */
+export type SliceHolderEvent =
+	| {type: 'slice'; slice: LimitSlice; /** Time at which the slice was asked for. */ requestedAt: number}
+	| {type: 'unreachable'}
+	| {type: 'entries'; entries: number}
+	| {type: 'plan'; plan: PlanLimits};
+
+/** Cost of one request. */
+export type LimitCost = {tokens: number};
+
+/** Answer to one request. */
+export type LimitVerdict = {type: 'admitted'} | {type: 'refused'; reason: RefusalReason; retryAfterMs: number};
+
+/** Demand since the last call, for the next request for a slice. */
+export type LimitDemand = {requests: number; tokens: number; /** Requests in progress. */ concurrency: number};
+
+const minRetryAfterMs = 50;
+const maxRetryAfterMs = 60_000;
+
+/** An entry's part of one workspace's rates. */
+export class SliceHolder {
+	#plan: PlanLimits;
+	#entries: number;
+	readonly #floorDelayMs: number;
+	readonly #burstMs: number;
+	readonly #requests: TokenBucket;
+	readonly #tokens: TokenBucket;
+	#rates: PlanLimits = {requestsPerSecond: 0, tokensPerSecond: 0, concurrency: 0};
+	#expiresAt = -Infinity;
+	#unreachableSince: number | undefined;
+	#mode: 'none' | 'slice' | 'floor' = 'none';
+	#inProgress = 0;
+	#demand = {requests: 0, tokens: 0};
+
+	constructor(plan: PlanLimits, options: SliceHolderOptions, now: number) {
+		this.#plan = plan;
+		this.#entries = options.entries;
+		this.#floorDelayMs = options.floorDelayMs ?? 2000;
+		this.#burstMs = options.burstMs ?? 400;
+		this.#requests = new TokenBucket(now);
+		this.#tokens = new TokenBucket(now);
+	}
+
+	/** Requests in progress. */
+	get inProgress(): number {
+		return this.#inProgress;
+	}
+
+	/** True while a slice of the owner is valid. */
+	hasSlice(now: number): boolean {
+		return now < this.#expiresAt;
+	}
+
+	/** Applies an event. */
+	handle(event: SliceHolderEvent, now: number): void {
+		this.#update(now);
+		switch (event.type) {
+			case 'slice': {
+				this.#applySlice(event.slice, event.requestedAt);
+				break;
+			}
+
+			case 'unreachable': {
+				this.#unreachableSince ??= now;
+				break;
+			}
+
+			case 'entries': {
+				this.#entries = event.entries;
+				break;
+			}
+
+			case 'plan': {
+				this.#plan = event.plan;
+				break;
+			}
+		}
+
+		this.#mode = 'none';
+		this.#update(now);
+	}
+
+	/** Admits or refuses a request; an admitted one is ended by `release`. */
+	tryConsume(cost: LimitCost, now: number): LimitVerdict {
+		this.#update(now);
+		this.#demand.requests++;
+		this.#demand.tokens += cost.tokens;
+		const requestWaitMs = this.#requests.computeWaitMs(1, now);
+		if (requestWaitMs > 0) {
+			return this.#refuse(refusalReasons.requestRateExceeded, requestWaitMs);
+		}
+
+		const tokenWaitMs = this.#tokens.computeWaitMs(cost.tokens, now);
+		if (tokenWaitMs > 0) {
+			return this.#refuse(refusalReasons.tokenRateExceeded, tokenWaitMs);
+		}
+
+		if (this.#inProgress >= this.#rates.concurrency) {
+			return this.#refuse(refusalReasons.concurrencyExceeded, 1000);
+		}
+
+		this.#requests.consume(1, now);
+		this.#tokens.consume(cost.tokens, now);
+		this.#inProgress++;
+		return {type: 'admitted'};
+	}
+
+	/** Ends an admitted request and corrects the estimated cost in tokens by the measured one. */
+	release(cost: LimitCost, usedTokens: number, now: number): void {
+		this.#update(now);
+		this.#inProgress = Math.max(0, this.#inProgress - 1);
+		this.#tokens.consume(usedTokens - cost.tokens, now);
+	}
+
+	/** Returns the demand since the last call and starts a new count. */
+	resetDemand(): LimitDemand {
+		const demand = {...this.#demand, concurrency: this.#inProgress};
+		this.#demand = {requests: 0, tokens: 0};
+		return demand;
+	}
+
+	#refuse(reason: RefusalReason, waitMs: number): LimitVerdict {
+		return {type: 'refused', reason, retryAfterMs: Math.ceil(Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, waitMs)))};
+	}
+
+	#applySlice(slice: LimitSlice, requestedAt: number): void {
+		this.#unreachableSince = undefined;
+		// An owner that has nothing to hand out yet leaves the former slice in force.
+		if (slice.lifetimeMs > 0) {
+			this.#rates = slice;
+			// Counted from the sending time, so that the slice ends here before it ends at the owner.
+			this.#expiresAt = requestedAt + slice.lifetimeMs;
+		}
+	}
+
+	#resolveMode(now: number): 'none' | 'slice' | 'floor' {
+		if (now < this.#expiresAt) {
+			return 'slice';
+		}
+
+		return this.#unreachableSince !== undefined && now >= this.#unreachableSince + this.#floorDelayMs ? 'floor' : 'none';
+	}
+
+	/** Sets the buckets to the rates in force; the refill up to the end of a slice uses the slice's rate. */
+	#update(now: number): void {
+		const mode = this.#resolveMode(now);
+		if (mode === this.#mode) {
+			return;
+		}
+
+		const changedAt = this.#mode === 'slice' ? Math.min(now, this.#expiresAt) : now;
+		this.#mode = mode;
+		if (mode === 'floor') {
+			this.#rates = computeStaticFloor(this.#plan, this.#entries);
+		} else if (mode === 'none') {
+			this.#rates = {requestsPerSecond: 0, tokensPerSecond: 0, concurrency: 0};
+		}
+
+		this.#setRate(this.#requests, this.#rates.requestsPerSecond, changedAt, 1);
+		this.#setRate(this.#tokens, this.#rates.tokensPerSecond, changedAt, 0);
+	}
+
+	#setRate(bucket: TokenBucket, ratePerSecond: number, now: number, minCapacity: number): void {
+		const capacity = ratePerSecond === 0 ? 0 : Math.max(minCapacity, (ratePerSecond * this.#burstMs) / 1000);
+		bucket.setRate(ratePerSecond, capacity, now);
+	}
+}
--- /dev/null
+++ b/packages/core/src/limits/token-bucket.ts
@@ -0,0 +1,48 @@
+/**
+ * Token bucket that can go into debt: a cost above the capacity is admitted when the level is positive,
+ * and later costs wait until the debt is repaid.
+ */
+export class TokenBucket {
+	#ratePerSecond = 0;
+	#capacity = 0;
+	#level = 0;
+	#updatedAt: number;
+
+	constructor(now: number) {
+		this.#updatedAt = now;
+	}
+
+	/** Present level; negative while in debt. */
+	getLevel(now: number): number {
+		this.#update(now);
+		return this.#level;
+	}
+
+	/** Sets rate and capacity; a level above the new capacity is lost. */
+	setRate(ratePerSecond: number, capacity: number, now: number): void {
+		this.#update(now);
+		this.#ratePerSecond = ratePerSecond;
+		this.#capacity = capacity;
+		this.#level = Math.min(this.#level, capacity);
+	}
+
+	/** Time in ms until a cost is admitted; 0 when it is admitted now, infinite at rate 0. */
+	computeWaitMs(cost: number, now: number): number {
+		this.#update(now);
+		const missing = Math.min(cost, this.#capacity) - this.#level;
+		// Rounding in the refill must not postpone an admission by another tick.
+		return missing <= this.#capacity * 1e-9 && this.#capacity > 0 ? 0 : (missing / this.#ratePerSecond) * 1000;
+	}
+
+	/** Takes a cost, possibly into debt. A negative cost returns tokens. */
+	consume(cost: number, now: number): void {
+		this.#update(now);
+		this.#level = Math.min(this.#capacity, this.#level - cost);
+	}
+
+	#update(now: number): void {
+		const elapsedMs = Math.max(0, now - this.#updatedAt);
+		this.#updatedAt = Math.max(this.#updatedAt, now);
+		this.#level = Math.min(this.#capacity, this.#level + ((elapsedMs * this.#ratePerSecond) / 1000));
+	}
+}
--- /dev/null
+++ b/packages/core/src/limits/workspace-budget.ts
@@ -0,0 +1,193 @@
+import {computeStaticFloor, type LimitSlice, type PlanLimits} from './plan-limits.js';
+import type {LimitDemand} from './slice-holder.js';
+
+/** Settings of a workspace budget. */
+export type WorkspaceBudgetOptions = {
+	/** Last known number of sessions. */
+	entries: number;
+	sliceLifetimeMs?: number;
+	/** True when this entry has been the owner for longer than one slice lifetime, or nobody was before. */
+	isSettled?: boolean;
+};
+
+/** What happens to a workspace budget. */
+export type WorkspaceBudgetEvent =
+	| {type: 'demand'; entryId: string; demand: LimitDemand}
+	/** Sessions and those of them that the owner cannot reach; the latter may use their static floors. */
+	| {type: 'entries'; entries: number; unreachable: readonly string[]}
+	| {type: 'plan'; plan: PlanLimits};
+
+type Share = {
+	slice: PlanLimits;
+	expiresAt: number;
+	/** Smoothed demand per second. */
+	requestsPerSecond: number;
+	tokensPerSecond: number;
+	concurrency: number;
+	askedAt: number;
+};
+
+const noRates: PlanLimits = {requestsPerSecond: 0, tokensPerSecond: 0, concurrency: 0};
+const rateNames = ['requestsPerSecond', 'tokensPerSecond'] as const;
+type RateName = (typeof rateNames)[number];
+
+/** Room above the measured demand, so that a rising demand is not refused before the next slice. */
+const headroom = 1.5;
+const demandSmoothing = 0.6;
+const minIntervalMs = 50;
+const defaultIntervalMs = 1000;
+/** Part of each floor handed out while slices of a former owner may still be valid. */
+const settlingShare = 0.5;
+
+/** Divides one workspace's rates over entries; the sum of live slices never exceeds the plan. */
+export class WorkspaceBudget {
+	#plan: PlanLimits;
+	#entries: number;
+	readonly #lifetimeMs: number;
+	readonly #settledAt: number;
+	#unreachable: ReadonlySet<string> = new Set();
+	readonly #shares = new Map<string, Share>();
+
+	constructor(plan: PlanLimits, options: WorkspaceBudgetOptions, now: number) {
+		this.#plan = plan;
+		this.#entries = options.entries;
+		this.#lifetimeMs = options.sliceLifetimeMs ?? 2000;
+		this.#settledAt = options.isSettled ? now : now + this.#lifetimeMs;
+	}
+
+	/** Sum of the live slices. */
+	computeLiveTotal(now: number): PlanLimits {
+		return this.#sumLive(now, undefined);
+	}
+
+	/** Applies an event; a demand is answered with a slice. */
+	handle(event: WorkspaceBudgetEvent & {type: 'demand'}, now: number): LimitSlice;
+	handle(event: WorkspaceBudgetEvent, now: number): LimitSlice | undefined;
+	handle(event: WorkspaceBudgetEvent, now: number): LimitSlice | undefined {
+		if (event.type === 'demand') {
+			return this.#handleDemand(event.entryId, event.demand, now);
+		}
+
+		if (event.type === 'entries') {
+			this.#entries = event.entries;
+			this.#unreachable = new Set(event.unreachable);
+		} else {
+			this.#plan = event.plan;
+		}
+
+		return undefined;
+	}
+
+	#handleDemand(entryId: string, demand: LimitDemand, now: number): LimitSlice {
+		this.#removeOld(now);
+		const share = this.#updateShare(entryId, demand, now);
+		const slice = now < this.#settledAt ? this.#computeSettlingSlice() : this.#computeSlice(entryId, share, now);
+		share.slice = slice;
+		share.expiresAt = now + this.#lifetimeMs;
+		return {...slice, lifetimeMs: this.#lifetimeMs};
+	}
+
+	#updateShare(entryId: string, demand: LimitDemand, now: number): Share {
+		const known = this.#shares.get(entryId);
+		const intervalMs = known ? Math.max(minIntervalMs, now - known.askedAt) : defaultIntervalMs;
+		const smoothing = known ? demandSmoothing : 1;
+		const merge = (former: number, amount: number) => (former * (1 - smoothing)) + ((smoothing * amount * 1000) / intervalMs);
+		const share: Share = {
+			slice: known?.slice ?? noRates,
+			expiresAt: known?.expiresAt ?? -Infinity,
+			requestsPerSecond: merge(known?.requestsPerSecond ?? 0, demand.requests),
+			tokensPerSecond: merge(known?.tokensPerSecond ?? 0, demand.tokens),
+			concurrency: demand.concurrency,
+			askedAt: now,
+		};
+		this.#shares.set(entryId, share);
+		return share;
+	}
+
+	#computeSettlingSlice(): PlanLimits {
+		const floor = computeStaticFloor(this.#plan, this.#entries);
+		return {
+			requestsPerSecond: floor.requestsPerSecond * settlingShare,
+			tokensPerSecond: floor.tokensPerSecond * settlingShare,
+			concurrency: Math.floor(floor.concurrency * settlingShare),
+		};
+	}
+
+	#computeSlice(entryId: string, share: Share, now: number): PlanLimits {
+		const others = this.#sumLive(now, entryId);
+		const available = this.#computeAvailable(now);
+		return {
+			requestsPerSecond: this.#computeRate('requestsPerSecond', share, available, others),
+			tokensPerSecond: this.#computeRate('tokensPerSecond', share, available, others),
+			concurrency: this.#computeConcurrency(entryId, share, available, others),
+		};
+	}
+
+	/** Plan without the floors of entries that may use them because they lost contact. */
+	#computeAvailable(now: number): PlanLimits {
+		const floor = computeStaticFloor(this.#plan, this.#entries);
+		let lost = 0;
+		for (const entryId of this.#unreachable) {
+			lost += (this.#shares.get(entryId)?.expiresAt ?? -Infinity) > now ? 0 : 1;
+		}
+
+		return {
+			requestsPerSecond: Math.max(0, this.#plan.requestsPerSecond - (lost * floor.requestsPerSecond)),
+			tokensPerSecond: Math.max(0, this.#plan.tokensPerSecond - (lost * floor.tokensPerSecond)),
+			concurrency: Math.max(0, this.#plan.concurrency - (lost * floor.concurrency)),
+		};
+	}
+
+	#computeRate(name: RateName, share: Share, available: PlanLimits, others: PlanLimits): number {
+		const wanted = this.#computeWanted(name, share);
+		let total = 0;
+		for (const other of this.#shares.values()) {
+			total += this.#computeWanted(name, other);
+		}
+
+		const limit = available[name];
+		const fair = total <= limit ? wanted : (wanted * limit) / total;
+		return Math.max(0, Math.min(fair, limit - others[name]));
+	}
+
+	/** Demand with headroom; never below the static floor, so that an idle entry can admit a first burst. */
+	#computeWanted(name: RateName, share: Share): number {
+		const floor = this.#plan[name] / Math.max(1, this.#entries);
+		return Math.max(floor, share[name] * headroom);
+	}
+
+	#computeConcurrency(entryId: string, share: Share, available: PlanLimits, others: PlanLimits): number {
+		let busy = 0;
+		let sharers = 0;
+		for (const other of this.#shares.values()) {
+			busy += other.concurrency;
+			sharers++;
+		}
+
+		const spare = Math.max(0, available.concurrency - busy);
+		// A plan with less concurrency than entries gives its few permits to those that ask first.
+		const extra = Math.max(spare > 0 ? 1 : 0, Math.floor(spare / Math.max(1, sharers)));
+		return Math.max(0, Math.min(share.concurrency + extra, available.concurrency - others.concurrency));
+	}
+
+	#sumLive(now: number, except: string | undefined): PlanLimits {
+		const sum = {...noRates};
+		for (const [entryId, share] of this.#shares) {
+			if (entryId !== except && share.expiresAt > now) {
+				sum.requestsPerSecond += share.slice.requestsPerSecond;
+				sum.tokensPerSecond += share.slice.tokensPerSecond;
+				sum.concurrency += share.slice.concurrency;
+			}
+		}
+
+		return sum;
+	}
+
+	#removeOld(now: number): void {
+		for (const [entryId, share] of this.#shares) {
+			if (share.expiresAt + this.#lifetimeMs <= now) {
+				this.#shares.delete(entryId);
+			}
+		}
+	}
+}
--- a/packages/core/src/prefix/index.ts
+++ b/packages/core/src/prefix/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './prefix-index.js';
--- a/packages/core/src/retry/index.ts
+++ b/packages/core/src/retry/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from './decide-retry.js';
+export * from './retry-budget.js';
--- /dev/null
+++ b/packages/core/src/routing/select-candidates.ts
@@ -0,0 +1,160 @@
+import type {LoadSnapshot} from '../types/index.js';
+import {computePromptClass, isLongPrompt} from './prompt-class.js';
+import {hashRendezvous, selectRendezvous} from './rendezvous.js';
+
+/** A backend server that is alive, not leaving, in service and not quarantined for the request. */
+export type RoutingServer = {
+	id: string;
+	/** True when this entry issues the server's permits. */
+	isOwned: boolean;
+	/** Last known load and the time at which it was received. */
+	load?: LoadSnapshot | undefined;
+	loadAt?: number | undefined;
+	/** Prompt tokens that the server is assumed to hold in its prefix cache. */
+	cachedTokens: number;
+	/** KV memory in tokens, when known. */
+	kvTokens?: number | undefined;
+};
+
+/** Facts from which the order of candidates is computed. */
+export type RoutingInput = {
+	/** Key of the deterministic subset, usually the id of the entry. */
+	subsetKey: string;
+	/** Hash of the first prefix block, or the workspace id for prompts below one block. */
+	affinityKey: string;
+	/** Distinguishes requests for the power of two choices; usually the attempt id. */
+	choiceKey: string;
+	promptTokens: number;
+	/** KV memory the request needs, in tokens. */
+	kvTokens: number;
+	servers: readonly RoutingServer[];
+	/** Ids of servers already tried. */
+	excluded: ReadonlySet<string>;
+	/** Size of the long prompt pool, see `LongPromptPool`. */
+	longPoolSize: number;
+	/** Number of servers among which one entry chooses. */
+	subsetSize?: number | undefined;
+	now: number;
+};
+
+/** A backend server in order of preference. */
+export type Candidate = {
+	serverId: string;
+	isOwned: boolean;
+	/** Estimated prompt tokens that are not in the server's prefix cache. */
+	prefillTokens: number;
+	/** Class of the uncached part, see `computePromptClass`. */
+	promptClass: number;
+	cause: 'affinity' | 'owned' | 'load';
+};
+
+/** Key of the long prompt pool; one key for all entries, so that they choose the same servers. */
+const longPoolKey = 'long-prompt-pool';
+const defaultSubsetSize = 24;
+/** Load above which affinity and ownership no longer count, as a multiple of the mean of the candidates. */
+const boundedLoadFactor = 1.25;
+/** Load in ms of estimated first-token time that is never too much. */
+const acceptableLoadMs = 100;
+/** Age in ms at which a known load says nothing any more. */
+const loadMaxAgeMs = 5000;
+
+type Scored = {server: RoutingServer; loadMs: number};
+
+const estimateLoadMs = (server: RoutingServer, isLong: boolean, now: number): number | undefined => {
+	if (server.load === undefined || now - (server.loadAt ?? now) > loadMaxAgeMs) {
+		return undefined;
+	}
+
+	if (server.load.concurrencyLimit === 0) {
+		return Number.POSITIVE_INFINITY;
+	}
+
+	return isLong ? server.load.longFirstTokenMs : server.load.shortFirstTokenMs;
+};
+
+const listScored = (servers: readonly RoutingServer[], isLong: boolean, now: number): Scored[] => {
+	const known = servers.map(server => estimateLoadMs(server, isLong, now));
+	const finite = known.filter(load => load !== undefined && Number.isFinite(load)) as number[];
+	const mean = finite.length === 0 ? 0 : finite.reduce((sum, load) => sum + load, 0) / finite.length;
+	// A server of unknown load counts as average, so that it is neither flooded nor avoided.
+	return servers.map((server, index) => ({server, loadMs: known[index] ?? mean}));
+};
+
+const computeLoadBound = (scored: readonly Scored[]): number => {
+	const finite = scored.filter(({loadMs}) => Number.isFinite(loadMs));
+	const sum = finite.reduce((total, {loadMs}) => total + loadMs, 0);
+	return Math.max(acceptableLoadMs, (boundedLoadFactor * sum) / Math.max(1, finite.length));
+};
+
+const selectEligible = (input: RoutingInput): RoutingServer[] => {
+	const usable = input.servers.filter(server => !input.excluded.has(server.id)
+		&& (server.kvTokens === undefined || input.kvTokens <= server.kvTokens));
+	if (isLongPrompt(input.promptTokens)) {
+		return selectRendezvous(longPoolKey, usable, Math.max(1, input.longPoolSize));
+	}
+
+	const size = input.subsetSize ?? defaultSubsetSize;
+	const owned = usable.filter(server => server.isOwned);
+	if (usable.length <= size) {
+		return usable;
+	}
+
+	const rest = usable.filter(server => !server.isOwned);
+	return [...owned, ...selectRendezvous(input.subsetKey, rest, Math.max(1, size - owned.length))];
+};
+
+/** Server with the best affinity whose load is within the bound: most cached tokens, then highest hash. */
+const findAffine = (input: RoutingInput, scored: readonly Scored[], bound: number): Scored | undefined => {
+	let best: Scored | undefined;
+	let bestHash = -1;
+	for (const candidate of scored) {
+		if (candidate.loadMs > bound) {
+			continue;
+		}
+
+		const hash = hashRendezvous(input.affinityKey, candidate.server.id);
+		const gain = candidate.server.cachedTokens - (best?.server.cachedTokens ?? -1);
+		if (gain > 0 || (gain === 0 && hash > bestHash)) {
+			best = candidate;
+			bestHash = hash;
+		}
+	}
+
+	return best;
+};
+
+/** The less loaded one of two servers drawn by hash, then all others by load. */
+const listByLoad = (input: RoutingInput, scored: readonly Scored[]): Scored[] => {
+	const drawn = scored
+		.map(candidate => ({candidate, hash: hashRendezvous(input.choiceKey, candidate.server.id)}))
+		.toSorted((left, right) => right.hash - left.hash)
+		.map(({candidate}) => candidate);
+	const pair = drawn.slice(0, 2).toSorted((left, right) => left.loadMs - right.loadMs);
+	const rest = drawn.slice(2).toSorted((left, right) => left.loadMs - right.loadMs);
+	return [...pair, ...rest];
+};
+
+const toCandidate = (input: RoutingInput, {server}: Scored, cause: Candidate['cause']): Candidate => {
+	const prefillTokens = Math.max(1, input.promptTokens - server.cachedTokens);
+	return {
+		serverId: server.id, isOwned: server.isOwned, prefillTokens, promptClass: computePromptClass(prefillTokens), cause,
+	};
+};
+
+/**
+ * Orders the backend servers for a request, best first.
+ * Order: prefix affinity within the load bound, own servers within the load bound, two choices by known load.
+ */
+export const selectCandidates = (input: RoutingInput): Candidate[] => {
+	const isLong = isLongPrompt(input.promptTokens);
+	const scored = listScored(selectEligible(input), isLong, input.now);
+	const bound = computeLoadBound(scored);
+	const affine = findAffine(input, scored, bound);
+	const isWorthMessage = affine !== undefined && (affine.server.cachedTokens > 0 || affine.server.isOwned);
+	const first = isWorthMessage ? [toCandidate(input, affine, 'affinity')] : [];
+	const others = listByLoad(input, scored.filter(candidate => !isWorthMessage || candidate !== affine));
+	const isNear = ({server, loadMs}: Scored) => server.isOwned && loadMs <= bound;
+	const owned = others.filter(candidate => isNear(candidate)).map(candidate => toCandidate(input, candidate, 'owned'));
+	const rest = others.filter(candidate => !isNear(candidate)).map(candidate => toCandidate(input, candidate, 'load'));
+	return [...first, ...owned, ...rest];
+};
--- a/packages/core/src/warmup/index.ts
+++ b/packages/core/src/warmup/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './warmup-level.js';
--- /dev/null
+++ b/packages/core/src/warmup/warmup-level.ts
@@ -0,0 +1,128 @@
+import type {BackendServerProfile} from '../types/index.js';
+
+/** Settings of the warm-up of a backend server. */
+export type WarmupOptions = {
+	/** Factor by which the bounds grow in one step. */
+	growth?: number;
+	/** Largest number of successes needed for one step. */
+	successesPerStep?: number;
+	/** Least time in ms between two steps. */
+	minStepMs?: number;
+	/** A first token later than this multiple of the expected time counts as a latency jump. */
+	latencyJumpFactor?: number;
+	/** Consecutive late first tokens that reset the level. */
+	latencyJumps?: number;
+	/** Lateness in ms that is never counted as a jump. */
+	latencyToleranceMs?: number;
+};
+
+/** Bounds of a backend server at its present warm-up level. */
+export type WarmupLimits = {
+	concurrency: number;
+	/** Prefill tokens in flight. */
+	prefillTokens: number;
+};
+
+/** A first token as evidence that the server handles its present level. */
+export type WarmupSample = {
+	grantedAt: number;
+	firstTokenMs: number;
+	/** First-token time in ms expected at the profile's prefill rate, including work ahead. */
+	expectedMs: number;
+};
+
+/**
+ * Warm-up level of one backend server.
+ * Only own successes raise it; reports of the engine lag behind and never do.
+ */
+export class WarmupLevel {
+	#profile: BackendServerProfile;
+	readonly #growth: number;
+	readonly #successesPerStep: number;
+	readonly #minStepMs: number;
+	readonly #jumpFactor: number;
+	readonly #jumpLimit: number;
+	readonly #toleranceMs: number;
+	#factor = 1;
+	#successes = 0;
+	#jumps = 0;
+	#changedAt = -Infinity;
+
+	constructor(profile: BackendServerProfile, options: WarmupOptions = {}) {
+		this.#profile = profile;
+		this.#growth = options.growth ?? 2;
+		this.#successesPerStep = options.successesPerStep ?? 8;
+		this.#minStepMs = options.minStepMs ?? 1000;
+		this.#jumpFactor = options.latencyJumpFactor ?? 4;
+		this.#jumpLimit = options.latencyJumps ?? 3;
+		this.#toleranceMs = options.latencyToleranceMs ?? 500;
+	}
+
+	/** Bounds at the present level. */
+	get limits(): WarmupLimits {
+		const {coldConcurrency, coldPrefillTokens, maxConcurrency, kvTokens} = this.#profile;
+		return {
+			concurrency: Math.min(maxConcurrency, Math.floor(coldConcurrency * this.#factor)),
+			prefillTokens: Math.min(Math.max(kvTokens, coldPrefillTokens), Math.floor(coldPrefillTokens * this.#factor)),
+		};
+	}
+
+	/** True at the lowest level. */
+	get isCold(): boolean {
+		return this.#factor === 1;
+	}
+
+	/** True when the warm-up bounds no longer restrict the server. */
+	get isWarm(): boolean {
+		const {concurrency, prefillTokens} = this.limits;
+		return concurrency >= this.#profile.maxConcurrency && prefillTokens >= this.#profile.kvTokens;
+	}
+
+	/** Takes over capacity figures from a report; the level itself does not rise. */
+	updateProfile(profile: BackendServerProfile): void {
+		this.#profile = profile;
+	}
+
+	/** Returns to the cold level after a boot change, an error or a latency jump. */
+	reset(now: number): void {
+		this.#factor = 1;
+		this.#successes = 0;
+		this.#jumps = 0;
+		this.#changedAt = now;
+	}
+
+	/** Records a first token; raises the level or, after repeated late ones, resets it. */
+	recordFirstToken(sample: WarmupSample, now: number): void {
+		if (this.#isJump(sample)) {
+			this.#jumps++;
+			this.#successes = 0;
+			if (this.#jumps >= this.#jumpLimit) {
+				this.reset(now);
+			}
+
+			return;
+		}
+
+		this.#jumps = 0;
+		// A request granted below the present level says nothing about this level.
+		if (sample.grantedAt >= this.#changedAt) {
+			this.#successes++;
+			this.#tryRaise(now);
+		}
+	}
+
+	#isJump({firstTokenMs, expectedMs}: WarmupSample): boolean {
+		return firstTokenMs > Math.max(expectedMs * this.#jumpFactor, expectedMs + this.#toleranceMs);
+	}
+
+	#tryRaise(now: number): void {
+		const needed = Math.min(this.#successesPerStep, 2 * this.limits.concurrency);
+		if (this.isWarm || this.#successes < needed || now - this.#changedAt < this.#minStepMs) {
+			return;
+		}
+
+		this.#factor *= this.#growth;
+		this.#successes = 0;
+		this.#changedAt = now;
+	}
+}
