--- a/packages/core/src/admission/admission-options.ts
+++ b/packages/core/src/admission/admission-options.ts
@@ -15,7 +15,7 @@
 	prefillWindowMs?: number;
 	/** Waiting time in ms after which a request may claim capacity before shorter prompts. */
 	agingMs?: number;
-	/** Share of the prefill rate kept for longer prompts while they wait for it. */
+	/** Share of the time in which the engine is left to longer prompts while they wait for it. */
 	longPrefillShare?: number;
 	/** Time in ms per generated token, for deadline estimates. */
 	decodeMsPerToken?: number;
@@ -34,7 +34,7 @@
 	hasReports: options.hasReports ?? true,
 	prefillWindowMs: options.prefillWindowMs ?? 400,
 	agingMs: options.agingMs ?? 3000,
-	longPrefillShare: options.longPrefillShare ?? 0.2,
+	longPrefillShare: options.longPrefillShare ?? 0.1,
 	decodeMsPerToken: options.decodeMsPerToken ?? 20,
 	warmup: options.warmup ?? {},
 });
--- a/packages/core/src/admission/admission-point.ts
+++ b/packages/core/src/admission/admission-point.ts
@@ -9,6 +9,7 @@
 import {resolveAdmissionOptions, type AdmissionOptions, type ResolvedAdmissionOptions} from './admission-options.js';
 import {AdmissionQueue, type QueuedRequest} from './admission-queue.js';
 import {DrainEstimator} from './drain-estimator.js';
+import {LaneCredits} from './lane-credits.js';
 import {computeEnginePriority, computeLane, lanes} from './lanes.js';
 import {buildPermitId, parsePermitAttemptId} from './permit-id.js';
 import {PermitLedger, type HeldPermit} from './permit-ledger.js';
@@ -19,6 +20,8 @@
 const minRetryAfterMs = 100;
 const maxRetryAfterMs = 60_000;
 const deadlineScanMs = 250;
+/** Waiting times vary around their estimate; the margin keeps most admitted requests within their deadline. */
+const estimateMargin = 1.15;
 /** Share of the KV memory that shorter prompts may use while a longer one collects memory. */
 const claimReserveShare = 0.125;
 /** Waiting time, in multiples of the aging time, after which a longer prompt may collect all memory. */
@@ -38,6 +41,7 @@
 	readonly #ledger: PermitLedger;
 	readonly #warmup: WarmupLevel;
 	readonly #estimator: DrainEstimator;
+	readonly #credits: LaneCredits;
 	#profile: BackendServerProfile;
 	#mode: AdmissionMode = 'full';
 	#bootId: string | undefined;
@@ -47,9 +51,6 @@
 	#sequence = 0;
 	#now = 0;
 	#scannedAt = 0;
-	/** Prefill tokens that lanes below a waiting or running longer prompt may still start. */
-	#credit = 0;
-	#creditAt = 0;
 	#commands: AdmissionCommand[] = [];
 
 	constructor(profile: BackendServerProfile, options: AdmissionOptions = {}) {
@@ -58,7 +59,12 @@
 		this.#needsReport = this.#options.hasReports;
 		this.#queue = new AdmissionQueue(lanes.length, this.#options.agingMs);
 		this.#warmup = new WarmupLevel(profile, this.#options.warmup);
-		this.#estimator = new DrainEstimator(lanes.length, this.#options.decodeMsPerToken);
+		this.#estimator = new DrainEstimator(lanes.length, profile.prefillTokensPerSecond, this.#options.decodeMsPerToken);
+		this.#credits = new LaneCredits({
+			laneCount: lanes.length,
+			longShare: this.#options.longPrefillShare,
+			maxCreditMs: this.#options.prefillWindowMs,
+		});
 		this.#ledger = new PermitLedger({
 			laneCount: lanes.length,
 			reportLagMs: this.#options.hasReports ? this.#options.reportLagMs : 0,
@@ -100,6 +106,8 @@
 	/** Applies an event and returns the commands that follow from it. */
 	handle(event: AdmissionEvent, now: number): AdmissionCommand[] {
 		this.#now = now;
+		this.#credits.updateTime(this.#ledger.usage.lanePrefillTokens, now);
+		this.#estimator.updateTime(this.#queue.backlogs, now);
 		this.#updateExpired();
 		this.#apply(event);
 		this.#refuseUnreachable();
@@ -183,7 +191,7 @@
 			return {reason: refusalReasons.queueFull, retryAfterMs: firstTokenMs / 4};
 		}
 
-		const lateMs = firstTokenMs + this.#estimateDecodeMs(request) - request.deadlineInMs;
+		const lateMs = (estimateMargin * (firstTokenMs + this.#estimateDecodeMs(request))) - request.deadlineInMs;
 		// The excess over the deadline is the part of the queue that must drain before a retry can succeed.
 		return lateMs > 0 ? {reason: refusalReasons.deadlineUnreachable, retryAfterMs: lateMs} : undefined;
 	}
@@ -379,7 +387,6 @@
 			return;
 		}
 
-		this.#updateCredit();
 		const claim = this.#findClaim(bounds);
 		for (let lane = 0; lane < lanes.length; lane++) {
 			this.#grantLane(lane, bounds, claim);
@@ -494,21 +501,13 @@
 		return (this.#profile.prefillTokensPerSecond * this.#options.prefillWindowMs) / 1000;
 	}
 
-	/** The engine runs shorter prompts first, so their rate is limited while a longer prompt needs its share. */
 	#hasCredit(lane: number, claim: Claim | undefined): boolean {
 		const isLongerWaiting = (claim?.queued.lane ?? -1) > lane
 			|| this.#sumFrom(this.#ledger.usage.lanePrefillTokens, lane + 1) > 0;
-		return !isLongerWaiting || this.#credit > 0;
-	}
-
-	#updateCredit(): void {
-		const rate = this.#profile.prefillTokensPerSecond * (1 - this.#options.longPrefillShare);
-		const added = (rate * Math.max(0, this.#now - this.#creditAt)) / 1000;
-		this.#credit = Math.min(this.#computeWindowTokens(), this.#credit + added);
-		this.#creditAt = this.#now;
+		return !isLongerWaiting || this.#credits.isAvailable(lane);
 	}
 
-	#grant({request, lane}: QueuedRequest): void {
+	#grant({request, lane, enqueuedAt}: QueuedRequest): void {
 		const {fencingNumber, permitLifetimeMs} = this.#options;
 		const permit: Permit = {
 			permitId: buildPermitId(fencingNumber, ++this.#sequence, request.attemptId),
@@ -535,8 +534,10 @@
 			isAdopted: false,
 		};
 		this.#ledger.add(held);
-		this.#credit -= request.prefillTokens;
-		this.#estimator.recordGrant(lane, request.prefillTokens, this.#now);
+		if (enqueuedAt < this.#now) {
+			this.#estimator.recordGrant(lane, request.prefillTokens);
+		}
+
 		this.#commands.push({type: 'grant', permit});
 	}
 
@@ -579,11 +580,8 @@
 		const lane = computeLane(prefillTokens);
 		const backlog = this.#queue.backlogs[lane]!;
 		const {bounds} = this;
-		const rate = Math.max(
-			this.#profile.prefillTokensPerSecond * this.#options.longPrefillShare,
-			this.#profile.prefillTokensPerSecond - this.#estimator.computeRateBelow(lane, this.#now),
-		);
-		const inFlight = this.#sumUpTo(this.#ledger.usage.lanePrefillTokens, lane);
+		const rate = Math.max(1, this.#estimator.getDrainRate(lane));
+		const inFlight = this.#ledger.usage.lanePrefillTokens[lane]!;
 		const prefillMs = ((inFlight + (backlog.prefillTokens * shareAhead) + prefillTokens) * 1000) / rate;
 		const ownMs = (prefillTokens * 1000) / rate;
 		const missingSlots = (backlog.size * shareAhead) + slots - (bounds.concurrency - this.#ledger.concurrency);
--- a/packages/core/src/admission/drain-estimator.ts
+++ b/packages/core/src/admission/drain-estimator.ts
@@ -1,21 +1,32 @@
+import type {LaneBacklog} from './admission-queue.js';
+
 const smoothing = 0.1;
-const rateWindowMs = 2000;
+/** Time constants in ms of the drain rate; long prompts are granted one by one and need a longer one. */
+const shortDrainMs = 4000;
+const longDrainMs = 120_000;
+
+type Drain = {timeConstantMs: number; tokens: number; timeMs: number};
 
 /** Measured rates of one backend server from which waiting times are estimated. */
 export class DrainEstimator {
-	#holdMs: number | undefined;
+	#holdMs = 0;
 	#decodeMsPerToken: number;
-	readonly #laneRates: number[];
-	#updatedAt = 0;
+	readonly #drains: Drain[];
+	#updatedAt: number | undefined;
 
-	constructor(laneCount: number, decodeMsPerToken: number) {
-		this.#laneRates = Array.from({length: laneCount}, () => 0);
+	/** Until measured, the shortest lane drains at the whole prefill rate and each longer one at half of the one below. */
+	constructor(laneCount: number, prefillTokensPerSecond: number, decodeMsPerToken: number) {
 		this.#decodeMsPerToken = decodeMsPerToken;
+		this.#drains = Array.from({length: laneCount}, (_, lane) => {
+			const timeConstantMs = lane === 0 ? shortDrainMs : longDrainMs;
+			const timeMs = timeConstantMs / 4;
+			return {timeConstantMs, timeMs, tokens: (prefillTokensPerSecond * timeMs) / (1000 * (2 ** lane))};
+		});
 	}
 
 	/** Mean time in ms from grant to release. */
 	get holdMs(): number {
-		return this.#holdMs ?? 0;
+		return this.#holdMs;
 	}
 
 	/** Mean time in ms per expected generated token. */
@@ -23,15 +34,37 @@
 		return this.#decodeMsPerToken;
 	}
 
-	/** Records granted prefill tokens. */
-	recordGrant(lane: number, prefillTokens: number, now: number): void {
-		this.#updateRates(now);
-		this.#laneRates[lane]! += (prefillTokens * 1000) / rateWindowMs;
+	/** Prefill tokens per second granted in a lane while requests wait in it. */
+	getDrainRate(lane: number): number {
+		const {tokens, timeMs} = this.#drains[lane]!;
+		return (tokens * 1000) / timeMs;
+	}
+
+	/** Counts the time since the last call for the lanes in which requests wait. */
+	updateTime(backlogs: readonly LaneBacklog[], now: number): void {
+		const elapsedMs = now - (this.#updatedAt ?? now);
+		this.#updatedAt = now;
+		if (elapsedMs <= 0) {
+			return;
+		}
+
+		for (const [lane, drain] of this.#drains.entries()) {
+			if (backlogs[lane]!.size > 0) {
+				const decay = Math.exp(-elapsedMs / drain.timeConstantMs);
+				drain.tokens *= decay;
+				drain.timeMs = (drain.timeMs * decay) + elapsedMs;
+			}
+		}
+	}
+
+	/** Records prefill tokens granted to a request that waited. */
+	recordGrant(lane: number, prefillTokens: number): void {
+		this.#drains[lane]!.tokens += prefillTokens;
 	}
 
 	/** Records how long a finished attempt held its permit. */
 	recordHold(holdMs: number): void {
-		this.#holdMs = this.#holdMs === undefined ? holdMs : this.#holdMs + (smoothing * (holdMs - this.#holdMs));
+		this.#holdMs = this.#holdMs === 0 ? holdMs : this.#holdMs + (smoothing * (holdMs - this.#holdMs));
 	}
 
 	/** Records the time from the first token to the end of a completed attempt. */
@@ -40,29 +73,4 @@
 			this.#decodeMsPerToken += smoothing * ((durationMs / expectedTokens) - this.#decodeMsPerToken);
 		}
 	}
-
-	/** Prefill tokens per second granted in all lanes below this one. */
-	computeRateBelow(lane: number, now: number): number {
-		this.#updateRates(now);
-		let rate = 0;
-		for (let index = 0; index < lane; index++) {
-			rate += this.#laneRates[index]!;
-		}
-
-		return rate;
-	}
-
-	#updateRates(now: number): void {
-		const elapsedMs = now - this.#updatedAt;
-		if (elapsedMs <= 0) {
-			return;
-		}
-
-		const decay = Math.exp(-elapsedMs / rateWindowMs);
-		for (let index = 0; index < this.#laneRates.length; index++) {
-			this.#laneRates[index]! *= decay;
-		}
-
-		this.#updatedAt = now;
-	}
 }
--- a/xo.config.js
+++ b/xo.config.js
@@ -14,6 +14,8 @@
 	},
 	{
 		files: ['**/*.test.ts'],
+		// The builds of the packages exclude tests; the root project includes them.
+		languageOptions: {parserOptions: {projectService: false, project: './tsconfig.json'}},
 		rules: {
 			'@typescript-eslint/no-unused-expressions': 'off',
 		},
