--- a/packages/core/src/admission/admission-options.ts
+++ b/packages/core/src/admission/admission-options.ts
@@ -1,4 +1,4 @@
-import type {WarmupOptions} from '../warmup/index.js';
+import type {WarmupHandover, WarmupOptions} from '../warmup/index.js';
 
 /** Settings of an admission point. */
 export type AdmissionOptions = {
@@ -19,11 +19,13 @@
 	longPrefillShare?: number;
 	/** Time in ms per generated token, for deadline estimates. */
 	decodeMsPerToken?: number;
+	/** Warm-up level measured by the former owner; used when the first report shows the same boot id. */
+	handover?: WarmupHandover | undefined;
 	warmup?: WarmupOptions;
 };
 
 /** Settings with their defaults applied. */
-export type ResolvedAdmissionOptions = Required<Omit<AdmissionOptions, 'warmup'>> & {warmup: WarmupOptions};
+export type ResolvedAdmissionOptions = Required<Omit<AdmissionOptions, 'handover'>> & Pick<AdmissionOptions, 'handover'>;
 
 /** Applies the defaults. */
 export const resolveAdmissionOptions = (options: AdmissionOptions): ResolvedAdmissionOptions => ({
@@ -36,5 +38,6 @@
 	agingMs: options.agingMs ?? 3000,
 	longPrefillShare: options.longPrefillShare ?? 0.1,
 	decodeMsPerToken: options.decodeMsPerToken ?? 20,
+	handover: options.handover,
 	warmup: options.warmup ?? {},
 });
--- a/packages/core/src/admission/admission-point.test.ts
+++ b/packages/core/src/admission/admission-point.test.ts
@@ -265,7 +265,7 @@
 			readonly snapshots: Array<{at: number; running: Attempt[]}> = [];
 
 			constructor(readonly profile: BackendServerProfile) {
-				this.point = new AdmissionPoint(profile, {reportLagMs: 1000, warmup: {successesPerStep: 2, minStepMs: 100}});
+				this.point = new AdmissionPoint(profile, {reportLagMs: 1000, warmup: {coldSuccesses: 2, successesPerStep: 2, minStepMs: 100}});
 			}
 
 			send(event: AdmissionEvent): void {
--- a/packages/core/src/admission/admission-point.ts
+++ b/packages/core/src/admission/admission-point.ts
@@ -3,7 +3,7 @@
 	type AttemptResult, type BackendServerProfile, type EngineReport, type LoadSnapshot, type Permit, type PermitRequest,
 	type RefusalReason,
 } from '../types/index.js';
-import {WarmupLevel} from '../warmup/index.js';
+import {WarmupLevel, type WarmupHandover} from '../warmup/index.js';
 import {computeBounds, type AdmissionBounds} from './admission-bounds.js';
 import type {AdmissionCommand, AdmissionEvent, AdmissionMode} from './admission-events.js';
 import {resolveAdmissionOptions, type AdmissionOptions, type ResolvedAdmissionOptions} from './admission-options.js';
@@ -98,6 +98,11 @@
 		return this.#bootId;
 	}
 
+	/** Level to pass on to the next owner at a planned handover; `undefined` before the first report. */
+	get handover(): WarmupHandover | undefined {
+		return this.#bootId === undefined ? undefined : {bootId: this.#bootId, factor: this.#warmup.factor};
+	}
+
 	/** True when a permit is known; entries drop renewals of unknown ones. */
 	hasPermit(permitId: string): boolean {
 		return this.#ledger.get(permitId) !== undefined;
@@ -258,7 +263,6 @@
 		this.#ledger.recordFirstToken(held);
 		if (!held.isAdopted) {
 			this.#warmup.recordFirstToken({
-				grantedAt: held.grantedAt,
 				firstTokenMs: this.#now - held.grantedAt,
 				expectedMs: held.expectedFirstTokenMs,
 			}, this.#now);
@@ -280,6 +284,7 @@
 		}
 
 		if (result === attemptResults.completed) {
+			this.#warmup.recordCompleted(held.grantedAt, this.#now);
 			this.#estimator.recordHold(this.#now - held.grantedAt);
 			this.#estimator.recordDecode(this.#now - (held.firstTokenAt ?? held.grantedAt), held.decodeTokens);
 		}
@@ -321,8 +326,14 @@
 			this.#ledger.reset();
 		}
 
+		const {handover} = this.#options;
+		if (this.#bootId === undefined && handover?.bootId === bootId) {
+			this.#warmup.resetTo(handover.factor, this.#now);
+		} else {
+			this.#warmup.reset(this.#now);
+		}
+
 		this.#bootId = bootId;
-		this.#warmup.reset(this.#now);
 	}
 
 	#updateExpired(): void {
--- /dev/null
+++ b/packages/core/src/fairness/fair-queue.test.ts
@@ -0,0 +1,84 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {FairQueue} from './fair-queue.js';
+
+describe('FairQueue', () => {
+	const createEntry = (workspaceId: string, cost: number, weight = 1, order = 0) => ({
+		workspaceId, weight, cost, order, value: workspaceId,
+	});
+
+	// Guards against a workspace that gets more than its share because it sends more or larger requests.
+	it('serves backlogged workspaces in proportion to their weights, within one largest cost each', () => {
+		const flows = fc.array(fc.record({
+			weight: fc.integer({min: 1, max: 8}), costs: fc.array(fc.integer({min: 1, max: 5000}), {minLength: 50, maxLength: 80}),
+		}), {minLength: 2, maxLength: 6});
+		fc.assert(fc.property(flows, list => {
+			const queue = new FairQueue<string>();
+			const left = list.map(({costs}) => costs.length);
+			const served = list.map(() => 0);
+			for (const [index, {weight, costs}] of list.entries()) {
+				for (const cost of costs) {
+					queue.add(createEntry(String(index), cost, weight));
+				}
+			}
+
+			while (left.every(count => count > 0)) {
+				const {workspaceId, cost} = queue.removeFirst()!;
+				const index = Number(workspaceId);
+				left[index]!--;
+				served[index]! += cost / list[index]!.weight;
+				expect(Math.max(...served) - Math.min(...served)).to.be.at.most(2 * 5000);
+			}
+		}), {seed: 20_261_204});
+	});
+
+	// Guards against a workspace that saves up credit while it is idle and then blocks all others.
+	it('gives no credit for idle time', () => {
+		const queue = new FairQueue<string>();
+		for (let index = 0; index < 100; index++) {
+			queue.add(createEntry('busy', 1000));
+		}
+
+		for (let index = 0; index < 50; index++) {
+			queue.removeFirst();
+		}
+
+		for (let index = 0; index < 50; index++) {
+			queue.add(createEntry('new', 1000));
+		}
+
+		const next = Array.from({length: 20}, () => queue.removeFirst()!.workspaceId);
+		expect(next.filter(workspaceId => workspaceId === 'busy')).to.have.lengthOf.within(9, 11);
+	});
+
+	// Guards against lost or repeated entries and wrong totals after withdrawals in any order.
+	it('returns every entry once and keeps its totals', () => {
+		const actions = fc.array(fc.record({
+			action: fc.constantFrom('add', 'add', 'removeFirst', 'remove'), workspace: fc.nat(3), cost: fc.integer({min: 1, max: 100}), order: fc.nat(10),
+		}), {maxLength: 200});
+		fc.assert(fc.property(actions, list => {
+			const queue = new FairQueue<string>();
+			const present = new Set<ReturnType<typeof createEntry>>();
+			for (const {action, workspace, cost, order} of list) {
+				const some = [...present][cost % Math.max(1, present.size)];
+				if (action === 'add') {
+					const entry = createEntry(`w${workspace}`, cost, 1, order);
+					queue.add(entry);
+					present.add(entry);
+				} else if (action === 'removeFirst') {
+					const entry = queue.removeFirst();
+					expect(entry === undefined).to.equal(present.size === 0);
+					const peers = [...present].filter(other => other.workspaceId === entry?.workspaceId);
+					expect(Math.min(entry?.order ?? 0, ...peers.map(peer => peer.order))).to.equal(entry?.order ?? 0);
+					expect(entry === undefined || present.delete(entry)).to.be.true;
+				} else if (some !== undefined) {
+					expect(queue.remove(some)).to.be.true;
+					present.delete(some);
+				}
+
+				expect(queue.size).to.equal(present.size);
+				expect(queue.cost).to.equal([...present].reduce((sum, entry) => sum + entry.cost, 0));
+			}
+		}), {seed: 20_261_204});
+	});
+});
--- a/packages/core/src/limits/token-bucket.ts
+++ b/packages/core/src/limits/token-bucket.ts
@@ -29,9 +29,13 @@
 	/** Time in ms until a cost is admitted; 0 when it is admitted now, infinite at rate 0. */
 	computeWaitMs(cost: number, now: number): number {
 		this.#update(now);
+		if (this.#ratePerSecond === 0) {
+			return Number.POSITIVE_INFINITY;
+		}
+
 		const missing = Math.min(cost, this.#capacity) - this.#level;
 		// Rounding in the refill must not postpone an admission by another tick.
-		return missing <= this.#capacity * 1e-9 && this.#capacity > 0 ? 0 : (missing / this.#ratePerSecond) * 1000;
+		return missing <= this.#capacity * 1e-9 ? 0 : (missing / this.#ratePerSecond) * 1000;
 	}
 
 	/** Takes a cost, possibly into debt. A negative cost returns tokens. */
--- a/packages/core/src/limits/workspace-budget.ts
+++ b/packages/core/src/limits/workspace-budget.ts
@@ -32,8 +32,9 @@
 type RateName = (typeof rateNames)[number];
 
 /** Room above the measured demand, so that a rising demand is not refused before the next slice. */
-const headroom = 1.5;
-const demandSmoothing = 0.6;
+const headroomShare = 0.5;
+/** Time constant in ms of the measured demand. */
+const demandMs = 250;
 const minIntervalMs = 50;
 const defaultIntervalMs = 1000;
 /** Part of each floor handed out while slices of a former owner may still be valid. */
@@ -90,7 +91,7 @@
 	#updateShare(entryId: string, demand: LimitDemand, now: number): Share {
 		const known = this.#shares.get(entryId);
 		const intervalMs = known ? Math.max(minIntervalMs, now - known.askedAt) : defaultIntervalMs;
-		const smoothing = known ? demandSmoothing : 1;
+		const smoothing = known ? 1 - Math.exp(-intervalMs / demandMs) : 1;
 		const merge = (former: number, amount: number) => (former * (1 - smoothing)) + ((smoothing * amount * 1000) / intervalMs);
 		const share: Share = {
 			slice: known?.slice ?? noRates,
@@ -138,22 +139,26 @@
 		};
 	}
 
+	/** Demand comes first; what the plan leaves over is spread as headroom. */
 	#computeRate(name: RateName, share: Share, available: PlanLimits, others: PlanLimits): number {
-		const wanted = this.#computeWanted(name, share);
-		let total = 0;
+		const limit = available[name];
+		let demand = 0;
+		let headroom = 0;
 		for (const other of this.#shares.values()) {
-			total += this.#computeWanted(name, other);
+			demand += other[name];
+			headroom += this.#computeHeadroom(name, other);
 		}
 
-		const limit = available[name];
-		const fair = total <= limit ? wanted : (wanted * limit) / total;
-		return Math.max(0, Math.min(fair, limit - others[name]));
+		const spare = Math.max(0, limit - demand);
+		const fair = share[name] * Math.min(1, limit / Math.max(demand, Number.MIN_VALUE));
+		const extra = this.#computeHeadroom(name, share) * Math.min(1, spare / Math.max(headroom, Number.MIN_VALUE));
+		return Math.max(0, Math.min(fair + extra, limit - others[name]));
 	}
 
-	/** Demand with headroom; never below the static floor, so that an idle entry can admit a first burst. */
-	#computeWanted(name: RateName, share: Share): number {
+	/** Room for a rising demand; an idle entry gets its static floor, so that it can admit a first burst. */
+	#computeHeadroom(name: RateName, share: Share): number {
 		const floor = this.#plan[name] / Math.max(1, this.#entries);
-		return Math.max(floor, share[name] * headroom);
+		return Math.max(floor - share[name], share[name] * headroomShare);
 	}
 
 	#computeConcurrency(entryId: string, share: Share, available: PlanLimits, others: PlanLimits): number {
--- a/packages/core/src/warmup/warmup-level.ts
+++ b/packages/core/src/warmup/warmup-level.ts
@@ -4,7 +4,9 @@
 export type WarmupOptions = {
 	/** Factor by which the bounds grow in one step. */
 	growth?: number;
-	/** Largest number of successes needed for one step. */
+	/** Completed requests needed to leave the cold level. */
+	coldSuccesses?: number;
+	/** Completed requests needed for each later step. */
 	successesPerStep?: number;
 	/** Least time in ms between two steps. */
 	minStepMs?: number;
@@ -23,21 +25,24 @@
 	prefillTokens: number;
 };
 
-/** A first token as evidence that the server handles its present level. */
+/** Time to the first token of a granted request, compared with the expectation. */
 export type WarmupSample = {
-	grantedAt: number;
 	firstTokenMs: number;
 	/** First-token time in ms expected at the profile's prefill rate, including work ahead. */
 	expectedMs: number;
 };
 
+/** Level that a former owner passes on for one boot id. */
+export type WarmupHandover = {bootId: string; factor: number};
+
 /**
  * Warm-up level of one backend server.
- * Only own successes raise it; reports of the engine lag behind and never do.
+ * Only completed requests raise it; reports of the engine lag behind and never do.
  */
 export class WarmupLevel {
 	#profile: BackendServerProfile;
 	readonly #growth: number;
+	readonly #coldSuccesses: number;
 	readonly #successesPerStep: number;
 	readonly #minStepMs: number;
 	readonly #jumpFactor: number;
@@ -51,6 +56,7 @@
 	constructor(profile: BackendServerProfile, options: WarmupOptions = {}) {
 		this.#profile = profile;
 		this.#growth = options.growth ?? 2;
+		this.#coldSuccesses = options.coldSuccesses ?? 16;
 		this.#successesPerStep = options.successesPerStep ?? 8;
 		this.#minStepMs = options.minStepMs ?? 1000;
 		this.#jumpFactor = options.latencyJumpFactor ?? 4;
@@ -58,12 +64,17 @@
 		this.#toleranceMs = options.latencyToleranceMs ?? 500;
 	}
 
-	/** Bounds at the present level. */
+	/** Multiple of the cold concurrency that the server is given. */
+	get factor(): number {
+		return this.#factor;
+	}
+
+	/** Bounds at the present level; prefill grows faster, because long prompts wait for it. */
 	get limits(): WarmupLimits {
 		const {coldConcurrency, coldPrefillTokens, maxConcurrency, kvTokens} = this.#profile;
 		return {
 			concurrency: Math.min(maxConcurrency, Math.floor(coldConcurrency * this.#factor)),
-			prefillTokens: Math.min(Math.max(kvTokens, coldPrefillTokens), Math.floor(coldPrefillTokens * this.#factor)),
+			prefillTokens: Math.min(Math.max(kvTokens, coldPrefillTokens), Math.floor(coldPrefillTokens * (this.#factor ** 2))),
 		};
 	}
 
@@ -91,21 +102,30 @@
 		this.#changedAt = now;
 	}
 
-	/** Records a first token; raises the level or, after repeated late ones, resets it. */
-	recordFirstToken(sample: WarmupSample, now: number): void {
-		if (this.#isJump(sample)) {
-			this.#jumps++;
-			this.#successes = 0;
-			if (this.#jumps >= this.#jumpLimit) {
-				this.reset(now);
-			}
+	/** Takes over the level that the former owner measured for the same boot. */
+	resetTo(factor: number, now: number): void {
+		this.reset(now);
+		this.#factor = Math.max(1, factor);
+	}
 
+	/** Records a first token; repeated late ones reset the level. */
+	recordFirstToken(sample: WarmupSample, now: number): void {
+		if (!this.#isJump(sample)) {
+			this.#jumps = 0;
 			return;
 		}
 
-		this.#jumps = 0;
+		this.#jumps++;
+		this.#successes = 0;
+		if (this.#jumps >= this.#jumpLimit) {
+			this.reset(now);
+		}
+	}
+
+	/** Records a completed request; enough of them raise the level. */
+	recordCompleted(grantedAt: number, now: number): void {
 		// A request granted below the present level says nothing about this level.
-		if (sample.grantedAt >= this.#changedAt) {
+		if (grantedAt >= this.#changedAt) {
 			this.#successes++;
 			this.#tryRaise(now);
 		}
@@ -116,7 +136,7 @@
 	}
 
 	#tryRaise(now: number): void {
-		const needed = Math.min(this.#successesPerStep, 2 * this.limits.concurrency);
+		const needed = this.isCold ? this.#coldSuccesses : this.#successesPerStep;
 		if (this.isWarm || this.#successes < needed || now - this.#changedAt < this.#minStepMs) {
 			return;
 		}
