Adopt only permits of former owners and cancel orphans as sole owner only

Cause: a renewal that arrived after the release, or after a restart of the engine, was adopted as a permit of a former owner and held a slot for 10 s. An owner that had stopped still cancelled running work that its successor owned. Ruled out: a message with the open permits at each handover; the fencing number in the permit id and the engine's running list give the same facts. Groups: 200 schedules of up to five groups with lost calls, lost replies and restarts end with no memory reserved. Conclusion: adoption needs a lower fencing number, an unchanged boot id and an attempt that did not end; cancels are emitted in mode `full` only.

--- a/packages/core/src/admission/admission-events.ts
+++ b/packages/core/src/admission/admission-events.ts
@@ -15,7 +15,7 @@
 /** What happens at an admission point. */
 export type AdmissionEvent =
 	| {type: 'request'; request: PermitRequest}
-	/** Unknown ids are adopted as permits of a former owner. */
+	/** Unknown ids with a lower fencing number are adopted as permits of a former owner. */
 	| {type: 'renew'; permitIds: string[]}
 	| {type: 'firstToken'; permitId: string}
 	| {type: 'release'; permitId: string; result: AttemptResult}
@@ -28,5 +28,5 @@
 export type AdmissionCommand =
 	| {type: 'grant'; permit: Permit}
 	| {type: 'refuse'; requestId: string; attemptId: string; reason: RefusalReason; retryAfterMs: number}
-	/** On the engine: work that nobody owns. */
+	/** On the engine: work that nobody owns; emitted in mode `full` only. */
 	| {type: 'cancel'; requestId: string; attemptId: string};
--- a/packages/core/src/admission/admission-point.test.ts
+++ b/packages/core/src/admission/admission-point.test.ts
@@ -112,10 +112,24 @@
 			expect(point.load).to.include({running: 2, kvTokensUsed: 70_000});
 			point.handle({type: 'renew', permitIds: [permit!.permitId]}, 3000);
 			point.handle({type: 'renew', permitIds: [permit!.permitId]}, 9000);
+			// Another owner may still hold permits in this mode.
+			expect(point.handle({type: 'report', report}, 11_000)).to.be.empty;
+			point.handle({type: 'mode', mode: 'full'}, 11_500);
 			const commands = point.handle({type: 'report', report}, 12_000);
 			expect(commands).to.deep.equal([{type: 'cancel', requestId: 'r-x', attemptId: 'x'}]);
 		});
 
+		// Guards against capacity held by renewals that arrive after the release or after a restart.
+		it('does not adopt its own finished permits or permits of a former boot', () => {
+			const point = createPoint({fencingNumber: 2});
+			const [permit] = listGrants(request(point, 0, 'a'));
+			point.handle({type: 'release', permitId: permit!.permitId, result: attemptResults.completed}, 1);
+			point.handle({type: 'renew', permitIds: [permit!.permitId]}, 2);
+			point.handle({type: 'report', report: createReport({bootId: 'boot-2'})}, 3);
+			point.handle({type: 'renew', permitIds: ['1.7.b']}, 4);
+			expect(point.load.running).to.equal(0);
+		});
+
 		// Guards against a second permit when the reply to the first request message is lost.
 		it('answers a repeated request with the same permit', () => {
 			const point = createPoint();
@@ -253,6 +267,8 @@
 			result: fc.constantFrom('completed', 'completed', 'completed', 'not_started', 'failed', 'cancelled'),
 		}), {minLength: 20, maxLength: 150});
 
+		const coldSuccesses = 3;
+
 		/** Engine that shows its running list with a lag, loses holders, restarts and obeys cancels. */
 		class World {
 			readonly point: AdmissionPoint;
@@ -264,8 +280,11 @@
 			sequence = 0;
 			readonly snapshots: Array<{at: number; running: Attempt[]}> = [];
 
+			/** Requests completed since the start of the engine; it is cold up to `coldSuccesses`. */
+			completed = 0;
+
 			constructor(readonly profile: BackendServerProfile) {
-				this.point = new AdmissionPoint(profile, {reportLagMs: 1000, warmup: {coldSuccesses: 2, successesPerStep: 2, minStepMs: 100}});
+				this.point = new AdmissionPoint(profile, {reportLagMs: 1000, warmup: {coldSuccesses, successesPerStep: 2, minStepMs: 100}});
 			}
 
 			send(event: AdmissionEvent): void {
@@ -293,10 +312,16 @@
 			check(): void {
 				const {bounds} = this.point;
 				const live = [...this.attempts.values()];
+				const isCold = this.completed < coldSuccesses;
 				const sum = (select: (attempt: Attempt) => number) => live.reduce((total, attempt) => total + select(attempt), 0);
 				expect(live.length, 'concurrency').to.be.at.most(bounds.concurrency);
 				expect(sum(attempt => attempt.request.kvTokens), 'kv').to.be.at.most(bounds.kvTokens);
-				expect(sum(attempt => attempt.hasFirstToken ? 0 : attempt.request.prefillTokens), 'prefill').to.be.at.most(bounds.prefillTokens);
+				const prefillTokens = sum(attempt => attempt.hasFirstToken ? 0 : attempt.request.prefillTokens);
+				expect(prefillTokens, 'prefill').to.be.at.most(bounds.prefillTokens);
+				if (isCold) {
+					expect(live.length, 'cold concurrency').to.be.at.most(this.profile.coldConcurrency);
+					expect(prefillTokens, 'cold prefill').to.be.at.most(this.profile.coldPrefillTokens);
+				}
 			}
 
 			run(step: Step): void {
@@ -324,6 +349,7 @@
 								this.attempts.delete(attempt.permit.attemptId);
 							}
 
+							this.completed += step.result === 'completed' ? 1 : 0;
 							attempt.isRenewed = false;
 							this.send({type: 'release', permitId: attempt.permit.permitId, result: step.result});
 						}
@@ -338,6 +364,7 @@
 					},
 					boot: () => {
 						this.boot++;
+						this.completed = 0;
 						this.attempts.clear();
 						this.snapshots.length = 0;
 					},
@@ -382,7 +409,8 @@
 			return world;
 		};
 
-		// Guards against memory, concurrency or prefill beyond the bounds after expiry, restart or a change of mode.
+		// Guards against memory, concurrency or prefill beyond the bounds after expiry, restart or a change of mode,
+		// and against a cold engine that gets more than it can take.
 		it('never exceeds the bounds on the engine', () => {
 			fc.assert(fc.property(fc.constantFrom(warmProfile, coldProfile), steps, (profile, schedule) => {
 				runSchedule(profile, schedule);
--- a/packages/core/src/admission/admission-point.ts
+++ b/packages/core/src/admission/admission-point.ts
@@ -11,7 +11,7 @@
 import {DrainEstimator} from './drain-estimator.js';
 import {LaneCredits} from './lane-credits.js';
 import {computeEnginePriority, computeLane, lanes} from './lanes.js';
-import {buildPermitId, parsePermitAttemptId} from './permit-id.js';
+import {buildPermitId, parsePermitId} from './permit-id.js';
 import {PermitLedger, type HeldPermit} from './permit-ledger.js';
 
 /** Capacity set aside for a request that waited for long. */
@@ -46,6 +46,8 @@
 	#mode: AdmissionMode = 'full';
 	#bootId: string | undefined;
 	#isLeaving = false;
+	/** True once the boot id changed while this entry was the owner. */
+	#hasRestarted = false;
 	/** True until a report shows the state of the server, initially and after a crash. */
 	#needsReport: boolean;
 	#sequence = 0;
@@ -228,18 +230,25 @@
 
 	#handleRenew(permitId: string): void {
 		const held = this.#ledger.get(permitId);
-		const expiresAt = this.#now + this.#options.permitLifetimeMs;
 		if (held !== undefined) {
-			this.#ledger.renew(held, expiresAt);
+			this.#ledger.renew(held, this.#now + this.#options.permitLifetimeMs);
 			return;
 		}
 
-		const attemptId = parsePermitAttemptId(permitId);
-		if (attemptId !== undefined && this.#mode !== 'stopped' && this.#ledger.findByAttempt(attemptId) === undefined) {
-			this.#addAdopted(permitId, attemptId);
+		const parsed = parsePermitId(permitId);
+		if (parsed !== undefined && this.#canAdopt(parsed)) {
+			this.#addAdopted(permitId, parsed.attemptId);
 		}
 	}
 
+	/** A late renewal of an own or a finished permit, or of one for a former boot, must not hold capacity again. */
+	#canAdopt({fencingNumber, attemptId}: {fencingNumber: number; attemptId: string}): boolean {
+		return fencingNumber < this.#options.fencingNumber
+			&& !this.#hasRestarted
+			&& this.#mode !== 'stopped'
+			&& !this.#ledger.isKnown(attemptId);
+	}
+
 	#addAdopted(permitId: string, attemptId: string): void {
 		this.#ledger.addAdopted({
 			permitId,
@@ -316,14 +325,17 @@
 
 		this.#needsReport = false;
 		this.#isLeaving = report.state === 'leaving';
-		for (const orphan of this.#ledger.reconcileReport(report, this.#now)) {
-			this.#commands.push({type: 'cancel', ...orphan});
+		const orphans = this.#ledger.reconcileReport(report, this.#now);
+		// Only a sole owner knows that nobody else renews the permit.
+		if (this.#mode === 'full') {
+			this.#commands.push(...orphans.map(orphan => ({type: 'cancel' as const, ...orphan})));
 		}
 	}
 
 	#handleBoot(bootId: string): void {
 		if (this.#bootId !== undefined) {
 			this.#ledger.reset();
+			this.#hasRestarted = true;
 		}
 
 		const {handover} = this.#options;
--- a/packages/core/src/admission/permit-id.ts
+++ b/packages/core/src/admission/permit-id.ts
@@ -2,6 +2,10 @@
 export const buildPermitId = (fencingNumber: number, sequence: number, attemptId: string): string =>
 	`${fencingNumber}.${sequence}.${attemptId}`;
 
-/** Reads the attempt id of a permit id; `undefined` when the id has another form. */
-export const parsePermitAttemptId = (permitId: string): string | undefined =>
-	/^\d+\.\d+\.(?<attemptId>.+)$/v.exec(permitId)?.groups?.attemptId;
+/** Reads a permit id; `undefined` when it has another form. */
+export const parsePermitId = (permitId: string): {fencingNumber: number; attemptId: string} | undefined => {
+	const groups = /^(?<fencingNumber>\d+)\.\d+\.(?<attemptId>.+)$/v.exec(permitId)?.groups;
+	return groups?.fencingNumber === undefined || groups.attemptId === undefined
+		? undefined
+		: {fencingNumber: Number(groups.fencingNumber), attemptId: groups.attemptId};
+};
--- a/packages/core/src/admission/permit-ledger.ts
+++ b/packages/core/src/admission/permit-ledger.ts
@@ -24,7 +24,6 @@
 /** Capacity in use, per lane where the bounds are per lane. */
 export type LedgerUsage = {
 	kvTokens: number;
-	concurrency: number;
 	prefillTokens: number;
 	laneKvTokens: number[];
 	laneConcurrency: number[];
@@ -54,7 +53,6 @@
 
 const createUsage = (laneCount: number): LedgerUsage => ({
 	kvTokens: 0,
-	concurrency: 0,
 	prefillTokens: 0,
 	laneKvTokens: Array.from({length: laneCount}, () => 0),
 	laneConcurrency: Array.from({length: laneCount}, () => 0),
@@ -113,9 +111,9 @@
 		return this.#held.get(this.#permitIds.get(attemptId) ?? '');
 	}
 
-	/** Ids of all permits that hold capacity. */
-	listPermitIds(): string[] {
-		return [...this.#held.keys()];
+	/** True when an attempt holds a permit or ended recently. */
+	isKnown(attemptId: string): boolean {
+		return this.#permitIds.has(attemptId) || this.#ended.has(attemptId);
 	}
 
 	/** Adds a permit; foreign work of the same attempt is covered by it from now on. */
@@ -322,7 +320,6 @@
 	#updateUsage(held: HeldPermit, sign: 1 | -1): void {
 		const usage = this.#usage;
 		usage.kvTokens += sign * held.kvTokens;
-		usage.concurrency += sign;
 		usage.prefillTokens += sign * held.prefillInFlight;
 		usage.laneKvTokens[held.lane]! += sign * held.kvTokens;
 		usage.laneConcurrency[held.lane]! += sign;
--- /dev/null
+++ b/packages/core/src/group/group.test.ts
@@ -0,0 +1,180 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {
+	GroupReservation, groupReservationMachine, type GroupReservationCommand, type GroupReservationEvent,
+} from './group-reservation.js';
+import {selectGroup, type GroupMember} from './plan-group.js';
+
+const createMembers = (ids: readonly string[], kvTokens = 100): GroupMember[] => ids.map((serverId, index) => ({
+	serverId, index, startToken: index * kvTokens, tokens: kvTokens, kvTokens,
+}));
+
+describe('selectGroup', () => {
+	const servers = (count: number, failureDomain: string, kvTokensFree: number) => Array.from({length: count}, (_, index) => ({
+		id: `${failureDomain}-${index}`, failureDomain, kvTokensFree, maxSegmentTokens: 1_000_000,
+	}));
+
+	// Guards against a group across failure domains and against more members than needed.
+	it('chooses the fewest members of one failure domain', () => {
+		const input = {promptTokens: 1_000_000, maxTokens: 1000, servers: [...servers(4, 'kochi', 300_000), ...servers(3, 'kollam', 450_000), ...servers(2, 'alappuzha', 450_000)]};
+		const plan = selectGroup(input);
+		expect(plan.ok && plan.value.failureDomain).to.equal('kollam');
+		expect(plan.ok && plan.value.members).to.have.length(3);
+		expect(selectGroup({...input, promptTokens: 1_400_000})).to.deep.equal({ok: false, error: 'group_unavailable'});
+	});
+
+	// Guards against lost or repeated parts of a prompt and against members that get more than they hold.
+	it('covers the prompt without gaps within the memory of each member', () => {
+		const server = fc.record({kvTokensFree: fc.integer({min: 0, max: 500_000}), maxSegmentTokens: fc.integer({min: 0, max: 500_000}), failureDomain: fc.constantFrom('a', 'b')});
+		fc.assert(fc.property(fc.array(server, {maxLength: 12}), fc.integer({min: 1, max: 2_000_000}), fc.integer({min: 1, max: 8000}), (list, promptTokens, maxTokens) => {
+			const named = list.map((fields, index) => ({id: `s${index}`, ...fields}));
+			const plan = selectGroup({promptTokens, maxTokens, servers: named});
+			if (!plan.ok) {
+				return;
+			}
+
+			let startToken = 0;
+			for (const [index, member] of plan.value.members.entries()) {
+				const {kvTokensFree, failureDomain} = named.find(({id}) => id === member.serverId)!;
+				expect(member).to.include({index, startToken});
+				expect(member.tokens).to.be.greaterThan(0);
+				expect(member.kvTokens).to.be.at.most(kvTokensFree);
+				expect(failureDomain).to.equal(plan.value.failureDomain);
+				startToken += member.tokens;
+			}
+
+			expect(startToken).to.equal(promptTokens);
+			expect(plan.value.members.at(-1)!.kvTokens).to.equal(plan.value.members.at(-1)!.tokens + maxTokens);
+		}), {seed: 20_261_204, numRuns: 500});
+	});
+});
+
+describe('GroupReservation', () => {
+	// Guards against a path that ends a group without releasing what it holds.
+	it('leaves reserving and reserved only towards releasing', () => {
+		const table = Object.entries(groupReservationMachine.states).map(([name, {transitions}]) =>
+			[name, [...transitions].map(([event, [transition]]) => `${event}: ${(transition as unknown as {to: string}).to}`)]);
+		expect(Object.fromEntries(table)).to.deep.equal({
+			idle: ['start: reserving', 'end: released'],
+			reserving: ['complete: reserved', 'end: releasing'],
+			reserved: ['end: releasing'],
+			releasing: ['released: released'],
+			released: [],
+		});
+	});
+
+	// Guards against a circle of groups that wait for each other.
+	it('reserves one member after the other in ascending id', () => {
+		const group = new GroupReservation(createMembers(['s3', 's1', 's2']));
+		const order: string[] = [];
+		let commands = group.handle({type: 'start'}, 0);
+		while (commands.length > 0) {
+			expect(commands).to.have.length(1);
+			order.push(commands[0]!.serverId);
+			commands = group.handle({type: 'reserved', serverId: commands[0]!.serverId}, 1);
+		}
+
+		expect(order).to.deep.equal(['s1', 's2', 's3']);
+		expect(group.state).to.equal('reserved');
+	});
+
+	// Guards against memory held by a reservation whose answer was lost or late.
+	it('releases the member whose answer is missing, and once more when it arrives late', () => {
+		const group = new GroupReservation(createMembers(['s1', 's2']), {replyTimeoutMs: 1000});
+		group.handle({type: 'start'}, 0);
+		group.handle({type: 'reserved', serverId: 's1'}, 10);
+		const released = group.handle({type: 'tick'}, 1010);
+		expect(released.map(({type, serverId}) => `${type} ${serverId}`)).to.deep.equal(['release s1', 'release s2']);
+		expect(group.handle({type: 'reserved', serverId: 's2'}, 1020)).to.deep.equal([{type: 'release', serverId: 's2'}]);
+	});
+
+	// Guards against deadlock between groups and against leaked reservations under lost messages and restarts.
+	it('ends every one of several concurrent groups and leaves no memory reserved', () => {
+		const serverIds = ['s1', 's2', 's3', 's4'];
+		const capacity = 150;
+		const groups = fc.array(fc.subarray(serverIds, {minLength: 2}), {minLength: 2, maxLength: 5});
+		const noise = fc.array(fc.record({pick: fc.nat(1000), fault: fc.constantFrom('none', 'none', 'none', 'loseCall', 'loseReply', 'restart', 'finish')}), {maxLength: 120});
+		fc.assert(fc.property(groups, noise, (memberships, faults) => {
+			const reservations = memberships.map(ids => new GroupReservation(createMembers(ids), {ttlMs: 10_000, replyTimeoutMs: 500, releaseRetryMs: 300}));
+			const engines = new Map(serverIds.map(id => [id, new Map<number, number>()]));
+			const calls: Array<{group: number; command: GroupReservationCommand}> = [];
+			let reservedOnce = 0;
+			let now = 0;
+			const send = (group: number, event: GroupReservationEvent) => {
+				calls.push(...reservations[group]!.handle(event, now).map(command => ({group, command})));
+				reservedOnce += event.type === 'reserved' && reservations[group]!.state === 'reserved' ? 1 : 0;
+			};
+
+			const serve = (index: number, fault: string) => {
+				const [{group, command}] = calls.splice(index, 1) as [typeof calls[number]];
+				const engine = engines.get(command.serverId)!;
+				if (fault === 'loseCall') {
+					return;
+				}
+
+				if (command.type === 'release') {
+					engine.delete(group);
+				} else if ((engine.has(group) ? engine.size : engine.size + 1) * command.kvTokens <= capacity) {
+					engine.set(group, now + command.ttlMs);
+				} else {
+					send(group, {type: 'refused', serverId: command.serverId});
+					return;
+				}
+
+				if (fault !== 'loseReply') {
+					send(group, {type: command.type === 'release' ? 'released' : 'reserved', serverId: command.serverId});
+				}
+			};
+
+			const advance = (elapsedMs: number) => {
+				now += elapsedMs;
+				for (const engine of engines.values()) {
+					for (const [group, expiresAt] of engine) {
+						if (expiresAt <= now) {
+							engine.delete(group);
+						}
+					}
+				}
+
+				for (const group of reservations.keys()) {
+					send(group, {type: 'tick'});
+				}
+			};
+
+			for (const group of reservations.keys()) {
+				send(group, {type: 'start'});
+			}
+
+			for (const {pick, fault} of faults) {
+				if (fault === 'restart') {
+					engines.get(serverIds[pick % 4]!)!.clear();
+				} else if (fault === 'finish') {
+					send(pick % reservations.length, {type: 'finish'});
+				} else if (calls.length > 0) {
+					serve(pick % calls.length, fault);
+				}
+
+				advance(50);
+			}
+
+			for (let round = 0; round < 500; round++) {
+				// Without further faults every group is reserved or released; the reserved ones finish.
+				while (calls.length > 0) {
+					serve(0, 'none');
+				}
+
+				advance(100);
+				for (const [group, reservation] of reservations.entries()) {
+					if (reservation.state === 'reserved') {
+						send(group, {type: 'finish'});
+					}
+				}
+			}
+
+			expect(reservations.map(reservation => reservation.state)).to.deep.equal(reservations.map(() => 'released'));
+			expect([...engines.values()].map(engine => engine.size)).to.deep.equal([0, 0, 0, 0]);
+			expect(reservations.flatMap(reservation => reservation.listHeld())).to.be.empty;
+			expect(faults.length > 0 || reservedOnce > 0, 'one group is reserved without faults').to.be.true;
+		}), {seed: 20_261_204, numRuns: 200});
+	});
+});
