--- a/packages/core/src/admission/admission-options.ts
+++ b/packages/core/src/admission/admission-options.ts
@@ -36,7 +36,7 @@
 	hasReports: options.hasReports ?? true,
 	prefillWindowMs: options.prefillWindowMs ?? 400,
 	agingMs: options.agingMs ?? 3000,
-	longPrefillShare: options.longPrefillShare ?? 0.1,
+	longPrefillShare: options.longPrefillShare ?? 0.05,
 	decodeMsPerToken: options.decodeMsPerToken ?? 20,
 	handover: options.handover,
 	warmup: options.warmup ?? {},
--- a/packages/core/src/admission/admission-point.ts
+++ b/packages/core/src/admission/admission-point.ts
@@ -238,13 +238,13 @@
 		}
 
 		const parsed = parsePermitId(permitId);
-		if (parsed !== undefined && this.#canAdopt(parsed)) {
+		if (parsed !== undefined && this.#isAdoptable(parsed)) {
 			this.#addAdopted(permitId, parsed.attemptId);
 		}
 	}
 
 	/** A late renewal of an own or a finished permit, or of one for a former boot, must not hold capacity again. */
-	#canAdopt({fencingNumber, attemptId}: {fencingNumber: number; attemptId: string}): boolean {
+	#isAdoptable({fencingNumber, attemptId}: {fencingNumber: number; attemptId: string}): boolean {
 		return fencingNumber < this.#options.fencingNumber
 			&& !this.#hasRestarted
 			&& this.#mode !== 'stopped'
@@ -515,13 +515,13 @@
 		}
 
 		const {concurrencyShare, kvShare} = lanes[lane]!;
-		const concurrency = this.#sumFrom(usage.laneConcurrency, lane);
-		const kvTokens = this.#sumFrom(usage.laneKvTokens, lane);
+		const concurrency = this.#computeSumFrom(usage.laneConcurrency, lane);
+		const kvTokens = this.#computeSumFrom(usage.laneKvTokens, lane);
 		return concurrency + 1 <= Math.max(1, Math.floor(bounds.concurrency * concurrencyShare))
 			&& (kvTokens === 0 || kvTokens + request.kvTokens <= bounds.kvTokens * kvShare);
 	}
 
-	#sumFrom(values: readonly number[], lane: number): number {
+	#computeSumFrom(values: readonly number[], lane: number): number {
 		let sum = 0;
 		for (let index = lane; index < values.length; index++) {
 			sum += values[index]!;
@@ -536,7 +536,7 @@
 
 	#hasCredit(lane: number, claim: Claim | undefined): boolean {
 		const isLongerWaiting = (claim?.queued.lane ?? -1) > lane
-			|| this.#sumFrom(this.#ledger.usage.lanePrefillTokens, lane + 1) > 0;
+			|| this.#computeSumFrom(this.#ledger.usage.lanePrefillTokens, lane + 1) > 0;
 		return !isLongerWaiting || this.#credits.isAvailable(lane);
 	}
 
@@ -576,12 +576,12 @@
 
 	/** First-token time in ms of a request granted now. */
 	#estimateGranted(request: PermitRequest, lane: number): number {
-		const inFlight = this.#sumUpTo(this.#ledger.usage.lanePrefillTokens, lane);
+		const inFlight = this.#computeSumUpTo(this.#ledger.usage.lanePrefillTokens, lane);
 		const share = lane === 0 ? 1 : this.#options.longPrefillShare;
 		return this.#computePrefillMs((inFlight + request.prefillTokens) / share);
 	}
 
-	#sumUpTo(values: readonly number[], lane: number): number {
+	#computeSumUpTo(values: readonly number[], lane: number): number {
 		let sum = 0;
 		for (let index = 0; index <= lane; index++) {
 			sum += values[index]!;
--- a/packages/core/src/limits/workspace-budget.ts
+++ b/packages/core/src/limits/workspace-budget.ts
@@ -58,7 +58,7 @@
 
 	/** Sum of the live slices. */
 	computeLiveTotal(now: number): PlanLimits {
-		return this.#sumLive(now, undefined);
+		return this.#computeLiveSum(now, undefined);
 	}
 
 	/** Applies an event; a demand is answered with a slice. */
@@ -115,7 +115,7 @@
 	}
 
 	#computeSlice(entryId: string, share: Share, now: number): PlanLimits {
-		const others = this.#sumLive(now, entryId);
+		const others = this.#computeLiveSum(now, entryId);
 		const available = this.#computeAvailable(now);
 		return {
 			requestsPerSecond: this.#computeRate('requestsPerSecond', share, available, others),
@@ -175,7 +175,7 @@
 		return Math.max(0, Math.min(share.concurrency + extra, available.concurrency - others.concurrency));
 	}
 
-	#sumLive(now: number, except: string | undefined): PlanLimits {
+	#computeLiveSum(now: number, except: string | undefined): PlanLimits {
 		const sum = {...noRates};
 		for (const [entryId, share] of this.#shares) {
 			if (entryId !== except && share.expiresAt > now) {
--- a/packages/core/src/routing/routing.test.ts
+++ b/packages/core/src/routing/routing.test.ts
@@ -31,7 +31,7 @@
 	it('prefers the server with the longest cached prefix and subtracts it from the cost', () => {
 		const [first] = select(createServers(10, index => ({cachedTokens: index === 7 ? 3072 : 0})));
 		expect(first).to.deep.equal({
-			serverId: 's7', isOwned: false, prefillTokens: 1024, promptClass: 10, cause: 'affinity',
+			serverId: 's7', isOwned: false, prefillTokens: 1024, promptClass: 10, cause: 'cached',
 		});
 	});
 
@@ -55,7 +55,7 @@
 		const servers = createServers(10, index => ({load: createLoad(`s${index}`, index * 20)}));
 		const counts = new Map<string, number>();
 		for (let index = 0; index < 2000; index++) {
-			const {serverId} = select(servers, {choiceKey: `attempt-${index}`})[0]!;
+			const {serverId} = select(servers, {affinityKey: undefined, choiceKey: `attempt-${index}`})[0]!;
 			counts.set(serverId, (counts.get(serverId) ?? 0) + 1);
 		}
 
@@ -63,6 +63,20 @@
 		expect(counts.get('s9') ?? 0).to.equal(0);
 	});
 
+	// Guards against a prefix that is cached on every server, and against one that overloads its two servers.
+	it('sends a prefix to the same two servers while one of them is within the load bound', () => {
+		const choose = (loads: number[]) => new Set(Array.from({length: 200}, (_, index) =>
+			select(createServers(10, server => ({load: createLoad(`s${server}`, loads[server]!)})), {choiceKey: `attempt-${index}`})[0]!.serverId));
+		const idle = Array.from({length: 10}, () => 50);
+		const [first] = [...choose(idle)];
+		expect(choose(idle).size).to.equal(1);
+		const busy = idle.map((load, index) => `s${index}` === first ? 3000 : load);
+		const [second] = [...choose(busy)];
+		expect(choose(busy).size).to.equal(1);
+		expect(second).not.to.equal(first);
+		expect(choose(busy.map((load, index) => `s${index}` === second ? 3000 : load)).size).to.be.greaterThan(4);
+	});
+
 	// Guards against a full mesh of messages at design size, and against an entry left without servers.
 	it('chooses from a stable subset that replaces excluded servers', () => {
 		const servers = createServers(660);
--- a/packages/core/src/routing/select-candidates.ts
+++ b/packages/core/src/routing/select-candidates.ts
@@ -20,13 +20,14 @@
 export type RoutingInput = {
 	/** Key of the deterministic subset, usually the id of the entry. */
 	subsetKey: string;
-	/** Hash of the first prefix block, or the workspace id for prompts below one block. */
-	affinityKey: string;
+	/** Hash of the first prefix block; `undefined` for prompts below one block. */
+	affinityKey?: string | undefined;
 	/** Distinguishes requests for the power of two choices; usually the attempt id. */
 	choiceKey: string;
 	promptTokens: number;
 	/** KV memory the request needs, in tokens. */
 	kvTokens: number;
+	/** All usable servers, or a subset that the caller keeps, see `selectRendezvous`; that saves the hashes of a large fleet. */
 	servers: readonly RoutingServer[];
 	/** Ids of servers already tried. */
 	excluded: ReadonlySet<string>;
@@ -45,7 +46,8 @@
 	prefillTokens: number;
 	/** Class of the uncached part, see `computePromptClass`. */
 	promptClass: number;
-	cause: 'affinity' | 'owned' | 'load';
+	/** Known prefix in its cache, own server, or two choices. */
+	cause: 'cached' | 'owned' | 'choice';
 };
 
 /** Key of the long prompt pool; one key for all entries, so that they choose the same servers. */
@@ -103,35 +105,36 @@
 	return [...owned, ...selectRendezvous(input.subsetKey, rest, Math.max(1, size - owned.length))];
 };
 
-/** Server with the best affinity whose load is within the bound: most cached tokens, then highest hash. */
-const findAffine = (input: RoutingInput, scored: readonly Scored[], bound: number): Scored | undefined => {
+/** Server within the load bound that holds the longest part of the prompt. */
+const findCached = (scored: readonly Scored[], bound: number): Scored | undefined => {
 	let best: Scored | undefined;
-	let bestHash = -1;
 	for (const candidate of scored) {
-		if (candidate.loadMs > bound) {
-			continue;
-		}
-
-		const hash = hashRendezvous(input.affinityKey, candidate.server.id);
-		const gain = candidate.server.cachedTokens - (best?.server.cachedTokens ?? -1);
-		if (gain > 0 || (gain === 0 && hash > bestHash)) {
+		const tokens = candidate.loadMs <= bound ? candidate.server.cachedTokens : 0;
+		if (tokens > (best?.server.cachedTokens ?? 0)) {
 			best = candidate;
-			bestHash = hash;
 		}
 	}
 
 	return best;
 };
 
-/** The less loaded one of two servers drawn by hash, then all others by load. */
-const listByLoad = (input: RoutingInput, scored: readonly Scored[]): Scored[] => {
-	const drawn = scored
-		.map(candidate => ({candidate, hash: hashRendezvous(input.choiceKey, candidate.server.id)}))
-		.toSorted((left, right) => right.hash - left.hash)
-		.map(({candidate}) => candidate);
-	const pair = drawn.slice(0, 2).toSorted((left, right) => left.loadMs - right.loadMs);
-	const rest = drawn.slice(2).toSorted((left, right) => left.loadMs - right.loadMs);
-	return [...pair, ...rest];
+const listDrawn = (key: string, scored: readonly Scored[]): Scored[] => scored
+	.map(candidate => ({candidate, hash: hashRendezvous(key, candidate.server.id)}))
+	.toSorted((left, right) => right.hash - left.hash)
+	.map(({candidate}) => candidate);
+
+const computeLoadOrder = (left: Scored, right: Scored): number => left.loadMs - right.loadMs;
+
+/**
+ * The less loaded one of two servers, then all others by load.
+ * The two are drawn by prefix, so that all entries send a prefix to the same servers; when both are above the load
+ * bound, they are drawn by request.
+ */
+const listByLoad = (input: RoutingInput, scored: readonly Scored[], bound: number): Scored[] => {
+	const affine = input.affinityKey === undefined ? [] : listDrawn(input.affinityKey, scored);
+	const isAcceptable = affine.slice(0, 2).some(({loadMs}) => loadMs <= bound);
+	const drawn = isAcceptable ? affine : listDrawn(input.choiceKey, scored);
+	return [...drawn.slice(0, 2).toSorted(computeLoadOrder), ...drawn.slice(2).toSorted(computeLoadOrder)];
 };
 
 const toCandidate = (input: RoutingInput, {server}: Scored, cause: Candidate['cause']): Candidate => {
@@ -143,18 +146,17 @@
 
 /**
  * Orders the backend servers for a request, best first.
- * Order: prefix affinity within the load bound, own servers within the load bound, two choices by known load.
+ * Order: longest cached prefix within the load bound, own servers within the load bound, two choices by prefix and load.
  */
 export const selectCandidates = (input: RoutingInput): Candidate[] => {
 	const isLong = isLongPrompt(input.promptTokens);
 	const scored = listScored(selectEligible(input), isLong, input.now);
 	const bound = computeLoadBound(scored);
-	const affine = findAffine(input, scored, bound);
-	const isWorthMessage = affine !== undefined && (affine.server.cachedTokens > 0 || affine.server.isOwned);
-	const first = isWorthMessage ? [toCandidate(input, affine, 'affinity')] : [];
-	const others = listByLoad(input, scored.filter(candidate => !isWorthMessage || candidate !== affine));
+	const cached = findCached(scored, bound);
+	const first = cached === undefined ? [] : [toCandidate(input, cached, 'cached')];
+	const others = listByLoad(input, scored.filter(candidate => candidate !== cached), bound);
 	const isNear = ({server, loadMs}: Scored) => server.isOwned && loadMs <= bound;
 	const owned = others.filter(candidate => isNear(candidate)).map(candidate => toCandidate(input, candidate, 'owned'));
-	const rest = others.filter(candidate => !isNear(candidate)).map(candidate => toCandidate(input, candidate, 'load'));
+	const rest = others.filter(candidate => !isNear(candidate)).map(candidate => toCandidate(input, candidate, 'choice'));
 	return [...first, ...owned, ...rest];
 };
