Refuse requests of a silent server and ignore renewals of released permits

Cause: requests for an engine that stopped reporting waited in the queue until shortly before their deadline. A renewal that arrived after the release of a failed attempt kept its capacity for another permit lifetime. Ruled out: granting on an old report; a dead engine would take permits whose capacity only a report returns. Conclusion: requests are refused 5 s after the last report, at once.

--- a/packages/core/src/admission/admission-options.ts
+++ b/packages/core/src/admission/admission-options.ts
@@ -9,6 +9,8 @@
 	maxQueued?: number;
 	/** Oldest state in ms that a report can show when it arrives. */
 	reportLagMs?: number;
+	/** Time in ms without a report after which requests are refused instead of queued. */
+	reportTimeoutMs?: number;
 	/** False for backend servers without status reports, such as plain services. */
 	hasReports?: boolean;
 	/** Prefill work in ms of one lane that is handed to the engine at a time. */
@@ -33,6 +35,7 @@
 	permitLifetimeMs: options.permitLifetimeMs ?? 10_000,
 	maxQueued: options.maxQueued ?? 512,
 	reportLagMs: options.reportLagMs ?? 2000,
+	reportTimeoutMs: options.reportTimeoutMs ?? 5000,
 	hasReports: options.hasReports ?? true,
 	prefillWindowMs: options.prefillWindowMs ?? 400,
 	agingMs: options.agingMs ?? 3000,
--- a/packages/core/src/admission/admission-point.ts
+++ b/packages/core/src/admission/admission-point.ts
@@ -52,6 +52,8 @@
 	#hasRestarted = false;
 	/** True until a report shows the state of the server, initially and after a crash. */
 	#needsReport: boolean;
+	/** Time of the last report, or of the first event. */
+	#reportedAt: number | undefined;
 	#sequence = 0;
 	#now = 0;
 	#scannedAt = 0;
@@ -141,6 +143,7 @@
 	/** Applies an event and returns the commands that follow from it. */
 	handle(event: AdmissionEvent, now: number): AdmissionCommand[] {
 		this.#now = now;
+		this.#reportedAt ??= now;
 		this.#credits.updateTime(this.#ledger.usage.lanePrefillTokens, now);
 		this.#estimator.updateTime(this.#queue.backlogs, now);
 		this.#updateExpired();
@@ -152,8 +155,13 @@
 		return commands;
 	}
 
+	/** True when the server has not reported for so long that a request is better tried elsewhere at once. */
+	get #isSilent(): boolean {
+		return this.#options.hasReports && this.#now - (this.#reportedAt ?? this.#now) >= this.#options.reportTimeoutMs;
+	}
+
 	get #isServing(): boolean {
-		return !this.#needsReport && !this.#isLeaving && this.#mode !== 'stopped';
+		return !this.#needsReport && !this.#isSilent && !this.#isLeaving && this.#mode !== 'stopped';
 	}
 
 	#apply<Type extends AdmissionEvent['type']>(event: AdmissionEvent & {type: Type}): void {
@@ -212,7 +220,7 @@
 			return {reason: refusalReasons.promptTooLong, retryAfterMs: 0};
 		}
 
-		if (this.#isLeaving) {
+		if (this.#isLeaving || this.#isSilent) {
 			return {reason: refusalReasons.noBackendServer, retryAfterMs: minRetryAfterMs};
 		}
 
@@ -303,7 +311,7 @@
 		if (endedResults.has(result) || !this.#options.hasReports) {
 			this.#ledger.remove(held, this.#now);
 		} else {
-			this.#ledger.recordAbandoned(held, this.#now);
+			this.#ledger.recordReleased(held, this.#now);
 		}
 	}
 
@@ -326,6 +334,7 @@
 		}
 
 		this.#needsReport = false;
+		this.#reportedAt = this.#now;
 		this.#isLeaving = report.state === 'leaving';
 		const orphans = this.#ledger.reconcileReport(report, this.#now);
 		// Only a sole owner knows that nobody else renews the permit.
@@ -360,7 +369,7 @@
 
 	/** Refuses queued requests that can no longer finish in time or no longer fit. */
 	#refuseUnreachable(): void {
-		if (this.#mode === 'stopped' || this.#isLeaving) {
+		if (this.#mode === 'stopped' || this.#isLeaving || this.#isSilent) {
 			this.#refuseAll();
 			return;
 		}
@@ -393,7 +402,7 @@
 	}
 
 	#refuseAll(): void {
-		const reason = this.#isLeaving ? refusalReasons.noBackendServer : refusalReasons.ownershipDisputed;
+		const reason = this.#mode === 'stopped' ? refusalReasons.ownershipDisputed : refusalReasons.noBackendServer;
 		for (const queued of this.#queue.list()) {
 			this.#queue.remove(queued.request.attemptId);
 			this.#refuse(queued, reason, minRetryAfterMs);
@@ -564,6 +573,7 @@
 			expectedFirstTokenMs: this.#estimateGranted(request, lane),
 			isSuspect: request.isSuspect,
 			abandonedAt: undefined,
+			isReleased: false,
 			isAdopted: false,
 		};
 		this.#ledger.add(held);
--- a/packages/core/src/admission/permit-ledger.ts
+++ b/packages/core/src/admission/permit-ledger.ts
@@ -17,6 +17,8 @@
 	isSuspect: boolean;
 	/** Time since which nobody owns the attempt; its capacity waits for the engine to drop it. */
 	abandonedAt: number | undefined;
+	/** True once the holder released it; a late renewal then changes nothing. */
+	isReleased: boolean;
 	/** True when only its renewal is known; figures come from the engine's reports. */
 	isAdopted: boolean;
 };
@@ -140,6 +142,7 @@
 			expectedFirstTokenMs: 0,
 			isSuspect: false,
 			abandonedAt: undefined,
+			isReleased: false,
 			isAdopted: true,
 		});
 	}
@@ -176,13 +179,18 @@
 
 	/** Extends the lifetime of a permit. */
 	renew(held: HeldPermit, expiresAt: number): void {
+		if (held.isReleased) {
+			return;
+		}
+
 		held.expiresAt = expiresAt;
 		held.abandonedAt = undefined;
 		this.#earliestExpiry = Math.min(this.#earliestExpiry, expiresAt);
 	}
 
-	/** Marks a permit that nobody owns; its capacity is returned by a later report. */
-	recordAbandoned(held: HeldPermit, now: number): void {
+	/** Marks a permit whose attempt may still run after its release; its capacity is returned by a later report. */
+	recordReleased(held: HeldPermit, now: number): void {
+		held.isReleased = true;
 		held.abandonedAt ??= now;
 	}
 
--- a/packages/core/src/group/plan-group.ts
+++ b/packages/core/src/group/plan-group.ts
@@ -1,3 +1,4 @@
+import {prefixBlockTokens} from '../prefix/index.js';
 import {createError, createOk, type Result} from '../types/index.js';
 
 /** An engine that may take part in a group. */
@@ -35,7 +36,7 @@
 };
 
 /** Segments end on prefix block boundaries, so that engines can share their blocks. */
-const blockTokens = 1024;
+const blockTokens = prefixBlockTokens;
 const defaultMaxMembers = 8;
 
 type Choice = {failureDomain: string; servers: GroupServer[]; spare: number};
--- a/packages/core/src/prefix/prefix-index.ts
+++ b/packages/core/src/prefix/prefix-index.ts
@@ -1,3 +1,6 @@
+/** Tokens of one prefix block. */
+export const prefixBlockTokens = 1024;
+
 /** One prefix cache event of an engine; `seq` has gaps when events were lost. */
 export type PrefixCacheEvent = {
 	seq: number;
