--- /dev/null
+++ b/packages/platform-client/src/platform-http.ts
@@ -0,0 +1,171 @@
+import createDebug from 'debug';
+import pRetry, {AbortError} from 'p-retry';
+import {Pool} from 'undici';
+import type {z} from 'zod';
+import {createError, createOk, type Result} from '@knapweedrack/core';
+import {platformErrorSchema} from '@knapweedrack/protocol';
+import {CallCounters, type CallKind} from './call-counters.js';
+import type {CallOptions, StoreFailure} from './object-store.js';
+
+const debug = createDebug('knapweedrack:platform');
+
+const defaultTimeoutMs = 2000;
+const connectTimeoutMs = 1000;
+/** A watch answers at the end of its wait, so its time-out is the wait plus this allowance. */
+export const watchAllowanceMs = 2000;
+const repetitions = 2;
+const firstBackoffMs = 50;
+const longestBackoffMs = 400;
+const defaultRetryAfterMs = 1000;
+/** Five waiting watches and the calls beside them. */
+const connections = 16;
+
+/** Options of a platform client. */
+export type PlatformOptions = {
+	/** `host:port` of the platform. */
+	address: string;
+	counters?: CallCounters | undefined;
+	/** Longest wait for the answer to one call, in ms; 2000 unless given. */
+	timeoutMs?: number | undefined;
+};
+
+/** One HTTP call of the platform. */
+export type PlatformCall<Answer> = {
+	kind: CallKind;
+	method: 'GET' | 'PUT' | 'DELETE' | 'POST';
+	path: string;
+	headers?: Record<string, string>;
+	body?: string;
+	schema: z.ZodType<Answer>;
+	/** True when the call changes nothing, so that a lost answer can be asked for again. */
+	isRead: boolean;
+	isRepeatable: boolean;
+	options?: CallOptions | undefined;
+};
+
+type CallOutcome<Answer> = Result<Answer, StoreFailure> & {wasSent: boolean};
+
+const unsentCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
+
+const failureBuilders = new Map<string, (error: z.infer<typeof platformErrorSchema>) => StoreFailure>([
+	['not_found', () => ({kind: 'not_found'})],
+	['version_mismatch', error => ({kind: 'version_mismatch', version: error.version ?? 0})],
+	['too_large', () => ({kind: 'too_large'})],
+	['rate_limited', error => ({kind: 'rate_limited', retryAfterMs: error.retryAfterMs ?? defaultRetryAfterMs})],
+	['compacted', () => ({kind: 'compacted'})],
+	['unavailable', error => ({kind: 'unavailable', message: error.message})],
+	['bad_request', error => ({kind: 'unavailable', message: `the platform refused the call: ${error.message}`})],
+]);
+
+const outageKinds = new Set<StoreFailure['kind']>(['unavailable', 'unknown', 'rate_limited']);
+
+class RepeatableError extends Error {}
+
+/** HTTP connection to the platform; shared by the clients of its parts. */
+export class PlatformHttp {
+	readonly counters: CallCounters;
+	readonly #pool: Pool;
+	readonly #timeoutMs: number;
+
+	constructor(options: PlatformOptions) {
+		this.counters = options.counters ?? new CallCounters();
+		this.#timeoutMs = options.timeoutMs ?? defaultTimeoutMs;
+		this.#pool = new Pool(`http://${options.address}`, {connections, connect: {timeout: connectTimeoutMs}});
+	}
+
+	/**
+	 * Sends a call. Reads are repeated after an outage, writes only when they never left the process:
+	 * an unconditional repetition of a write whose answer was lost could undo a later write.
+	 * A call that was refused because of its rate is not repeated, since this would add load to a store at its limit.
+	 */
+	async send<Answer>(call: PlatformCall<Answer>): Promise<Result<Answer, StoreFailure>> {
+		let latest: CallOutcome<Answer> | undefined;
+		const attempt = async () => {
+			latest = await this.#sendOnce(call);
+			if (!latest.ok && call.isRepeatable && isRepetitionSafe(call.isRead, latest.error, latest.wasSent)) {
+				throw new RepeatableError(latest.error.kind);
+			}
+
+			return latest;
+		};
+
+		try {
+			return toResult(await pRetry(attempt, {
+				retries: repetitions, minTimeout: firstBackoffMs, maxTimeout: longestBackoffMs, randomize: true,
+				...(call.options?.signal && {signal: call.options.signal}),
+			}));
+		} catch (error) {
+			if (error instanceof RepeatableError && latest) {
+				return toResult(latest);
+			}
+
+			if (error instanceof AbortError || call.options?.signal?.aborted === true) {
+				return createError({kind: 'unavailable', message: 'the call was cancelled'});
+			}
+
+			throw error;
+		}
+	}
+
+	/** Ends all connections, including waiting watches. */
+	async close(): Promise<void> {
+		await this.#pool.destroy();
+	}
+
+	async #sendOnce<Answer>(call: PlatformCall<Answer>): Promise<CallOutcome<Answer>> {
+		this.counters.recordCall(call.kind);
+		const outcome = await this.#exchange(call);
+		if (!outcome.ok && outageKinds.has(outcome.error.kind)) {
+			this.counters.recordFailure(call.kind);
+			debug('%s %s failed: %o', call.method, call.kind, outcome.error);
+		}
+
+		return outcome;
+	}
+
+	async #exchange<Answer>(call: PlatformCall<Answer>): Promise<CallOutcome<Answer>> {
+		const timeout = AbortSignal.timeout(call.options?.timeoutMs ?? this.#timeoutMs);
+		const signal = call.options?.signal ? AbortSignal.any([timeout, call.options.signal]) : timeout;
+		try {
+			const response = await this.#pool.request({
+				method: call.method, path: call.path, headers: {'content-type': 'application/json', ...call.headers}, body: call.body ?? null,
+				signal, headersTimeout: 0, bodyTimeout: 0,
+			});
+			return {...decodeAnswer(call, response.statusCode, await response.body.text()), wasSent: true};
+		} catch (error) {
+			const wasSent = !unsentCodes.has((error as NodeJS.ErrnoException).code ?? '');
+			return {...createError(describeLostAnswer(call.isRead, wasSent, error as Error)), wasSent};
+		}
+	}
+}
+
+const toResult = <Answer>({ok, ...rest}: CallOutcome<Answer>): Result<Answer, StoreFailure> =>
+	ok && 'value' in rest ? createOk(rest.value) : createError((rest as {error: StoreFailure}).error);
+
+const isRepetitionSafe = (isRead: boolean, failure: StoreFailure, wasSent: boolean): boolean =>
+	(isRead && (failure.kind === 'unavailable' || failure.kind === 'unknown')) || (!wasSent && failure.kind === 'unavailable');
+
+const describeLostAnswer = (isRead: boolean, wasSent: boolean, error: Error): StoreFailure =>
+	wasSent && !isRead ? {kind: 'unknown', message: error.message} : {kind: 'unavailable', message: error.message};
+
+const decodeAnswer = <Answer>(call: PlatformCall<Answer>, status: number, text: string): Result<Answer, StoreFailure> => {
+	const body = parseJson(text);
+	if (status === 200) {
+		const answer = call.schema.safeParse(body);
+		return answer.success ? createOk(answer.data) : createError(describeLostAnswer(call.isRead, true, answer.error));
+	}
+
+	const error = platformErrorSchema.safeParse(body);
+	const builder = error.success ? failureBuilders.get(error.data.error) : undefined;
+	return error.success && builder
+		? createError(builder(error.data))
+		: createError(describeLostAnswer(call.isRead, true, new Error(`status ${status} without a known error`)));
+};
+
+const parseJson = (text: string): unknown => {
+	try {
+		return JSON.parse(text);
+	} catch {
+		return undefined;
+	}
+};
