Add validation of process settings and of the operators' lists

Cause: the CLI and the entry need the same checks of the YAML files, and an operator needs every problem of an edit in one run, with file, line and path.

Ruled out: checking references in a zod refinement. Refinements do not run on a file that fails the schema, so reference problems would appear only in the second run. References are checked on a lenient reading of the file instead. Addresses are IP addresses only; host names would add a name service to the start of a process.

--- /dev/null
+++ b/packages/protocol/src/lists/index.ts
@@ -0,0 +1,2 @@
+export * from './configuration-lists.js';
+export {deadlineLimitMs, longestPromptLimitTokens} from './list-schemas.js';
--- /dev/null
+++ b/packages/protocol/src/lists/list-schemas.ts
@@ -0,0 +1,111 @@
+import {z} from 'zod';
+
+/** Longest prompt that a plan may permit, in tokens; the fleet is built for prompts of up to 1 million tokens. */
+export const longestPromptLimitTokens = 1_048_576;
+/** Longest deadline that a plan may permit, in ms. */
+export const deadlineLimitMs = 3_600_000;
+
+const name = z.string().min(1).max(100).regex(/^[\w.\-]+$/v, 'expected letters, digits, ".", "_" and "-"');
+const rate = z.number().positive().max(1_000_000_000);
+
+const firstTokenTargetSchema = z.strictObject({
+	upToTokens: z.number().int().positive().optional(),
+	targetMs: z.number().int().min(10).max(deadlineLimitMs),
+});
+
+const planSchema = z.strictObject({
+	id: name,
+	models: z.array(name),
+	services: z.array(name),
+	failureDomains: z.array(name).min(1),
+	requestsPerSecond: rate,
+	tokensPerSecond: rate,
+	concurrency: z.number().int().positive().max(1_000_000),
+	longestPromptTokens: z.number().int().positive().max(longestPromptLimitTokens),
+	firstTokenTargets: z.array(firstTokenTargetSchema).min(1),
+	deadlineMs: z.number().int().min(100).max(deadlineLimitMs),
+	share: z.number().positive().max(1000),
+});
+
+// Names of HTTP methods that may be repeated without effect, as far as the service states so.
+const methodSchema = z.enum(['GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE', 'POST', 'PATCH']);
+
+/** Content of `plans.yaml`: what the fleet offers, and the plans. */
+export const plansFileSchema = z.strictObject({
+	fleet: name,
+	models: z.array(name),
+	services: z.array(z.strictObject({name, idempotentMethods: z.array(methodSchema)})),
+	failureDomains: z.array(name).min(1),
+	plans: z.array(planSchema).min(1),
+});
+
+/** Content of `workspaces.yaml`. */
+export const workspacesFileSchema = z.strictObject({
+	workspaces: z.array(z.strictObject({
+		id: name,
+		plan: name,
+		fleet: name,
+		credentialDigests: z.array(z.string().regex(/^sha256:[\da-f]{64}$/v, 'expected "sha256:" and 64 lower-case hex digits')).min(1).max(10),
+	})),
+});
+
+/** Keys of `plans.yaml` that carry a unit, offered when another unit is used. */
+export const planKeys = [...Object.keys(planSchema.shape), ...Object.keys(firstTokenTargetSchema.shape)];
+
+// References are also checked in files that fail the schemas, so that all problems appear at once.
+// Unusable values are replaced instead of rejected.
+const withDefault = <Schema extends z.ZodType>(schema: Schema, value: z.output<Schema>) => z.unknown().optional().transform(input => {
+	const parsed = schema.safeParse(input);
+	return parsed.success ? parsed.data : value;
+});
+
+const looseName = withDefault(z.string().optional(), undefined);
+const looseNames = withDefault(z.array(looseName), []);
+const looseNumber = withDefault(z.number().optional(), undefined);
+
+const loosePlanSchema = withDefault(z.object({
+	id: looseName,
+	models: looseNames,
+	services: looseNames,
+	failureDomains: looseNames,
+	longestPromptTokens: looseNumber,
+	deadlineMs: looseNumber,
+	firstTokenTargets: withDefault(z.array(withDefault(
+		z.object({upToTokens: looseNumber, targetMs: looseNumber}),
+		{upToTokens: undefined, targetMs: undefined},
+	)), []),
+}), {
+	id: undefined, models: [], services: [], failureDomains: [], longestPromptTokens: undefined, deadlineMs: undefined, firstTokenTargets: [],
+});
+/** Plan with unusable values removed. */
+export type LoosePlan = z.infer<typeof loosePlanSchema>;
+
+/** Reads `plans.yaml` as far as its values are usable. */
+export const loosePlansFileSchema = withDefault(z.object({
+	fleet: looseName,
+	models: looseNames,
+	services: withDefault(z.array(withDefault(
+		z.object({name: looseName, idempotentMethods: looseNames}),
+		{name: undefined, idempotentMethods: []},
+	)), []),
+	failureDomains: looseNames,
+	plans: withDefault(z.array(loosePlanSchema), []),
+}), {
+	fleet: undefined, models: [], services: [], failureDomains: [], plans: [],
+});
+/** `plans.yaml` with unusable values removed. */
+export type LoosePlansFile = z.infer<typeof loosePlansFileSchema>;
+
+/** Reads `workspaces.yaml` as far as its values are usable. */
+export const looseWorkspacesFileSchema = withDefault(z.object({
+	workspaces: withDefault(z.array(withDefault(
+		z.object({
+			id: looseName, plan: looseName, fleet: looseName, credentialDigests: looseNames,
+		}),
+		{
+			id: undefined, plan: undefined, fleet: undefined, credentialDigests: [],
+		},
+	)), []),
+}), {workspaces: []});
+/** `workspaces.yaml` with unusable values removed. */
+export type LooseWorkspacesFile = z.infer<typeof looseWorkspacesFileSchema>;
--- /dev/null
+++ b/packages/protocol/src/settings/index.ts
@@ -0,0 +1,1 @@
+export * from './process-settings.js';
--- /dev/null
+++ b/packages/protocol/src/settings/process-settings.ts
@@ -0,0 +1,72 @@
+import {isIP} from 'node:net';
+import {z} from 'zod';
+import {createError, createOk, type Result} from '@knapweedrack/core';
+import {
+	parseSource, validateSource, type SourceDocument, type SourceFile, type ValidationProblem,
+} from '../documents/yaml-document.js';
+
+/** Splits `host:port` or `[host]:port`; undefined unless the host is an IP address. */
+export const parseAddress = (address: string): {host: string; port: number} | undefined => {
+	const match = /^(?:\[(?<host6>[\da-fA-F:.]+)\]|(?<host4>[\d.]+)):(?<port>\d{1,5})$/v.exec(address);
+	const host = match?.groups?.host6 ?? match?.groups?.host4;
+	const port = Number(match?.groups?.port);
+	return host !== undefined && isIP(host) !== 0 && port <= 65_535 ? {host, port} : undefined;
+};
+
+const listener = z.string().refine(text => parseAddress(text) !== undefined, 'expected an IP address and port, for example 10.0.0.5:8400');
+const target = listener.refine(text => parseAddress(text)?.port !== 0, 'expected a port from 1 to 65535');
+const name = z.string().min(1).max(200).regex(/^[\w.\-]+$/v, 'expected letters, digits, ".", "_" and "-"');
+// Shorter secrets can be guessed by trying values against the peer listener.
+const secret = z.string().min(16).max(500);
+
+/** Longest time in ms that a planned stop may wait for streams. */
+export const gracePeriodLimitMs = 3_600_000;
+
+const settingsSchema = z.strictObject({
+	entryId: name,
+	failureDomain: name,
+	region: name,
+	/** `host:port` for callers; port 0 lets the system choose one. */
+	callerListener: listener,
+	/** `host:port` for other entries; port 0 lets the system choose one. */
+	peerListener: listener,
+	/** `host:port` of the platform's object API, instance list and weight store. */
+	platform: target,
+	/** `host:port` of other entries to ask for the configuration at start. */
+	seedPeers: z.array(target),
+	peerSecrets: z.strictObject({
+		/** Presented to other entries; also accepted from them. */
+		current: secret,
+		/** Further secrets accepted from other entries while secrets are rotated. */
+		accepted: z.array(secret),
+	}),
+	/** `host:port` that receives metrics over UDP; none are sent without it. */
+	metrics: target.optional(),
+	/** Longest wait for running requests in a planned stop, in ms. */
+	gracePeriodMs: z.number().int().min(1000).max(gracePeriodLimitMs),
+});
+
+/** Settings of one entry process. */
+export type ProcessSettings = z.infer<typeof settingsSchema>;
+
+const listDuplicates = (values: readonly string[]) => values.flatMap((value, index) => values.indexOf(value) < index ? [index] : []);
+
+const listConflicts = (source: SourceDocument): ValidationProblem[] => {
+	const settings = (source.value ?? {}) as Partial<Record<keyof ProcessSettings, unknown>>;
+	const {callerListener, peerListener} = settings;
+	const seedPeers = Array.isArray(settings.seedPeers) ? settings.seedPeers.map(String) : [];
+	const problems = listDuplicates(seedPeers).map(index => source.createProblem(['seedPeers', index], `duplicate seed peer "${seedPeers[index]}"`));
+	if (typeof callerListener === 'string' && callerListener === peerListener && parseAddress(callerListener)?.port !== 0) {
+		problems.push(source.createProblem(['peerListener'], 'the listeners for callers and for peers have the same address'));
+	}
+
+	return problems;
+};
+
+/** Parses the settings file of one process; returns all problems at once. */
+export const parseSettings = (file: SourceFile): Result<ProcessSettings, ValidationProblem[]> => {
+	const source = parseSource(file);
+	const {value, problems} = validateSource(source, settingsSchema, Object.keys(settingsSchema.shape));
+	const allProblems = [...problems, ...listConflicts(source)];
+	return value !== undefined && allProblems.length === 0 ? createOk(value) : createError(allProblems);
+};
