--- /dev/null
+++ b/packages/entry/src/mailbox/mailbox.ts
@@ -0,0 +1,33 @@
+/** Delivers the messages of one task to its subscribers, in order and one at a time. */
+export class Mailbox<Message> {
+	readonly #subscribers = new Set<(message: Message) => void>();
+	readonly #queue: Message[] = [];
+	#isDelivering = false;
+
+	/** Subscribes to all later messages; returns a function that ends the subscription. */
+	subscribe(subscriber: (message: Message) => void): () => void {
+		this.#subscribers.add(subscriber);
+		return () => {
+			this.#subscribers.delete(subscriber);
+		};
+	}
+
+	/** Delivers a message; one that is sent during a delivery follows after it, so that no subscriber sees them reordered. */
+	send(message: Message): void {
+		this.#queue.push(message);
+		if (this.#isDelivering) {
+			return;
+		}
+
+		this.#isDelivering = true;
+		try {
+			for (let next = this.#queue.shift(); next !== undefined; next = this.#queue.shift()) {
+				for (const subscriber of this.#subscribers) {
+					subscriber(next);
+				}
+			}
+		} finally {
+			this.#isDelivering = false;
+		}
+	}
+}
--- /dev/null
+++ b/packages/entry/src/peers/peer-client.ts
@@ -0,0 +1,189 @@
+import createDebug from 'debug';
+import {
+	createTRPCClient, createWSClient, TRPCClientError, wsLink, type TRPCClient,
+} from '@trpc/client';
+import {WebSocket} from 'ws';
+import {createError, createOk, type Result} from '@knapweedrack/core';
+import {
+	peerBatchLimit, type PeerRouter, type PermitRelease, type PermitWithdrawal,
+} from '@knapweedrack/protocol';
+import type {Metrics, TimerService} from '../contracts.js';
+import {counterNames} from '../metrics/metric-names.js';
+import {runWithDeadline} from '../timer/timer-service.js';
+import {peerMessageLimitBytes, peerPath} from './peer-server.js';
+import type {PeerSecrets} from './peer-secrets.js';
+import type {createTrafficMeter} from './traffic-meter.js';
+
+const debug = createDebug('knapweedrack:peer-client');
+
+const handshakeTimeoutMs = 1000;
+const firstReconnectMs = 50;
+const longestReconnectMs = 2000;
+/** Calls in progress with one peer; a peer that does not answer must not collect calls without bound. */
+const callLimit = 5000;
+const batchWaitMs = 10;
+const batchTimeoutMs = 1000;
+/** A release that is older than a permit's lifetime has no effect at the owner any more. */
+const releaseKeepMs = 10_000;
+
+/** Why a call to a peer has no answer. */
+export type PeerFailure = {kind: 'unreachable' | 'unauthorized' | 'refused'; message: string};
+
+/** Typed caller of one entry's procedures. */
+export type PeerCaller = TRPCClient<PeerRouter>;
+
+/** What connections to peers share. */
+export type PeerClientOptions = {
+	secrets: PeerSecrets;
+	timer: TimerService;
+	metrics: Metrics;
+	traffic: ReturnType<typeof createTrafficMeter>;
+};
+
+type Connection = {caller: PeerCaller; close: () => void};
+
+/** Connection to one entry, with batches of releases and withdrawals. */
+export class PeerClient {
+	readonly #options: PeerClientOptions;
+	#connection: Connection;
+	#calls = 0;
+	#isClosed = false;
+	readonly #releases: Array<{release: PermitRelease; at: number}> = [];
+	readonly #withdrawals: PermitWithdrawal[] = [];
+	#cancelFlush: (() => void) | undefined;
+
+	constructor(readonly address: string, options: PeerClientOptions) {
+		this.#options = options;
+		this.#connection = this.#openConnection();
+	}
+
+	/** Runs one call; without an answer within `timeoutMs` the peer counts as unreachable. */
+	async run<Answer>(timeoutMs: number, call: (caller: PeerCaller, signal: AbortSignal) => Promise<Answer>): Promise<Result<Answer, PeerFailure>> {
+		if (this.#calls >= callLimit || this.#isClosed) {
+			return createError({kind: 'unreachable', message: this.#isClosed ? 'the connection is closed' : 'too many calls in progress'});
+		}
+
+		this.#calls++;
+		try {
+			return createOk(await runWithDeadline(this.#options.timer, timeoutMs, async signal => call(this.#connection.caller, signal)));
+		} catch (error) {
+			return createError(this.#acceptError(error));
+		} finally {
+			this.#calls--;
+		}
+	}
+
+	/** Sends a release with the next batch; it is kept until the peer confirms it or it is without effect. */
+	release(release: PermitRelease): void {
+		this.#releases.push({release, at: this.#options.timer.now()});
+		this.#scheduleFlush(batchWaitMs);
+	}
+
+	/** Sends a withdrawal with the next batch; a lost one only delays the queue until the request's deadline. */
+	withdraw(withdrawal: PermitWithdrawal): void {
+		this.#withdrawals.push(withdrawal);
+		this.#scheduleFlush(batchWaitMs);
+	}
+
+	/** Sends what is waiting and closes the connection. */
+	async close(): Promise<void> {
+		this.#cancelFlush?.();
+		await this.#flush();
+		this.#isClosed = true;
+		this.#cancelFlush?.();
+		this.#connection.close();
+	}
+
+	#scheduleFlush(delayMs: number): void {
+		if (this.#cancelFlush !== undefined || this.#isClosed) {
+			return;
+		}
+
+		this.#cancelFlush = this.#options.timer.schedule(delayMs, () => {
+			void this.#flush();
+		});
+	}
+
+	async #flush(): Promise<void> {
+		this.#cancelFlush = undefined;
+		const withdrawals = this.#withdrawals.splice(0, peerBatchLimit);
+		if (withdrawals.length > 0) {
+			await this.run(batchTimeoutMs, async (caller, signal) => caller.permits.withdraw.mutate(withdrawals, {signal}));
+		}
+
+		await this.#flushReleases();
+		if (this.#releases.length + this.#withdrawals.length > 0) {
+			this.#scheduleFlush(batchWaitMs);
+		}
+	}
+
+	async #flushReleases(): Promise<void> {
+		const batch = this.#releases.splice(0, peerBatchLimit);
+		if (batch.length === 0) {
+			return;
+		}
+
+		const result = await this.run(batchTimeoutMs, async (caller, signal) => caller.permits.release.mutate(batch.map(({release}) => release), {signal}));
+		if (!result.ok) {
+			const oldest = this.#options.timer.now() - releaseKeepMs;
+			const kept = batch.filter(({at}) => at > oldest);
+			this.#options.metrics.count(counterNames.releaseDropped, batch.length - kept.length);
+			this.#releases.unshift(...kept);
+		}
+	}
+
+	#acceptError(error: unknown): PeerFailure {
+		const message = error instanceof Error ? error.message : String(error);
+		const code = error instanceof TRPCClientError ? (error.data as {code?: string} | undefined)?.code : undefined;
+		if (code === 'UNAUTHORIZED') {
+			// A secret that was removed at the peer stays bound to the connection, so that a new one is needed.
+			this.#connection.close();
+			this.#connection = this.#openConnection();
+			return {kind: 'unauthorized', message};
+		}
+
+		return {kind: code === undefined ? 'unreachable' : 'refused', message};
+	}
+
+	#openConnection(): Connection {
+		const {secrets, metrics, traffic} = this.#options;
+		const {address} = this;
+		const socketClass = class extends WebSocket {
+			constructor(url: string | URL) {
+				super(url, {perMessageDeflate: false, maxPayload: peerMessageLimitBytes, handshakeTimeout: handshakeTimeoutMs});
+				this.on('upgrade', ({socket}) => {
+					traffic.add(socket);
+				});
+			}
+		};
+		const client = createWSClient({
+			url: `ws://${address}${peerPath}`,
+			connectionParams: () => ({secret: secrets.current}),
+			// eslint-disable-next-line @typescript-eslint/naming-convention -- The option's name is given by the library.
+			WebSocket: socketClass as unknown as typeof globalThis.WebSocket,
+			retryDelayMs: attempt => Math.min(firstReconnectMs * (2 ** attempt), longestReconnectMs),
+			onOpen() {
+				metrics.count(counterNames.peerConnected);
+				debug('connected to %s', address);
+			},
+			onClose() {
+				metrics.count(counterNames.peerDisconnected);
+				debug('connection to %s closed', address);
+			},
+		});
+		return {
+			caller: createTRPCClient<PeerRouter>({links: [wsLink({client})]}),
+			close() {
+				void closeQuietly(client);
+			},
+		};
+	}
+}
+
+const closeQuietly = async (client: ReturnType<typeof createWSClient>): Promise<void> => {
+	try {
+		await client.close();
+	} catch (error) {
+		debug('a connection ended while it was being opened: %s', (error as Error).message);
+	}
+};
