Add stand-ins for platform, engine and plain service

Entries, clients and the command line need something to run against before the first deployment test. Each stand-in is a function and a process with faults on its own listener; the engine's scheduler and the store's objects are pure models with time passed in.

Ruled out: keeping the tests of testkit out of its tsconfig. XO lints files outside the nearest tsconfig without the condition `source`, so types of other packages do not resolve in them. The package is private, so tests in its dist folder are harmless.

Rates and scheduling cost are not measured yet.

--- /dev/null
+++ b/packages/testkit/src/engine/answer-text.ts
@@ -0,0 +1,50 @@
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {hashText} from './hashes.js';
+
+const stopPattern = /\[stop-after:(\d{1,6})\]/v;
+const wordMask = 0xF_FF;
+const wordLength = 3;
+
+/** Words of one answer; they follow from the digest of the prompt, so that a test can tell whose answer it got. */
+export class AnswerText {
+	readonly #digest: string;
+	readonly #random: ReturnType<typeof xoroshiro128plus>;
+	#count = 0;
+
+	constructor(digest: string) {
+		this.#digest = digest;
+		this.#random = xoroshiro128plus(Number.parseInt(digest.slice(0, 8), 16));
+	}
+
+	/** Text of the next token: the digest first, then words of three hex digits. */
+	create(): string {
+		this.#count += 1;
+		if (this.#count === 1) {
+			return `${this.#digest} `;
+		}
+
+		// eslint-disable-next-line no-bitwise
+		const word = this.#random.next() & wordMask;
+		return `${word.toString(16).padStart(wordLength, '0')} `;
+	}
+}
+
+/** Digest of a prompt, with which its answer starts. */
+export const computePromptDigest = (prompt: string): string => hashText(prompt);
+
+/** Digest of a prompt that was split into segments, from the digests of the segments in order. */
+export const computeSegmentedDigest = (digests: readonly string[]): string => digests.length === 1 ? digests[0]! : hashText(digests.join(''));
+
+/** Number of tokens generated for a prompt: `maxTokens`, or fewer when the prompt contains `[stop-after:N]`. */
+export const computeAnswerTokens = (prompt: string, maxTokens: number): number => {
+	const stop = stopPattern.exec(prompt)?.[1];
+	return stop === undefined ? maxTokens : Math.max(1, Math.min(maxTokens, Number(stop)));
+};
+
+/** Complete answer to a prompt, or to the segments of a prompt spread over several engines. */
+export const renderAnswer = (prompt: string | readonly string[], maxTokens: number): string => {
+	const segments = typeof prompt === 'string' ? [prompt] : prompt;
+	const answer = new AnswerText(computeSegmentedDigest(segments.map(segment => computePromptDigest(segment))));
+	const count = computeAnswerTokens(segments.at(-1) ?? '', maxTokens);
+	return Array.from({length: count}, () => answer.create()).join('');
+};
--- /dev/null
+++ b/packages/testkit/src/engine/engine-model.ts
@@ -0,0 +1,456 @@
+import {KvLedger, type KvReservation, type KvSegment} from './kv-ledger.js';
+import {PrefixCache, type CacheChange} from './prefix-cache.js';
+import {prefixBlockTokens} from './hashes.js';
+
+/** Capacity and speed of an engine. */
+export type EngineModelOptions = {
+	kvTokens: number;
+	prefillTokensPerSecond: number;
+	/** Largest number of prefill tokens in one step of the batch. */
+	prefillChunkTokens: number;
+	/** Shortest duration of a step with decoding requests, in ms. */
+	decodeStepMs: number;
+	maxConcurrency: number;
+	/** Requests a cold engine can run at the same time. */
+	coldConcurrency: number;
+	/** Prefill tokens in flight that a cold engine can take. */
+	coldPrefillTokens: number;
+	/** Completed requests since boot after which the engine is warm. */
+	warmAfterRequests: number;
+	/** Speed of reading KV segments from other engines. */
+	importTokensPerSecond: number;
+};
+
+/** Defaults of an engine. */
+export const engineModelDefaults: EngineModelOptions = {
+	kvTokens: 400_000,
+	prefillTokensPerSecond: 40_000,
+	prefillChunkTokens: 2048,
+	decodeStepMs: 20,
+	maxConcurrency: 64,
+	coldConcurrency: 2,
+	coldPrefillTokens: 8192,
+	warmAfterRequests: 8,
+	importTokensPerSecond: 400_000,
+};
+
+/** Work given to the engine. */
+export type EngineWork = {
+	requestId: string;
+	attemptId: string;
+	kind: 'generate' | 'segment';
+	promptTokens: number;
+	/** Upper bound of generated tokens, for which memory is taken; 0 for a segment. */
+	maxTokens: number;
+	/** Tokens that will be generated; 0 for a segment. */
+	answerTokens: number;
+	/** Lower values run first. */
+	priority: number;
+	/** Modelled time at which the engine cancels the work. */
+	deadlineAt: number;
+	/** Hashes of the full prefix blocks; empty when the prefix cache is not used. */
+	blocks: string[];
+	/** Tokens of segments read from other engines before the prefill. */
+	importTokens: number;
+	/** Present for a segment. */
+	segment?: KvSegment | undefined;
+};
+
+/** Phase of a request as reported by the engine. */
+export type JobPhase = 'queued' | 'prefill' | 'decode' | 'paused';
+
+/** Work that the engine has accepted. */
+export type EngineJob = {
+	work: EngineWork;
+	phase: JobPhase;
+	kvTokens: number;
+	isReserved: boolean;
+	prefillLeft: number;
+	generated: number;
+	/** Modelled time at which the import of segments is complete. */
+	readyAt: number;
+	/** Blocks protected in the prefix cache. */
+	reservedBlocks: string[];
+	/** Phase to return to after a pause. */
+	resumePhase: Exclude<JobPhase, 'paused'>;
+};
+
+/** Answer to submitted work. */
+export type SubmitResult = {type: 'accepted'} | {type: 'crashed'} | {type: 'refused'; error: 'overloaded' | 'outOfMemory'};
+
+/** What happened in the engine, in order of modelled time. */
+export type EngineModelEvent =
+	| {type: 'started'; work: EngineWork; at: number}
+	| {type: 'token'; work: EngineWork; index: number; at: number}
+	| {type: 'finished'; work: EngineWork; at: number}
+	| {type: 'ended'; work: EngineWork; reason: 'cancelled' | 'expired'; at: number};
+
+type Step = {
+	endsAt: number;
+	prefills: Array<{job: EngineJob; tokens: number}>;
+	decodes: EngineJob[];
+};
+
+/**
+ * Scheduler of one engine with continuous batching; modelled time in ms is passed in and must not decrease.
+ * A step of the batch generates one token for each decoding request and prefills one chunk, most urgent request first.
+ * Its duration is the longer of the two, because both run in the same pass over the weights.
+ */
+export class EngineModel {
+	readonly #options: EngineModelOptions;
+	readonly #jobs = new Map<string, EngineJob>();
+	readonly #cache = new PrefixCache();
+	#ledger: KvLedger;
+	#step: Step | undefined;
+	#events: EngineModelEvent[] = [];
+	#completed = 0;
+	#slowness = 1;
+
+	constructor(options: EngineModelOptions) {
+		this.#options = options;
+		this.#ledger = new KvLedger(options.kvTokens);
+	}
+
+	get kvTokensUsed(): number {
+		return this.#ledger.used;
+	}
+
+	get isCold(): boolean {
+		return this.#completed < this.#options.warmAfterRequests;
+	}
+
+	get jobs(): Iterable<EngineJob> {
+		return this.#jobs.values();
+	}
+
+	get reservations(): Iterable<KvReservation> {
+		return this.#ledger.reservations;
+	}
+
+	/** Multiplies the duration of the steps that start from now on. */
+	setSlowness(factor: number): void {
+		this.#slowness = factor;
+	}
+
+	/** Takes work; a cold engine that is given too much reports `crashed` and must be reset. */
+	submit(work: EngineWork, now: number): SubmitResult {
+		if (this.#jobs.size >= this.#options.maxConcurrency) {
+			return {type: 'refused', error: 'overloaded'};
+		}
+
+		const kvTokens = work.promptTokens + work.maxTokens;
+		const memory = this.#ledger.add(work.requestId, kvTokens);
+		if (memory === 'outOfMemory') {
+			return {type: 'refused', error: memory};
+		}
+
+		this.#addJob(work, {kvTokens, isReserved: memory === 'reserved', now});
+		if (this.#isOverloadedWhileCold()) {
+			return {type: 'crashed'};
+		}
+
+		this.#startStep(now);
+		return {type: 'accepted'};
+	}
+
+	/** Runs the engine up to a time and returns what happened since the last call. */
+	handleTime(now: number): EngineModelEvent[] {
+		this.#startStep(now);
+		while (this.#step && this.#step.endsAt <= now) {
+			const {endsAt} = this.#step;
+			this.#completeStep(this.#step);
+			this.#step = undefined;
+			this.#startStep(endsAt);
+		}
+
+		// After the steps, so that work finished before its deadline counts as finished even when this call is late.
+		this.#removeExpired(now);
+		const events = this.#events;
+		this.#events = [];
+		return events;
+	}
+
+	/** Modelled time at which something happens next; undefined when the engine is idle. */
+	getNextTime(): number | undefined {
+		let next = this.#step?.endsAt ?? Number.POSITIVE_INFINITY;
+		for (const job of this.#jobs.values()) {
+			next = Math.min(next, job.work.deadlineAt);
+			if (!this.#step && job.phase !== 'paused') {
+				next = Math.min(next, job.readyAt);
+			}
+		}
+
+		for (const {expiresAt} of this.#ledger.reservations) {
+			next = Math.min(next, expiresAt);
+		}
+
+		return Number.isFinite(next) ? next : undefined;
+	}
+
+	/** Ends all work of a request and frees its reservation and segments. */
+	cancel(requestId: string, now: number): boolean {
+		const jobs = this.#listJobs(requestId);
+		for (const job of jobs) {
+			this.#endJob(job, 'cancelled', now);
+		}
+
+		const wasReserved = this.#ledger.release(requestId);
+		return wasReserved || jobs.length > 0;
+	}
+
+	/** Stops the progress of a request but keeps its memory; undefined when there is none. */
+	stop(requestId: string): JobPhase | undefined {
+		for (const job of this.#listJobs(requestId)) {
+			job.phase = 'paused';
+		}
+
+		return this.#listJobs(requestId)[0]?.phase;
+	}
+
+	/** Continues a request that was stopped; undefined when there is none. */
+	start(requestId: string, now: number): JobPhase | undefined {
+		for (const job of this.#listJobs(requestId)) {
+			job.phase = job.resumePhase;
+		}
+
+		this.#startStep(now);
+		return this.#listJobs(requestId)[0]?.phase;
+	}
+
+	/** Creates or replaces a reservation; false when the memory does not suffice. */
+	reserve(requestId: string, kvTokens: number, expiresAt: number): boolean {
+		const isReserved = this.#ledger.reserve(requestId, kvTokens, expiresAt);
+		this.#trimCache();
+		return isReserved;
+	}
+
+	/** Frees a reservation and ends the work that uses it. */
+	release(requestId: string, now: number): boolean {
+		return this.#release(requestId, 'cancelled', now);
+	}
+
+	hasReservation(requestId: string): boolean {
+		return this.#ledger.get(requestId) !== undefined;
+	}
+
+	findSegment(requestId: string, index: number): KvSegment | undefined {
+		return this.#ledger.get(requestId)?.segments.get(index);
+	}
+
+	/** Lets deadlines and reservations pass by a time in which the engine made no progress. */
+	applyFreeze(durationMs: number): void {
+		for (const job of this.#jobs.values()) {
+			job.work.deadlineAt -= durationMs;
+		}
+
+		for (const reservation of this.#ledger.reservations) {
+			reservation.expiresAt -= durationMs;
+		}
+	}
+
+	/** Starts again with empty memory, cold. */
+	reset(): void {
+		this.#jobs.clear();
+		this.#ledger = new KvLedger(this.#options.kvTokens);
+		this.#cache.clear();
+		this.#step = undefined;
+		this.#events = [];
+		this.#completed = 0;
+	}
+
+	/** Returns the changes of the prefix cache since the last call. */
+	consumeCacheChanges(): CacheChange[] {
+		return this.#cache.consumeChanges();
+	}
+
+	#addJob(work: EngineWork, {kvTokens, isReserved, now}: {kvTokens: number; isReserved: boolean; now: number}): void {
+		const cachedBlocks = work.blocks.slice(0, this.#cache.count(work.blocks));
+		// At least one token is prefilled, because the first generated token follows from it.
+		const cachedTokens = Math.min(cachedBlocks.length * prefixBlockTokens, work.promptTokens - 1);
+		this.#cache.reserve(cachedBlocks);
+		this.#trimCache();
+		this.#jobs.set(work.attemptId, {
+			work,
+			phase: 'queued',
+			kvTokens,
+			isReserved,
+			prefillLeft: work.promptTokens - cachedTokens,
+			generated: 0,
+			readyAt: now + (work.importTokens * 1000 / this.#options.importTokensPerSecond),
+			reservedBlocks: cachedBlocks,
+			resumePhase: 'queued',
+		});
+	}
+
+	#isOverloadedWhileCold(): boolean {
+		if (!this.isCold) {
+			return false;
+		}
+
+		let prefillTokens = 0;
+		for (const job of this.#jobs.values()) {
+			prefillTokens += job.prefillLeft;
+		}
+
+		return this.#jobs.size > this.#options.coldConcurrency || prefillTokens > this.#options.coldPrefillTokens;
+	}
+
+	#listJobs(requestId: string): EngineJob[] {
+		return [...this.#jobs.values()].filter(job => job.work.requestId === requestId);
+	}
+
+	#startStep(now: number): void {
+		if (this.#step) {
+			return;
+		}
+
+		const decodes: EngineJob[] = [];
+		const waiting: EngineJob[] = [];
+		for (const job of this.#jobs.values()) {
+			if (job.phase === 'decode') {
+				decodes.push(job);
+			} else if (job.phase !== 'paused' && job.readyAt <= now) {
+				waiting.push(job);
+			}
+		}
+
+		const prefills = this.#selectPrefills(waiting, now);
+		if (decodes.length === 0 && prefills.length === 0) {
+			return;
+		}
+
+		const prefillTokens = prefills.reduce((sum, {tokens}) => sum + tokens, 0);
+		const prefillMs = prefillTokens * 1000 / this.#options.prefillTokensPerSecond;
+		const decodeMs = decodes.length === 0 ? 0 : this.#options.decodeStepMs;
+		this.#step = {endsAt: now + (Math.max(prefillMs, decodeMs) * this.#slowness), prefills, decodes};
+	}
+
+	/** Fills one chunk, by priority and then by arrival. */
+	#selectPrefills(waiting: EngineJob[], now: number): Step['prefills'] {
+		waiting.sort((left, right) => left.work.priority - right.work.priority);
+		const prefills: Step['prefills'] = [];
+		let left = this.#options.prefillChunkTokens;
+		for (const job of waiting) {
+			if (left === 0) {
+				break;
+			}
+
+			const tokens = Math.min(left, job.prefillLeft);
+			left -= tokens;
+			prefills.push({job, tokens});
+			if (job.phase === 'queued') {
+				this.#setPhase(job, 'prefill');
+				this.#events.push({type: 'started', work: job.work, at: now});
+			}
+		}
+
+		return prefills;
+	}
+
+	#completeStep({endsAt, prefills, decodes}: Step): void {
+		for (const job of decodes) {
+			if (this.#isRunning(job)) {
+				this.#recordToken(job, endsAt);
+			}
+		}
+
+		for (const {job, tokens} of prefills) {
+			if (this.#isRunning(job)) {
+				this.#recordPrefill(job, tokens, endsAt);
+			}
+		}
+
+		this.#removeExpired(endsAt);
+	}
+
+	/** False for work that ended or was stopped during the step. */
+	#isRunning(job: EngineJob): boolean {
+		return job.phase !== 'paused' && this.#jobs.get(job.work.attemptId) === job;
+	}
+
+	#recordPrefill(job: EngineJob, tokens: number, at: number): void {
+		job.prefillLeft -= tokens;
+		if (job.prefillLeft > 0) {
+			return;
+		}
+
+		this.#cache.release(job.reservedBlocks);
+		this.#cache.reserve(job.work.blocks);
+		job.reservedBlocks = job.work.blocks;
+		if (job.work.kind === 'segment') {
+			this.#completeJob(job, at);
+			return;
+		}
+
+		this.#setPhase(job, 'decode');
+		this.#recordToken(job, at);
+	}
+
+	#recordToken(job: EngineJob, at: number): void {
+		this.#events.push({
+			type: 'token', work: job.work, index: job.generated, at,
+		});
+		job.generated += 1;
+		if (job.generated >= job.work.answerTokens) {
+			this.#completeJob(job, at);
+		}
+	}
+
+	#completeJob(job: EngineJob, at: number): void {
+		this.#removeJob(job);
+		if (job.work.segment) {
+			this.#ledger.addSegment(job.work.requestId, job.work.segment);
+		}
+
+		this.#completed += 1;
+		this.#events.push({type: 'finished', work: job.work, at});
+	}
+
+	#endJob(job: EngineJob, reason: 'cancelled' | 'expired', at: number): void {
+		this.#removeJob(job);
+		this.#events.push({
+			type: 'ended', work: job.work, reason, at,
+		});
+	}
+
+	#removeJob(job: EngineJob): void {
+		this.#jobs.delete(job.work.attemptId);
+		this.#ledger.remove(job.work.requestId, job.kvTokens, job.isReserved);
+		this.#cache.release(job.reservedBlocks);
+		this.#trimCache();
+	}
+
+	#removeExpired(now: number): void {
+		for (const job of this.#jobs.values()) {
+			if (job.work.deadlineAt <= now) {
+				this.#endJob(job, 'expired', now);
+			}
+		}
+
+		for (const {requestId, expiresAt} of this.#ledger.reservations) {
+			if (expiresAt <= now) {
+				this.#release(requestId, 'expired', now);
+			}
+		}
+	}
+
+	#release(requestId: string, reason: 'cancelled' | 'expired', now: number): boolean {
+		for (const job of this.#listJobs(requestId)) {
+			if (job.isReserved) {
+				this.#endJob(job, reason, now);
+			}
+		}
+
+		return this.#ledger.release(requestId);
+	}
+
+	#setPhase(job: EngineJob, phase: Exclude<JobPhase, 'paused'>): void {
+		job.phase = phase;
+		job.resumePhase = phase;
+	}
+
+	/** Cached blocks without users share the memory that no request holds. */
+	#trimCache(): void {
+		this.#cache.removeUnused(Math.max(0, Math.floor(this.#ledger.free / prefixBlockTokens)));
+	}
+}
--- /dev/null
+++ b/packages/testkit/src/engine/engine-status.ts
@@ -0,0 +1,77 @@
+import type {EngineReport} from '@knapweedrack/core';
+import type {EngineClock} from './engine-clock.js';
+import type {EngineModel} from './engine-model.js';
+import type {EngineOptions} from './engine-options.js';
+
+type LoadFigures = Pick<EngineReport, 'kvTokensUsed' | 'running' | 'reservations'>;
+
+const idleLoad: LoadFigures = {kvTokensUsed: 0, running: [], reservations: []};
+
+/** Status of an engine whose load figures lag; real time in ms is passed in. */
+export class EngineStatus {
+	readonly #options: EngineOptions;
+	readonly #model: EngineModel;
+	readonly #clock: EngineClock;
+	/** Load shown now. */
+	#shown = idleLoad;
+	/** Load that is shown after the lag. */
+	#pending: {at: number; load: LoadFigures} | undefined;
+
+	constructor(options: EngineOptions, model: EngineModel, clock: EngineClock) {
+		this.#options = options;
+		this.#model = model;
+		this.#clock = clock;
+	}
+
+	get(now: number, state: {bootId: string; isLeaving: boolean; fencingNumber: number | undefined}): EngineReport {
+		const options = this.#options;
+		return {
+			serverId: options.serverId,
+			bootId: state.bootId,
+			state: state.isLeaving ? 'leaving' : 'live',
+			profile: {
+				id: options.serverId,
+				kvTokens: options.kvTokens,
+				prefillTokensPerSecond: options.prefillTokensPerSecond * options.timeScale,
+				maxConcurrency: options.maxConcurrency,
+				coldConcurrency: options.coldConcurrency,
+				coldPrefillTokens: options.coldPrefillTokens,
+			},
+			...this.#getLoad(now),
+			...(state.fencingNumber === undefined ? {} : {fencingNumber: state.fencingNumber}),
+		};
+	}
+
+	/** Forgets the load of an earlier boot. */
+	reset(): void {
+		this.#shown = idleLoad;
+		this.#pending = undefined;
+	}
+
+	#getLoad(now: number): LoadFigures {
+		if (this.#options.statusLagMs === 0) {
+			return this.#readLoad(now);
+		}
+
+		if (this.#pending && now - this.#pending.at >= this.#options.statusLagMs) {
+			this.#shown = this.#pending.load;
+			this.#pending = undefined;
+		}
+
+		this.#pending ??= {at: now, load: this.#readLoad(now)};
+		return this.#shown;
+	}
+
+	#readLoad(now: number): LoadFigures {
+		const modelTime = this.#clock.getModelTime(now);
+		return {
+			kvTokensUsed: this.#model.kvTokensUsed,
+			running: [...this.#model.jobs].map(({work, phase, kvTokens}) => ({
+				requestId: work.requestId, attemptId: work.attemptId, phase, kvTokens,
+			})),
+			reservations: [...this.#model.reservations].map(({requestId, kvTokens, expiresAt}) => ({
+				requestId, kvTokens, expiresInMs: this.#clock.toRealDuration(expiresAt - modelTime),
+			})),
+		};
+	}
+}
--- /dev/null
+++ b/packages/testkit/src/engine/frame-stream.ts
@@ -0,0 +1,129 @@
+import {setTimeout} from 'node:timers';
+import type {ServerResponse} from 'node:http';
+import type {EngineChunk} from '@knapweedrack/protocol';
+import type {FrameFault} from './engine-faults.js';
+
+/** Frame shown in place of one of another request when the engine has sent no other. */
+const unknownChunk: EngineChunk = {
+	text: 'unknown ',
+	finishReason: null,
+	knapweedrack: {requestId: 'unknown-request', attemptId: 'unknown-attempt', seq: 0},
+};
+
+/** Frames that one frame becomes under a fault, and what happens to the stream. */
+type FaultEffect = {chunks: EngineChunk[]; end?: 'end' | 'cut' | 'done'; held?: EngineChunk};
+
+type FaultContext<Fault> = {fault: Fault; chunk: EngineChunk; foreign: EngineChunk; held: EngineChunk | undefined};
+
+type FaultHandlers = {[Kind in FrameFault['kind']]: (context: FaultContext<Extract<FrameFault, {kind: Kind}>>) => FaultEffect};
+
+const isAffected = ({fault, chunk}: {fault: FrameFault; chunk: EngineChunk}): boolean => chunk.knapweedrack.seq === fault.frame;
+
+const applyReordering = ({fault, chunk, held}: FaultContext<FrameFault>): FaultEffect => {
+	if (held) {
+		return {chunks: [chunk, held]};
+	}
+
+	return isAffected({fault, chunk}) && !chunk.knapweedrack.last ? {chunks: [], held: chunk} : {chunks: [chunk]};
+};
+
+const applyCrossing = ({fault, chunk, foreign}: FaultContext<Extract<FrameFault, {kind: 'framesCrossed'}>>): FaultEffect => {
+	if (!isAffected({fault, chunk})) {
+		return {chunks: [chunk]};
+	}
+
+	return {chunks: [fault.mode === 'ids' ? foreign : {...chunk, text: foreign.text}]};
+};
+
+const faultHandlers: FaultHandlers = {
+	framesLate: ({chunk}) => ({chunks: [chunk]}),
+	framesCrossed: applyCrossing,
+	framesDuplicated: context => ({chunks: isAffected(context) ? [context.chunk, context.chunk] : [context.chunk]}),
+	framesDropped: context => ({chunks: isAffected(context) ? [] : [context.chunk]}),
+	framesReordered: applyReordering,
+	framesTruncated: context => isAffected(context) ? {chunks: [], end: context.fault.mode} : {chunks: [context.chunk]},
+};
+
+/** Answer stream of one attempt, with at most one fault. */
+export class FrameStream {
+	readonly #response: ServerResponse;
+	readonly #fault: FrameFault | undefined;
+	#held: EngineChunk | undefined;
+	#isEnded = false;
+	#dueAt = 0;
+
+	constructor(response: ServerResponse, fault: FrameFault | undefined) {
+		this.#response = response;
+		this.#fault = fault;
+	}
+
+	/** Sends a frame; `foreign` is a frame of another request, for the crossing fault. */
+	send(chunk: EngineChunk, foreign: EngineChunk | undefined, now: number): void {
+		const effect = this.#applyFault(chunk, foreign ?? unknownChunk);
+		this.#held = effect.held;
+		const text = effect.chunks.map(sent => formatEvent(JSON.stringify(sent))).join('');
+		this.#schedule(chunk, now, () => {
+			this.#response.write(text);
+			if (effect.end) {
+				this.close(effect.end);
+			} else if (chunk.knapweedrack.last) {
+				this.close('done');
+			}
+		});
+	}
+
+	/** Ends the stream after the frames already sent; without `[DONE]` unless it is complete. */
+	closeIncomplete(now: number): void {
+		this.#run(Math.max(0, this.#dueAt - now), () => {
+			this.close('end');
+		});
+	}
+
+	close(mode: 'end' | 'cut' | 'done'): void {
+		if (this.#isEnded) {
+			return;
+		}
+
+		this.#isEnded = true;
+		if (mode === 'cut') {
+			this.#response.destroy();
+			return;
+		}
+
+		this.#response.end(mode === 'done' ? formatEvent('[DONE]') : undefined);
+	}
+
+	#applyFault(chunk: EngineChunk, foreign: EngineChunk): FaultEffect {
+		const fault = this.#fault;
+		if (!fault) {
+			return {chunks: [chunk]};
+		}
+
+		const handler = faultHandlers[fault.kind] as (context: FaultContext<FrameFault>) => FaultEffect;
+		return handler({
+			fault, chunk, foreign, held: this.#held,
+		});
+	}
+
+	#schedule(chunk: EngineChunk, now: number, send: () => void): void {
+		const isLate = this.#fault?.kind === 'framesLate' && chunk.knapweedrack.seq >= this.#fault.frame;
+		const delayMs = isLate ? this.#fault.delayMs : 0;
+		this.#dueAt = Math.max(this.#dueAt, now + delayMs);
+		this.#run(delayMs, () => {
+			if (!this.#isEnded) {
+				send();
+			}
+		});
+	}
+
+	#run(delayMs: number, action: () => void): void {
+		if (delayMs <= 0) {
+			action();
+			return;
+		}
+
+		setTimeout(action, delayMs).unref();
+	}
+}
+
+const formatEvent = (data: string): string => `data: ${data}\n\n`;
--- /dev/null
+++ b/packages/testkit/src/engine/generate-streams.ts
@@ -0,0 +1,83 @@
+import type {EngineChunk} from '@knapweedrack/protocol';
+import type {AnswerText} from './answer-text.js';
+import type {EngineWork} from './engine-model.js';
+import type {FrameStream} from './frame-stream.js';
+import {createTextHash} from './hashes.js';
+
+/** Answer in progress. */
+export type GenerateStream = {
+	work: EngineWork;
+	/** Tokens of the whole prompt, including segments on other engines. */
+	promptTokens: number;
+	answer: AnswerText;
+	stream: FrameStream;
+};
+
+type OpenStream = GenerateStream & {checksum: ReturnType<typeof createTextHash>};
+
+/** Open answer streams of one engine by attempt id. */
+export class GenerateStreams {
+	readonly #open = new Map<string, OpenStream>();
+	/** Last frames sent, newest last, for the crossing fault. */
+	#recent: EngineChunk[] = [];
+
+	add(stream: GenerateStream): void {
+		this.#open.set(stream.work.attemptId, {...stream, checksum: createTextHash()});
+	}
+
+	/** Sends the next token of an attempt as one frame. */
+	sendToken(work: EngineWork, index: number, now: number): void {
+		const open = this.#open.get(work.attemptId);
+		if (!open) {
+			return;
+		}
+
+		const chunk = createChunk(open, index);
+		const foreign = this.#recent.find(({knapweedrack}) => knapweedrack.requestId !== work.requestId);
+		open.stream.send(chunk, foreign, now);
+		this.#recent = [...this.#recent.filter(({knapweedrack}) => knapweedrack.requestId !== work.requestId), chunk].slice(-recentLimit);
+	}
+
+	remove(attemptId: string): void {
+		this.#open.delete(attemptId);
+	}
+
+	/** Ends the stream of work that did not finish. */
+	closeIncomplete(attemptId: string, now: number): void {
+		this.#open.get(attemptId)?.stream.closeIncomplete(now);
+		this.#open.delete(attemptId);
+	}
+
+	/** Cuts all streams. */
+	cut(): void {
+		for (const {stream} of this.#open.values()) {
+			stream.close('cut');
+		}
+
+		this.#open.clear();
+	}
+}
+
+/** Requests of which the last frame is kept. */
+const recentLimit = 2;
+
+const createChunk = ({work, promptTokens, answer, checksum}: OpenStream, index: number): EngineChunk => {
+	const text = answer.create();
+	checksum.update(text);
+	const frames = index + 1;
+	const ids = {requestId: work.requestId, attemptId: work.attemptId, seq: index};
+	if (frames < work.answerTokens) {
+		return {text, finishReason: null, knapweedrack: ids};
+	}
+
+	return {
+		text,
+		finishReason: work.answerTokens === work.maxTokens ? 'length' : 'stop',
+		knapweedrack: {
+			...ids,
+			last: {
+				frames, promptTokens, completionTokens: frames, checksum: checksum.digest(),
+			},
+		},
+	};
+};
--- /dev/null
+++ b/packages/testkit/src/engine/prefix-cache.ts
@@ -0,0 +1,92 @@
+/** Change of the cache, published to subscribers of cache events. */
+export type CacheChange = {kind: 'stored' | 'evicted' | 'cleared'; blocks: string[]};
+
+/** Prefix blocks with the number of running requests that use each. */
+export class PrefixCache {
+	/** In order of last use, oldest first. */
+	#users = new Map<string, number>();
+	#unused = 0;
+	#changes: CacheChange[] = [];
+
+	get size(): number {
+		return this.#users.size;
+	}
+
+	/** Counts the leading blocks of a prompt that are present. */
+	count(blocks: readonly string[]): number {
+		const missing = blocks.findIndex(block => !this.#users.has(block));
+		return missing === -1 ? blocks.length : missing;
+	}
+
+	/** Stores the blocks that are missing and protects all of them from eviction. */
+	reserve(blocks: readonly string[]): void {
+		const stored: string[] = [];
+		for (const block of blocks) {
+			const users = this.#users.get(block);
+			if (users === undefined) {
+				stored.push(block);
+			}
+
+			if (users === 0) {
+				this.#unused -= 1;
+			}
+
+			this.#users.delete(block);
+			this.#users.set(block, (users ?? 0) + 1);
+		}
+
+		this.#record('stored', stored);
+	}
+
+	/** Ends the protection of blocks that were reserved before. */
+	release(blocks: readonly string[]): void {
+		for (const block of blocks) {
+			const users = (this.#users.get(block) ?? 1) - 1;
+			this.#users.set(block, users);
+			if (users === 0) {
+				this.#unused += 1;
+			}
+		}
+	}
+
+	/** Evicts the least recently used blocks without users until at most `limit` of them are left. */
+	removeUnused(limit: number): void {
+		if (this.#unused <= limit) {
+			return;
+		}
+
+		const evicted: string[] = [];
+		for (const [block, users] of this.#users) {
+			if (this.#unused <= limit) {
+				break;
+			}
+
+			if (users === 0) {
+				this.#users.delete(block);
+				this.#unused -= 1;
+				evicted.push(block);
+			}
+		}
+
+		this.#record('evicted', evicted);
+	}
+
+	clear(): void {
+		this.#users = new Map();
+		this.#unused = 0;
+		this.#changes.push({kind: 'cleared', blocks: []});
+	}
+
+	/** Returns the changes since the last call. */
+	consumeChanges(): CacheChange[] {
+		const changes = this.#changes;
+		this.#changes = [];
+		return changes;
+	}
+
+	#record(kind: CacheChange['kind'], blocks: string[]): void {
+		if (blocks.length > 0) {
+			this.#changes.push({kind, blocks});
+		}
+	}
+}
--- /dev/null
+++ b/packages/testkit/src/platform/platform.test.ts
@@ -0,0 +1,146 @@
+import {instanceListSchema, objectListSchema, watchAnswerSchema} from '@knapweedrack/protocol';
+import {expect} from 'chai';
+import type {StandIn} from '../http/stand-in.js';
+import {startPlatform, type PlatformOptions} from './platform.js';
+
+type Answer = {status: number; body: Record<string, unknown>};
+
+describe('startPlatform', () => {
+	let platform: StandIn;
+
+	const start = async (options: Partial<PlatformOptions> = {}): Promise<void> => {
+		platform = await startPlatform({delayMs: 0, ...options});
+	};
+
+	const call = async (method: string, path: string, body?: unknown, headers: Record<string, string> = {}): Promise<Answer> => {
+		const response = await fetch(`http://${platform.address}${path}`, {
+			method, headers, ...(body === undefined ? {} : {body: JSON.stringify(body)}),
+		});
+		return {status: response.status, body: await response.json() as Record<string, unknown>};
+	};
+
+	const addFault = async (fault: Record<string, unknown>): Promise<void> => {
+		expect(await call('POST', '/testkit/faults', fault)).to.have.property('status', 200);
+	};
+
+	afterEach(async () => {
+		await platform.close();
+	});
+
+	describe('objects', () => {
+		// Two operators' edits must not both succeed on the same version.
+		it('applies a conditional write only on the present version', async () => {
+			await start();
+			const created = await call('PUT', '/v1/objects/a/b', {n: 1}, {'if-none-match': '*'});
+			expect(created).to.deep.equal({status: 200, body: {key: 'a/b', version: 1}});
+			expect(await call('PUT', '/v1/objects/a/b', {n: 2}, {'if-none-match': '*'})).to.deep.include({status: 412});
+			expect(await call('PUT', '/v1/objects/a/b', {n: 2}, {'if-match': '1'})).to.deep.include({status: 200});
+			const stale = await call('PUT', '/v1/objects/a/b', {n: 3}, {'if-match': '1'});
+			expect(stale.body).to.include({error: 'version_mismatch', version: 2});
+			expect(await call('GET', '/v1/objects/a/b')).to.deep.equal({status: 200, body: {key: 'a/b', version: 2, value: {n: 2}}});
+		});
+
+		it('lists by prefix in order and deletes', async () => {
+			await start();
+			for (const key of ['p/2', 'p/1', 'q/1']) {
+				await call('PUT', `/v1/objects/${key}`, key);
+			}
+
+			const {body} = await call('GET', '/v1/objects?prefix=p/');
+			expect(objectListSchema.parse(body).items.map(({key}) => key)).to.deep.equal(['p/1', 'p/2']);
+			expect(await call('DELETE', '/v1/objects/p/1', undefined, {'if-match': '9'})).to.include({status: 412});
+			expect(await call('DELETE', '/v1/objects/p/1')).to.include({status: 200});
+			expect(await call('DELETE', '/v1/objects/p/1')).to.include({status: 404});
+		});
+
+		it('refuses values over the limit, invalid keys and unknown calls', async () => {
+			await start();
+			expect(await call('PUT', '/v1/objects/big', 'x'.repeat(1_000_000))).to.include({status: 413});
+			expect(await call('PUT', '/v1/objects/bad%20key', 1)).to.include({status: 400});
+			expect(await call('GET', '/v1/other')).to.include({status: 400});
+		});
+
+		// The rates of the store bound the design; a stand-in without them would hide a flood of calls.
+		it('limits the rate of writes', async () => {
+			await start({writesPerSecond: 1});
+			expect(await call('PUT', '/v1/objects/a', 1)).to.include({status: 200});
+			const refused = await call('PUT', '/v1/objects/a', 2);
+			expect(refused.status).to.equal(429);
+			expect(refused.body.retryAfterMs).to.be.within(1, 1000);
+		});
+	});
+
+	describe('watch', () => {
+		it('waits for a change of the prefix', async () => {
+			await start();
+			const waiting = call('GET', '/v1/watch?prefix=p/&after=0&timeoutMs=10000');
+			await call('PUT', '/v1/objects/q/1', 1);
+			await call('PUT', '/v1/objects/p/1', 2);
+			const {body} = await waiting;
+			const answer = watchAnswerSchema.parse(body);
+			expect(answer.events.map(({key}) => key)).to.deep.equal(['p/1']);
+			expect(answer.revision).to.equal(2);
+		});
+
+		it('ends empty after the wait', async () => {
+			await start();
+			const {body} = await call('GET', '/v1/watch?prefix=p/&after=0&timeoutMs=10');
+			expect(body).to.deep.equal({revision: 0, events: []});
+		});
+
+		// A watch that silently skipped changes would leave an entry with old configuration.
+		it('answers compacted for a revision that is too old', async () => {
+			await start({historyLimit: 2});
+			for (const value of [1, 2, 3, 4]) {
+				await call('PUT', '/v1/objects/a', value);
+			}
+
+			expect(await call('GET', '/v1/watch?prefix=&after=0&timeoutMs=0')).to.include({status: 410});
+			const {body} = await call('GET', '/v1/watch?prefix=&after=3&timeoutMs=0');
+			expect(watchAnswerSchema.parse(body).events.map(({version}) => version)).to.deep.equal([4]);
+		});
+	});
+
+	describe('instances', () => {
+		it('shows a change after the lag', async () => {
+			await start({listLagMs: 60_000});
+			const instance = {
+				id: 'engine-1', address: '127.0.0.1:1', kind: 'engine', failureDomain: 'kochi', serves: 'fibre-scribe', state: 'live',
+			};
+			expect(await call('PUT', '/testkit/instances/engine-1', instance)).to.include({status: 200});
+			const {body} = await call('GET', '/v1/instances');
+			expect(instanceListSchema.parse(body).instances).to.deep.equal([]);
+			await addFault({kind: 'listLag', lagMs: 0});
+			const shown = await call('GET', '/v1/instances');
+			expect(instanceListSchema.parse(shown.body).instances).to.deep.equal([instance]);
+		});
+	});
+
+	describe('faults', () => {
+		// Read-back of a lost answer is tested against this fault.
+		it('loses the answer of the next write of a prefix after it took effect', async () => {
+			await start();
+			await addFault({kind: 'answerLost', keyPrefix: 'availability', count: 1});
+			expect(await call('PUT', '/v1/objects/other', 1)).to.include({status: 200});
+			let isLost = false;
+			try {
+				await call('PUT', '/v1/objects/availability', 2);
+			} catch {
+				isLost = true;
+			}
+
+			expect(isLost).to.be.true;
+			expect(await call('GET', '/v1/objects/availability')).to.deep.include({status: 200});
+			expect(await call('PUT', '/v1/objects/availability', 3)).to.include({status: 200});
+		});
+
+		it('is down for one caller only', async () => {
+			await start();
+			await addFault({kind: 'down', caller: 'entry-1'});
+			expect(await call('GET', '/v1/instances', undefined, {'x-instance-id': 'entry-1'})).to.include({status: 503});
+			expect(await call('GET', '/v1/instances', undefined, {'x-instance-id': 'entry-2'})).to.include({status: 200});
+			const {body} = await call('GET', '/testkit/state');
+			expect(body.callsByCaller).to.have.nested.property('entry-1.instances', 1);
+		});
+	});
+});
