--- /dev/null
+++ b/packages/core/src/configuration/chunks.ts
@@ -0,0 +1,162 @@
+import type {
+	Configuration, Plan, ServiceDescription, Workspace,
+} from '../types/configuration.js';
+import {createError, createOk, type Result} from '../types/result.js';
+
+/** Digest of a text in lower-case hex, for example SHA-256. */
+export type Digest = (text: string) => string;
+
+/** The three kinds of items in chunks. */
+export const chunkKinds = ['plans', 'services', 'workspaces'] as const;
+/** Kind of the items in a chunk. */
+export type ChunkKind = (typeof chunkKinds)[number];
+
+/** Items of one kind; kept in the object API under the digest of its canonical text. */
+export type ConfigurationChunk =
+	| {kind: 'plans'; items: Plan[]}
+	| {kind: 'services'; items: ServiceDescription[]}
+	| {kind: 'workspaces'; items: Workspace[]};
+
+/** A chunk with its content address. */
+export type AddressedChunk = {hash: string; text: string; chunk: ConfigurationChunk};
+
+/** Names the revision in force and its chunks; kept in the object API under one key. */
+export type ConfigurationManifest = {
+	revision: number;
+	/** Identifies the edit that wrote this revision. */
+	editId: string;
+	/** Edit ids of the latest revisions, newest first, so that a lost answer is resolved after further edits too. */
+	recentEditIds: string[];
+	/** Content addresses in a fixed order. */
+	chunks: string[];
+};
+
+/** Why a manifest cannot be read. */
+export type ConfigurationReadFailure = {code: 'missing_chunks' | 'corrupt_chunk'; hashes: string[]};
+
+/** Largest text of one chunk in bytes; a list that exceeds it is divided. */
+export const chunkLimitBytes = 32_768;
+
+/** Largest value that the object API stores; a single item above it cannot be kept. */
+export const objectLimitBytes = 1_000_000;
+
+/**
+ * Divides the lists into chunks by the leading bits of each item's key digest. The place of an item depends
+ * on its key alone, so an edit of one item changes one chunk unless the chunk crosses the size limit.
+ */
+export const splitConfiguration = (
+	configuration: Configuration,
+	digest: Digest,
+	limitBytes: number = chunkLimitBytes,
+): AddressedChunk[] => {
+	const lists: Record<ChunkKind, Array<Item<unknown>>> = {
+		plans: toItems(configuration.plans, plan => plan.id, digest),
+		services: toItems(configuration.services, service => service.name, digest),
+		workspaces: toItems(configuration.workspaces, workspace => workspace.id, digest),
+	};
+	return chunkKinds.flatMap(kind => splitItems(lists[kind], 0, limitBytes).map(items => createChunk(kind, items, digest)));
+};
+
+/** Builds the manifest that follows another one. */
+export const buildManifest = (chunks: readonly AddressedChunk[], editId: string, previous?: ConfigurationManifest): ConfigurationManifest => ({
+	revision: (previous?.revision ?? 0) + 1,
+	editId,
+	recentEditIds: [editId, ...previous?.recentEditIds ?? []].slice(0, recentEditLimit),
+	chunks: chunks.map(({hash}) => hash),
+});
+
+const recentEditLimit = 32;
+
+/** Lists the content addresses of a manifest that are not held yet. */
+export const listMissingChunks = (manifest: ConfigurationManifest, held: {has: (hash: string) => boolean}): string[] =>
+	manifest.chunks.filter(hash => !held.has(hash));
+
+/** Puts the chunks of a manifest together; fails when one is missing or does not match its address. */
+export const readConfiguration = (
+	manifest: ConfigurationManifest,
+	chunks: ReadonlyMap<string, ConfigurationChunk>,
+): Result<Configuration, ConfigurationReadFailure> => {
+	const missing = listMissingChunks(manifest, chunks);
+	if (missing.length > 0) {
+		return createError({code: 'missing_chunks', hashes: missing});
+	}
+
+	const configuration: Configuration = {
+		revision: manifest.revision, plans: [], services: [], workspaces: [],
+	};
+	for (const hash of manifest.chunks) {
+		addItems(configuration, chunks.get(hash)!);
+	}
+
+	return createOk(configuration);
+};
+
+/** Checks that a chunk read from the object API or a peer has the content its address promises. */
+export const verifyChunk = (hash: string, chunk: ConfigurationChunk, digest: Digest): boolean =>
+	digest(encodeCanonical(chunk)) === hash;
+
+/** JSON text with sorted object keys, so that equal records have equal text. */
+export const encodeCanonical = (value: unknown): string => JSON.stringify(value, (_key, nested: unknown) => {
+	if (typeof nested !== 'object' || nested === null || Array.isArray(nested)) {
+		return nested;
+	}
+
+	return Object.fromEntries(Object.entries(nested).sort(([a], [b]) => compareText(a, b)));
+});
+
+type Item<Value> = {key: string; digest: string; value: Value; bytes: number};
+
+const toItems = <Value>(values: readonly Value[], getKey: (value: Value) => string, digest: Digest): Array<Item<Value>> =>
+	values
+		.map(value => {
+			const key = getKey(value);
+			return {
+				key, digest: digest(key), value, bytes: countUtf8Bytes(encodeCanonical(value)) + 1,
+			};
+		})
+		.sort((a, b) => compareText(a.key, b.key));
+
+const splitItems = (items: Array<Item<unknown>>, depth: number, limitBytes: number): Array<Array<Item<unknown>>> => {
+	if (items.length === 0) {
+		return [];
+	}
+
+	const bytes = items.reduce((sum, item) => sum + item.bytes, chunkFrameBytes);
+	if (bytes <= limitBytes || items.length === 1) {
+		return [items];
+	}
+
+	const lower = items.filter(item => !hasBit(item.digest, depth));
+	const upper = items.filter(item => hasBit(item.digest, depth));
+	return [lower, upper].flatMap(half => splitItems(half, depth + 1, limitBytes));
+};
+
+/** Reads one bit of a digest in hex, counted from the left. */
+const hasBit = (digest: string, index: number): boolean => {
+	const digit = Number.parseInt(digest[Math.floor(index / 4)] ?? '0', 16);
+	return Math.floor(digit / (2 ** (3 - (index % 4)))) % 2 === 1;
+};
+
+/** Length of `{"items":[],"kind":"workspaces"}`. */
+const chunkFrameBytes = 32;
+
+const createChunk = (kind: ChunkKind, items: Array<Item<unknown>>, digest: Digest): AddressedChunk => {
+	const values: unknown = {kind, items: items.map(({value}) => value)};
+	const chunk = values as ConfigurationChunk;
+	const text = encodeCanonical(chunk);
+	return {hash: digest(text), text, chunk};
+};
+
+const addItems = (configuration: Configuration, chunk: ConfigurationChunk): void => {
+	(configuration[chunk.kind] as unknown[]).push(...chunk.items);
+};
+
+const compareText = (a: string, b: string): number => {
+	if (a === b) {
+		return 0;
+	}
+
+	return a < b ? -1 : 1;
+};
+
+const countUtf8Bytes = (text: string): number => new TextEncoder().encode(text).length;
--- a/packages/core/src/configuration/index.ts
+++ b/packages/core/src/configuration/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from './chunks.js';
+export * from './configuration-state.js';
+export * from './revision.js';
--- a/packages/core/src/drain/index.ts
+++ b/packages/core/src/drain/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './apply-availability-edit.js';
--- a/packages/core/src/fencing/index.ts
+++ b/packages/core/src/fencing/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './order-book.js';
--- a/packages/core/src/idempotency/index.ts
+++ b/packages/core/src/idempotency/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './decide-claim.js';
--- /dev/null
+++ b/packages/core/src/lifecycle/index.ts
@@ -0,0 +1,1 @@
+export * from './lifecycle.js';
--- a/packages/core/src/outcomes/index.ts
+++ b/packages/core/src/outcomes/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './compute-outcome.js';
--- /dev/null
+++ b/packages/core/src/ownership/ownership-transitions.ts
@@ -0,0 +1,26 @@
+import type {TransitionTable} from '../lifecycle/lifecycle.js';
+
+/** Phases of the ownership of one backend server at one entry. */
+export type OwnershipPhase =
+	| 'notOwned'
+	/** The record names this entry; the open permits of the former owner are not known yet. */
+	| 'rebuilding'
+	/** A former owner that did not release may still issue up to half of each bound. */
+	| 'disputed'
+	| 'owned'
+	/** No more permits are issued; the release of the record is not confirmed. */
+	| 'releasing';
+
+/** Events of the lifecycle of an ownership. */
+export type OwnershipTransition = 'acquire' | 'rebuild' | 'rebuildDisputed' | 'resolve' | 'release' | 'lose';
+
+/** Lifecycle of an ownership; `releasing` never returns to issuing without a new acquisition. */
+export const ownershipTransitions: TransitionTable<OwnershipPhase, OwnershipTransition> = {
+	notOwned: {acquire: 'rebuilding'},
+	rebuilding: {
+		rebuild: 'owned', rebuildDisputed: 'disputed', release: 'releasing', lose: 'notOwned',
+	},
+	disputed: {resolve: 'owned', lose: 'notOwned'},
+	owned: {release: 'releasing', lose: 'notOwned'},
+	releasing: {lose: 'notOwned'},
+};
--- a/packages/core/src/quarantine/index.ts
+++ b/packages/core/src/quarantine/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from './fingerprint-record.js';
+export * from './fingerprint-table.js';
--- /dev/null
+++ b/packages/core/src/reporting/day-report.ts
@@ -0,0 +1,233 @@
+import type {Plan, Workspace} from '../types/configuration.js';
+import {outcomeKinds, refusalReasons} from '../types/reasons.js';
+import {
+	computeLengthClass, createCounters, mergeCounters, readFirstTokenHistogram,
+	type MinuteSummary, type WorkspaceCounters,
+} from './minute-summary.js';
+
+/** A period for which an entry that served left no summary; times are wall clock ms. */
+export type CoverageGap = {entryId: string; epoch: string; from: number; to: number};
+
+/** One prompt-length class of one workspace. */
+export type ReportClass = {
+	lengthClass: number;
+	requests: number;
+	/** Share of requests with a target whose first token was in time; undefined without targets. */
+	inTimeShare: number | undefined;
+	/** Time to first token in ms that 95% of requests stayed within. */
+	firstTokenP95Ms: number | undefined;
+	targetMs: number | undefined;
+};
+
+/** One workspace against its plan. */
+export type ReportRow = {
+	workspaceId: string;
+	planId: string | undefined;
+	requests: number;
+	completed: number;
+	/** Refused because the workspace asked for more than its plan permits. */
+	outsidePlan: number;
+	/** Refused or failed for a reason that is the system's. */
+	missed: number;
+	unknown: number;
+	late: number;
+	inTimeShare: number | undefined;
+	classes: ReportClass[];
+	reasons: Record<string, number>;
+	wentWell: boolean;
+};
+
+/** The page of one day. */
+export type DayReport = {
+	day: string;
+	wentWell: boolean;
+	/** First sentence of the page. */
+	sentence: string;
+	rows: ReportRow[];
+	/** Periods without figures; a day with such a period is not reported as one that went well. */
+	gaps: CoverageGap[];
+};
+
+/** Input of the report of one day. */
+export type DayReportInput = {
+	day: string;
+	/** Wall clock time in ms of start and end. */
+	from: number;
+	to: number;
+	summaries: readonly MinuteSummary[];
+	/** Sessions known to have served in the day, with the time since when; an entry without any summary shows up by this. */
+	sessions?: ReadonlyArray<{entryId: string; epoch: string; from: number}> | undefined;
+	workspaces: readonly Workspace[];
+	plans: readonly Plan[];
+};
+
+/** Share of first tokens in time from which a workspace counts as well served. */
+export const inTimeGoal = 0.95;
+
+/** Reasons that are the caller's or the plan's, not the system's. */
+const callerReasons: ReadonlySet<string> = new Set([
+	refusalReasons.badRequest,
+	refusalReasons.bodyTooLarge,
+	refusalReasons.requestTimeout,
+	refusalReasons.unauthenticated,
+	refusalReasons.wrongWorkspace,
+	refusalReasons.unknownModel,
+	refusalReasons.unknownService,
+	refusalReasons.notFound,
+	refusalReasons.modelNotInPlan,
+	refusalReasons.promptTooLong,
+	refusalReasons.requestRateExceeded,
+	refusalReasons.tokenRateExceeded,
+	refusalReasons.concurrencyExceeded,
+	refusalReasons.quarantined,
+	refusalReasons.idempotencyKeyMissing,
+	refusalReasons.idempotencyKeyReused,
+	refusalReasons.claimInProgress,
+	refusalReasons.callerGone,
+]);
+
+/** Selects each summary once, so that a summary that was written or read twice is counted once. */
+export const selectDistinctSummaries = (summaries: readonly MinuteSummary[]): MinuteSummary[] => {
+	const distinct = new Map(summaries.map(summary => [JSON.stringify([summary.entryId, summary.epoch, summary.sequence]), summary]));
+	return [...distinct.values()];
+};
+
+/** Adds up the counters of all summaries by workspace. */
+export const mergeSummaries = (summaries: readonly MinuteSummary[]): Map<string, WorkspaceCounters> => {
+	const totals = new Map<string, WorkspaceCounters>();
+	for (const summary of selectDistinctSummaries(summaries)) {
+		for (const [workspaceId, counters] of Object.entries(summary.workspaces)) {
+			totals.set(workspaceId, mergeCounters(totals.get(workspaceId) ?? createCounters(), counters));
+		}
+	}
+
+	return totals;
+};
+
+/** Lists the periods in which an entry served but left no summary. */
+export const listCoverageGaps = (input: Pick<DayReportInput, 'from' | 'to' | 'summaries' | 'sessions'>): CoverageGap[] => {
+	const byEpoch = new Map<string, {entryId: string; epoch: string; from: number; summaries: MinuteSummary[]}>();
+	for (const {entryId, epoch, from} of input.sessions ?? []) {
+		byEpoch.set(JSON.stringify([entryId, epoch]), {
+			entryId, epoch, from, summaries: [],
+		});
+	}
+
+	for (const summary of selectDistinctSummaries(input.summaries)) {
+		const {entryId, epoch} = summary;
+		const key = JSON.stringify([entryId, epoch]);
+		const group = byEpoch.get(key) ?? {
+			entryId, epoch, from: summary.from, summaries: [],
+		};
+		group.from = Math.min(group.from, summary.from);
+		group.summaries.push(summary);
+		byEpoch.set(key, group);
+	}
+
+	return [...byEpoch.values()].flatMap(group => listGapsOfEpoch(group, input.from, input.to));
+};
+
+/** Builds the report of one day. */
+export const buildDayReport = (input: DayReportInput): DayReport => {
+	const totals = mergeSummaries(input.summaries);
+	const workspaceIds = new Set([...input.workspaces.map(workspace => workspace.id), ...totals.keys()]);
+	const rows = [...workspaceIds].sort().map(workspaceId => buildRow(workspaceId, totals.get(workspaceId) ?? createCounters(), input));
+	const gaps = listCoverageGaps(input);
+	const failed = rows.filter(row => !row.wentWell);
+	const isCovered = gaps.length === 0 && input.summaries.length > 0;
+	return {
+		day: input.day,
+		wentWell: failed.length === 0 && isCovered,
+		sentence: describeDay(input.day, rows.length, failed.map(row => row.workspaceId), isCovered),
+		rows,
+		gaps,
+	};
+};
+
+const describeDay = (day: string, count: number, failed: string[], isCovered: boolean): string => {
+	if (failed.length > 0) {
+		const addition = isCovered ? '' : ', and part of the day is not covered by figures';
+		return `${day} did not go well for ${failed.length} of ${count} workspaces (${failed.slice(0, 5).join(', ')}${failed.length > 5 ? ', ...' : ''})${addition}.`;
+	}
+
+	return isCovered
+		? `${day} went well for all ${count} workspaces.`
+		: `Whether ${day} went well is not certain: part of the day is not covered by figures, and the figures that exist show no failure.`;
+};
+
+type EpochCoverage = {entryId: string; epoch: string; from: number; summaries: MinuteSummary[]};
+
+/**
+ * Without a last summary the entry ended without a planned stop at an unknown time, so the rest of the day is shown
+ * as not covered, at most until the next epoch of the entry could have been seen.
+ */
+const listGapsOfEpoch = ({entryId, epoch, from, summaries}: EpochCoverage, dayFrom: number, dayTo: number): CoverageGap[] => {
+	const ordered = summaries.toSorted((a, b) => a.sequence - b.sequence);
+	const gaps: CoverageGap[] = [];
+	let coveredTo = Math.max(from, dayFrom);
+	for (const summary of ordered) {
+		if (summary.from > coveredTo) {
+			gaps.push({
+				entryId, epoch, from: coveredTo, to: summary.from,
+			});
+		}
+
+		coveredTo = Math.max(coveredTo, summary.to);
+	}
+
+	if (!ordered.at(-1)?.isLast && coveredTo < dayTo) {
+		gaps.push({
+			entryId, epoch, from: coveredTo, to: dayTo,
+		});
+	}
+
+	return gaps;
+};
+
+const buildRow = (workspaceId: string, counters: WorkspaceCounters, input: DayReportInput): ReportRow => {
+	const planId = input.workspaces.find(workspace => workspace.id === workspaceId)?.plan;
+	const plan = input.plans.find(({id}) => id === planId);
+	const classes = Object.entries(counters.classes).map(([lengthClass, group]) => buildClass(Number(lengthClass), group, plan));
+	const requests = sum(Object.values(counters.outcomes));
+	const outsidePlan = sum(Object.entries(counters.reasons).filter(([reason]) => callerReasons.has(reason)).map(([, count]) => count));
+	const completed = counters.outcomes[outcomeKinds.completed] ?? 0;
+	const missed = Math.max(requests - completed - outsidePlan, 0);
+	const targeted = sum(Object.values(counters.classes).map(group => group.targeted));
+	const inTime = sum(Object.values(counters.classes).map(group => group.inTime));
+	const inTimeShare = targeted === 0 ? undefined : inTime / targeted;
+	return {
+		workspaceId,
+		planId,
+		requests,
+		completed,
+		outsidePlan,
+		missed,
+		unknown: counters.outcomes[outcomeKinds.unknown] ?? 0,
+		late: counters.late,
+		inTimeShare,
+		classes,
+		reasons: counters.reasons,
+		wentWell: missed === 0 && counters.late === 0 && (inTimeShare ?? 1) >= inTimeGoal,
+	};
+};
+
+const buildClass = (lengthClass: number, group: WorkspaceCounters['classes'][string], plan: Plan | undefined): ReportClass => ({
+	lengthClass,
+	requests: group.requests,
+	inTimeShare: group.targeted === 0 ? undefined : group.inTime / group.targeted,
+	firstTokenP95Ms: readFirstTokenHistogram(group)?.getValueAtPercentile(95),
+	targetMs: plan && findTarget(plan, lengthClass),
+});
+
+/** Target of the shortest prompts of a class. */
+const findTarget = (plan: Plan, lengthClass: number): number | undefined =>
+	plan.firstTokenTargets.find(({upToTokens}) => upToTokens === undefined || computeLengthClass(upToTokens) >= lengthClass)?.targetMs;
+
+const sum = (values: Iterable<number>): number => {
+	let total = 0;
+	for (const value of values) {
+		total += value;
+	}
+
+	return total;
+};
--- a/packages/core/src/reporting/index.ts
+++ b/packages/core/src/reporting/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from './day-report.js';
+export * from './minute-summary.js';
--- a/packages/core/src/request/index.ts
+++ b/packages/core/src/request/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from './request-lifecycle.js';
+export * from './request-transitions.js';
--- /dev/null
+++ b/packages/core/src/request/request-transitions.ts
@@ -0,0 +1,55 @@
+import type {TransitionTable} from '../lifecycle/lifecycle.js';
+
+/** States of a request; the last four are final. */
+export type RequestState =
+	| 'received' | 'admitted' | 'claiming' | 'selecting' | 'waitingForPermit' | 'dispatching' | 'streaming' | 'deciding' | 'closing'
+	| 'completed' | 'notRun' | 'failed' | 'unknown';
+
+/** Events of a request. */
+export type RequestEventType =
+	/** Input, credential and limits are in order; the deadline runs from here. */
+	| 'admitted'
+	/** Refused before admission, or by a decision that ends the request. */
+	| 'refused'
+	| 'claimRequired' | 'claimSkipped' | 'claimed'
+	/** An earlier attempt with the same key has a stored outcome. */
+	| 'answered'
+	/** The outcome of an earlier attempt with the same key cannot be known now. */
+	| 'claimUnknown'
+	| 'candidate' | 'granted' | 'permitRefused'
+	/** The first part of the answer was passed on. */
+	| 'firstFrame'
+	/** The attempt ended without a complete answer. */
+	| 'attemptFailed'
+	/** The complete answer was verified. */
+	| 'attemptCompleted'
+	| 'retry' | 'giveUp' | 'deadline' | 'callerGone'
+	| 'settledCompleted' | 'settledNotRun' | 'settledFailed' | 'settledUnknown';
+
+const ending = {refused: 'closing', deadline: 'closing', callerGone: 'closing'} as const;
+
+/**
+ * Lifecycle of a request. Every way to a final state leads through `closing`, where the outcome is computed once;
+ * final states have no transitions, so a late event cannot change the outcome.
+ */
+export const requestTransitions: TransitionTable<RequestState, RequestEventType> = {
+	received: {...ending, admitted: 'admitted'},
+	admitted: {...ending, claimRequired: 'claiming', claimSkipped: 'selecting'},
+	claiming: {
+		...ending, claimed: 'selecting', answered: 'closing', claimUnknown: 'closing',
+	},
+	selecting: {...ending, candidate: 'waitingForPermit', giveUp: 'closing'},
+	waitingForPermit: {...ending, granted: 'dispatching', permitRefused: 'deciding'},
+	dispatching: {
+		...ending, firstFrame: 'streaming', attemptFailed: 'deciding', attemptCompleted: 'closing',
+	},
+	streaming: {...ending, attemptFailed: 'deciding', attemptCompleted: 'closing'},
+	deciding: {...ending, retry: 'selecting', giveUp: 'closing'},
+	closing: {
+		settledCompleted: 'completed', settledNotRun: 'notRun', settledFailed: 'failed', settledUnknown: 'unknown',
+	},
+	completed: {},
+	notRun: {},
+	failed: {},
+	unknown: {},
+};
--- a/packages/core/src/streams/index.ts
+++ b/packages/core/src/streams/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './frame-validator.js';
