--- a/packages/testkit/src/engine/engine-model.ts
+++ b/packages/testkit/src/engine/engine-model.ts
@@ -155,16 +155,10 @@
 
 	/** Runs the engine up to a time and returns what happened since the last call. */
 	handleTime(now: number): EngineModelEvent[] {
-		this.#startStep(now);
-		while (this.#step && this.#step.endsAt <= now) {
-			const {endsAt} = this.#step;
-			this.#completeStep(this.#step);
-			this.#step = undefined;
-			this.#startStep(endsAt);
+		for (let next = this.getNextTime(); next !== undefined && next <= now; next = this.getNextTime()) {
+			this.#handleNext(next);
 		}
 
-		// After the steps, so that work finished before its deadline counts as finished even when this call is late.
-		this.#removeExpired(now);
 		const events = this.#events;
 		this.#events = [];
 		return events;
@@ -263,6 +257,17 @@
 		return this.#cache.consumeChanges();
 	}
 
+	/** Handles what is due at a time; work that finishes at its deadline counts as finished. */
+	#handleNext(at: number): void {
+		if (this.#step && this.#step.endsAt <= at) {
+			this.#completeStep(this.#step);
+			this.#step = undefined;
+		}
+
+		this.#removeExpired(at);
+		this.#startStep(at);
+	}
+
 	#addJob(work: EngineWork, {kvTokens, isReserved, now}: {kvTokens: number; isReserved: boolean; now: number}): void {
 		const cachedBlocks = work.blocks.slice(0, this.#cache.count(work.blocks));
 		// At least one token is prefilled, because the first generated token follows from it.
@@ -359,8 +364,6 @@
 				this.#recordPrefill(job, tokens, endsAt);
 			}
 		}
-
-		this.#removeExpired(endsAt);
 	}
 
 	/** False for work that ended or was stopped during the step. */
