--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -19,3 +19,5 @@
 export * from './streams/index.js';
 export * from './types/index.js';
 export * from './warmup/index.js';
+// Two modules export this name; the ownership module uses its own within its folder.
+export {selectRendezvous} from './routing/index.js';
--- a/packages/core/src/lifecycle/lifecycle.ts
+++ b/packages/core/src/lifecycle/lifecycle.ts
@@ -10,7 +10,7 @@
 	readonly #service: Service<Machine>;
 
 	constructor(private readonly table: TransitionTable<State, Event>, initial: State) {
-		this.#service = interpret(getMachine(table, initial));
+		this.#service = interpret(getMachine(table, initial), ignoreChange);
 	}
 
 	get current(): State {
@@ -33,6 +33,9 @@
 	}
 }
 
+/** The library calls it after each transition; the caller reads the state itself. */
+const ignoreChange = () => undefined;
+
 const machines = new WeakMap<object, Map<string, Machine>>();
 
 /** A machine is immutable, so all lifecycles of one table share it. */
--- /dev/null
+++ b/packages/entry/src/callers/attempt-loop.ts
@@ -0,0 +1,196 @@
+import {randomUUID} from 'node:crypto';
+import {
+	attemptResults, decideRetry, refusalReasons,
+	type AttemptRecord, type RefusalReason,
+} from '@knapweedrack/core';
+import type {CallerContext} from './caller-context.js';
+import {selectTarget, type NoTarget, type Target} from './candidates.js';
+import {runGroupAttempt} from './group-attempt.js';
+import {buildPermitRequest, HeldPermit, requestPermit} from './permit-acquisition.js';
+import type {RequestTask} from './request-task.js';
+import type {AttemptEnd, RequestWork} from './request-work.js';
+
+/** Time in ms after which a retry is suggested when nothing better is known. */
+export const defaultRetryAfterMs = 1000;
+
+/** Creates the record of an attempt that has not sent anything. */
+export const createAttempt = (attemptId: string, serverId: string): AttemptRecord => ({
+	attemptId, serverId, sentBytes: false, refusedByServer: false, passedOn: false, completed: false,
+});
+
+/** Runs the attempts of one request until it is final. */
+export class AttemptLoop {
+	readonly #tried = new Set<string>();
+	#lastEnd: AttemptEnd | undefined;
+	/** True once the present attempt holds its permit. */
+	#isGranted = false;
+
+	constructor(private readonly context: CallerContext, private readonly task: RequestTask, private readonly work: RequestWork) {}
+
+	async run(): Promise<void> {
+		const {task} = this;
+		while (!task.isFinal) {
+			const isSuspect = await this.#checkFingerprint();
+			if (task.isFinal) {
+				return;
+			}
+
+			const attemptId = randomUUID();
+			const target = selectTarget(this.context, task, this.work, {excluded: this.#tried, attemptId});
+			if (target.type === 'none') {
+				this.#giveUpWithoutTarget(target);
+				return;
+			}
+
+			task.apply({type: 'candidate'});
+			await this.#runAttempt(target, attemptId, isSuspect);
+		}
+	}
+
+	async #checkFingerprint(): Promise<boolean> {
+		const {fingerprint} = this.work;
+		if (fingerprint === undefined) {
+			return false;
+		}
+
+		const {standing, retryAfterMs} = await this.context.services.quarantine.check(fingerprint);
+		if (standing === 'quarantined') {
+			this.task.apply({type: 'refused', reason: refusalReasons.quarantined, retryAfterMs});
+		}
+
+		return standing === 'suspect';
+	}
+
+	/** A suspect content that completes is cleared. */
+	async #reportCompletion({attemptId, serverId}: AttemptRecord): Promise<void> {
+		await this.context.services.quarantine.report({
+			fingerprint: this.work.fingerprint!, attemptId, serverId, result: 'completed', runningFingerprints: [],
+		});
+	}
+
+	#giveUpWithoutTarget(target: NoTarget): void {
+		this.task.apply({
+			type: 'giveUp',
+			reason: this.#lastEnd?.reason ?? target.reason,
+			retryAfterMs: this.#lastEnd?.retryAfterMs ?? defaultRetryAfterMs,
+		});
+	}
+
+	async #runAttempt(target: Target, attemptId: string, isSuspect: boolean): Promise<void> {
+		const {task} = this;
+		const serverId = target.type === 'single' ? target.server.id : target.plan.members.at(-1)!.serverId;
+		const attempt = createAttempt(attemptId, serverId);
+		this.#isGranted = false;
+		task.recordAttempt(attempt);
+		const end = target.type === 'single'
+			? await this.#runSingle(target, attempt, isSuspect)
+			: await runGroupAttempt(this.context, task, this.work, {
+				target, attempt, isSuspect, recordGranted: () => {
+					this.#isGranted = true;
+					task.apply({type: 'granted', attempt});
+				},
+			});
+		const tried = target.type === 'single' ? [serverId] : target.plan.members.map(member => member.serverId);
+		for (const id of tried) {
+			this.#tried.add(id);
+		}
+
+		Object.assign(attempt, {result: end.result, reason: end.reason});
+		task.record('attempt_ended', {attemptId, serverId, ...end});
+		this.#lastEnd = end;
+		if (attempt.completed && isSuspect) {
+			await this.#reportCompletion(attempt);
+		}
+
+		this.#decideNext(attempt, end);
+	}
+
+	async #runSingle(target: Extract<Target, {type: 'single'}>, attempt: AttemptRecord, isSuspect: boolean): Promise<AttemptEnd> {
+		const {context, task, work} = this;
+		const {cost} = work;
+		const request = buildPermitRequest(context.services.entryId, task, {
+			attemptId: attempt.attemptId,
+			serverId: target.server.id,
+			prefillTokens: target.candidate.prefillTokens,
+			decodeTokens: cost.decodeTokens,
+			kvTokens: cost.promptTokens + cost.maxTokens,
+			isSuspect,
+		});
+		const reply = await requestPermit(context.services, request, task.signal);
+		if (reply === 'aborted') {
+			return {result: attemptResults.cancelled};
+		}
+
+		if (reply.type === 'refused') {
+			return {result: attemptResults.notStarted, reason: reply.reason, retryAfterMs: reply.retryAfterMs};
+		}
+
+		const held = new HeldPermit(context.services, reply.permit);
+		let end: AttemptEnd = {result: attemptResults.failed, reason: refusalReasons.internal};
+		try {
+			this.#isGranted = true;
+			task.apply({type: 'granted', attempt});
+			end = await this.#runPermitted(target, attempt, held);
+		} finally {
+			held.release({result: end.result, firstTokenMs: end.firstTokenMs});
+		}
+
+		return end;
+	}
+
+	async #runPermitted(target: Extract<Target, {type: 'single'}>, attempt: AttemptRecord, {permit}: HeldPermit): Promise<AttemptEnd> {
+		const refused = await this.work.prepareDispatch?.();
+		if (refused !== undefined) {
+			this.task.apply({type: 'refused', ...refused});
+		}
+
+		if (this.task.isFinal) {
+			return {result: attemptResults.notStarted, reason: refused?.reason};
+		}
+
+		return this.work.run({server: target.server, permit, attempt});
+	}
+
+	#decideNext(attempt: AttemptRecord, end: AttemptEnd): void {
+		const {context, task, work} = this;
+		if (attempt.completed) {
+			context.retryBudget.recordSuccess(context.services.timer.now());
+			task.apply({type: 'attemptCompleted', attempt});
+		}
+
+		if (task.isFinal) {
+			return;
+		}
+
+		task.apply({type: this.#isGranted ? 'attemptFailed' : 'permitRefused', attempt});
+		if (task.isFinal) {
+			return;
+		}
+
+		const now = context.services.timer.now();
+		const consumesBudget = attempt.sentBytes || end.reason === refusalReasons.backendFailed;
+		const decision = decideRetry({
+			attempts: task.attempts,
+			isIdempotent: work.isIdempotent,
+			now,
+			deadlineAt: task.deadlineAt,
+			expectedAttemptMs: work.cost.promptTokens * 1000 / context.prefillTokensPerSecond / 2,
+			// A refused permit has cost no backend work, so trying the next owner needs no budget.
+			hasBudget: !consumesBudget || context.retryBudget.isAvailable(now),
+			candidatesLeft: selectTarget(context, task, work, {excluded: this.#tried, attemptId: attempt.attemptId}).type === 'none' ? 0 : 1,
+		});
+		if (decision.type === 'retry') {
+			if (consumesBudget) {
+				context.retryBudget.tryConsume(now);
+			}
+
+			context.services.metrics.countRetry(decision.reason);
+			task.record('retry', {reason: decision.reason});
+			task.apply({type: 'retry'});
+			return;
+		}
+
+		const reason: RefusalReason = decision.type === 'give_up' ? decision.reason : refusalReasons.internal;
+		task.apply({type: 'giveUp', reason, retryAfterMs: end.retryAfterMs ?? defaultRetryAfterMs});
+	}
+}
--- /dev/null
+++ b/packages/entry/src/callers/caller-context.ts
@@ -0,0 +1,140 @@
+import {randomUUID} from 'node:crypto';
+import {LongPromptPool, PrefixIndex, RetryBudget} from '@knapweedrack/core';
+import type {EntryServices} from '../contracts.js';
+import {BackendConnections} from './backend-connections.js';
+import {EngineClient} from './engine-client.js';
+import type {RequestTask} from './request-task.js';
+
+const initialPrefillTokensPerSecond = 20_000;
+const learningShare = 0.1;
+
+/** State that the requests of one caller server share. */
+export class CallerContext {
+	readonly connections = new BackendConnections();
+	readonly engines = new EngineClient(this.connections);
+	readonly retryBudget = new RetryBudget();
+	readonly prefixes = new PrefixIndex();
+	readonly longPromptPool = new LongPromptPool();
+	/** Distinguishes this start of the process in claims. */
+	readonly epoch = randomUUID();
+	/** Requests without a final outcome. */
+	readonly tasks = new Set<RequestTask>();
+	/** Nonces of claims that requests of this process hold. */
+	readonly openClaims = new Set<string>();
+	#prefillTokensPerSecond = initialPrefillTokensPerSecond;
+	readonly #decodeTokens = new Map<string, number>();
+	/** Number of running attempts by fingerprint, by backend server. */
+	readonly #running = new Map<string, Map<string, number>>();
+	readonly #background = new Set<Promise<unknown>>();
+
+	readonly #closing = new AbortController();
+
+	constructor(readonly services: EntryServices) {}
+
+	/** Aborts when the listener closes. */
+	get closing(): AbortSignal {
+		return this.#closing.signal;
+	}
+
+	abortClosing(): void {
+		this.#closing.abort();
+	}
+
+	get prefillTokensPerSecond(): number {
+		return this.#prefillTokensPerSecond;
+	}
+
+	/** Learns the prefill rate from an observed first token of a prompt without cached prefix. */
+	recordPrefill(tokens: number, durationMs: number): void {
+		if (tokens < 1024 || durationMs <= 0) {
+			return;
+		}
+
+		const rate = tokens * 1000 / durationMs;
+		this.#prefillTokensPerSecond += learningShare * (rate - this.#prefillTokensPerSecond);
+	}
+
+	/** Expected number of generated tokens of a model, at most the limit of the request. */
+	estimateDecodeTokens(model: string, maxTokens: number): number {
+		return Math.max(1, Math.min(maxTokens, Math.ceil(this.#decodeTokens.get(model) ?? maxTokens)));
+	}
+
+	recordDecode(model: string, tokens: number): void {
+		const known = this.#decodeTokens.get(model) ?? tokens;
+		this.#decodeTokens.set(model, known + (learningShare * (tokens - known)));
+	}
+
+	addRunning(serverId: string, fingerprint: string): void {
+		const fingerprints = this.#running.get(serverId) ?? new Map<string, number>();
+		fingerprints.set(fingerprint, (fingerprints.get(fingerprint) ?? 0) + 1);
+		this.#running.set(serverId, fingerprints);
+	}
+
+	removeRunning(serverId: string, fingerprint: string): void {
+		const fingerprints = this.#running.get(serverId);
+		const count = (fingerprints?.get(fingerprint) ?? 0) - 1;
+		if (count > 0) {
+			fingerprints!.set(fingerprint, count);
+			return;
+		}
+
+		fingerprints?.delete(fingerprint);
+		if (fingerprints?.size === 0) {
+			this.#running.delete(serverId);
+		}
+	}
+
+	/** Fingerprints that this entry runs on a backend server. */
+	listRunning(serverId: string): string[] {
+		return [...this.#running.get(serverId)?.keys() ?? []];
+	}
+
+	/** Runs work that no caller waits for; the shutdown waits for it. */
+	runInBackground(run: () => Promise<unknown>): void {
+		const work = this.#runGuarded(run);
+		this.#background.add(work);
+		void this.#removeAtEnd(work);
+	}
+
+	countBackground(): number {
+		return this.#background.size;
+	}
+
+	async waitForBackground(): Promise<void> {
+		while (this.#background.size > 0) {
+			await Promise.all(this.#background);
+		}
+	}
+
+	/** Waits for a duration, or until the listener closes. */
+	async waitFor(delayMs: number): Promise<void> {
+		return new Promise(resolve => {
+			const cancel = this.services.timer.schedule(delayMs, () => {
+				this.closing.removeEventListener('abort', handleClosing);
+				resolve();
+			});
+			const handleClosing = () => {
+				cancel();
+				resolve();
+			};
+
+			this.closing.addEventListener('abort', handleClosing, {once: true});
+			if (this.closing.aborted) {
+				handleClosing();
+			}
+		});
+	}
+
+	async #removeAtEnd(work: Promise<unknown>): Promise<void> {
+		await work;
+		this.#background.delete(work);
+	}
+
+	async #runGuarded(run: () => Promise<unknown>): Promise<void> {
+		try {
+			await run();
+		} catch {
+			this.services.metrics.count('background.failed');
+		}
+	}
+}
--- /dev/null
+++ b/packages/entry/src/callers/caller-server.ts
@@ -0,0 +1,185 @@
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import type {AddressInfo, Socket} from 'node:net';
+import debug from 'debug';
+import polka from 'polka';
+import {outcomeKinds, refusalReasons} from '@knapweedrack/core';
+import {parseAddress} from '@knapweedrack/protocol';
+import type {EntryServices} from '../contracts.js';
+import {CallerContext} from './caller-context.js';
+import {createRequestId} from './caller-headers.js';
+import {handleCompletion} from './completion-handler.js';
+import {
+	authenticate, isRefusal, sendJson, sendRefusal, type Exchange,
+} from './exchange.js';
+import {buildErrorBody, createRefusal} from './refusal.js';
+import {refusalMessages} from './refusal-messages.js';
+import {handleServiceCall} from './service-handler.js';
+
+const log = debug('knapweedrack:callers');
+
+/** Options of the listener for callers. */
+export type CallerServerOptions = {
+	/** `host:port`; port 0 lets the system choose one. */
+	address: string;
+};
+
+/** A running listener for callers. */
+export type CallerServer = {
+	/** `host:port` in use. */
+	address: string;
+	/** Stops listening, ends open requests with `entry_stopping` and waits for their clean-up. */
+	close: () => Promise<void>;
+	/** Requests without a final outcome and clean-up in progress, such as claims that are being stored. */
+	countOpenRequests: () => number;
+};
+
+type Handler = (context: CallerContext, exchange: Exchange) => Promise<void> | void;
+
+const headerLimitBytes = 16_384;
+const headersTimeoutMs = 10_000;
+// Longer than the idle time of usual HTTP clients, so that they close first.
+const idleConnectionMs = 65_000;
+
+const handleEntries: Handler = (context, exchange) => {
+	const query = new URL(exchange.request.url ?? '/', 'http://entry').searchParams;
+	const {entries, keepMs, revision} = context.services.membership.listEntries(query.get('model') ?? undefined, query.get('workspace') ?? undefined);
+	sendJson(exchange, 200, {entries: entries.map(({address, failureDomain}) => ({address, failureDomain})), keepMs, revision});
+};
+
+const handleModels: Handler = (context, exchange) => {
+	const caller = authenticate(context, exchange);
+	if (isRefusal(caller)) {
+		sendRefusal(context, exchange, caller);
+		return;
+	}
+
+	const data = caller.plan.models.map(id => ({
+		// eslint-disable-next-line @typescript-eslint/naming-convention
+		id, object: 'model', created: 0, owned_by: caller.workspace.fleet,
+	}));
+	sendJson(exchange, 200, {object: 'list', data});
+};
+
+const handleHealth: Handler = (_context, exchange) => {
+	sendJson(exchange, 200, {status: 'ok'});
+};
+
+/** Ready while requests are accepted; queue length is left out, so that a uniform overload does not remove all entries. */
+const handleReadiness: Handler = (context, exchange) => {
+	const {configuration, membership} = context.services;
+	const isReady = configuration.get() !== undefined && configuration.isFresh() && !membership.isStopping();
+	sendJson(exchange, isReady ? 200 : 503, {status: isReady ? 'ready' : 'not_ready'});
+};
+
+const handleUnknown: Handler = (context, exchange) => {
+	exchange.request.resume();
+	sendRefusal(context, exchange, createRefusal(refusalReasons.notFound, `${exchange.request.method ?? ''} is not served at this path`));
+};
+
+/** Adapts a handler to the router; an unexpected error ends the request, not the process. */
+const toRouteHandler = (context: CallerContext, handler: Handler) => (request: IncomingMessage, response: ServerResponse): void => {
+	const exchange: Exchange = {
+		request, response, requestId: createRequestId(request.headers), arrivedAt: context.services.timer.now(),
+	};
+	// Errors of the connection also end the request by the close event of the response.
+	request.on('error', () => undefined);
+	response.on('error', () => undefined);
+	void runHandler(context, exchange, handler);
+};
+
+const runHandler = async (context: CallerContext, exchange: Exchange, handler: Handler): Promise<void> => {
+	try {
+		await handler(context, exchange);
+	} catch (error) {
+		log('request %s failed: %s', exchange.requestId, error instanceof Error ? error.stack : 'unknown error');
+		if (exchange.response.headersSent) {
+			exchange.response.destroy();
+		} else {
+			sendRefusal(context, exchange, {outcome: outcomeKinds.failed, reason: refusalReasons.internal, message: refusalMessages.internal});
+		}
+	}
+};
+
+const invalidHttp = {status: '400 Bad Request', reason: refusalReasons.badRequest, message: 'the request is not valid HTTP'};
+const clientErrors = new Map([
+	['HPE_HEADER_OVERFLOW', {status: '431 Request Header Fields Too Large', reason: refusalReasons.badRequest, message: 'the headers are too large'}],
+	['ERR_HTTP_REQUEST_TIMEOUT', {status: '408 Request Timeout', reason: refusalReasons.requestTimeout, message: 'the headers did not arrive in time'}],
+]);
+
+/** Answers input that is not valid HTTP, for example control characters in headers. */
+const handleClientError = (context: CallerContext, error: NodeJS.ErrnoException, socket: Socket): void => {
+	if (error.code === 'ECONNRESET' || !socket.writable) {
+		socket.destroy();
+		return;
+	}
+
+	const {status, reason, message} = clientErrors.get(error.code ?? '') ?? invalidHttp;
+	const refusal = createRefusal(reason, message);
+	context.services.metrics.countRefusal(refusal.reason);
+	const body = JSON.stringify(buildErrorBody(refusal, createRequestId({}), []));
+	socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-type: application/json\r\ncontent-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`);
+};
+
+const addRoutes = (context: CallerContext, server: Server): void => {
+	const route = (handler: Handler) => toRouteHandler(context, handler) as never;
+	const app = polka({server, onNoMatch: route(handleUnknown)});
+	app.get('/healthz', route(handleHealth));
+	app.get('/readyz', route(handleReadiness));
+	app.get('/v1/entries', route(handleEntries));
+	app.get('/v1/models', route(handleModels));
+	app.post('/v1/chat/completions', route(async (_context, exchange) => handleCompletion(context, exchange, 'chat')));
+	app.post('/v1/completions', route(async (_context, exchange) => handleCompletion(context, exchange, 'text')));
+	app.all('/v1/services/*', route(handleServiceCall));
+	server.on('request', app.handler as never);
+};
+
+const closeServer = async (context: CallerContext, server: Server): Promise<void> => {
+	const closed = once(server, 'close');
+	server.close();
+	for (const task of context.tasks) {
+		task.apply({type: 'refused', reason: refusalReasons.entryStopping, retryAfterMs: 0});
+	}
+
+	context.abortClosing();
+	await context.waitForBackground();
+	server.closeIdleConnections();
+	// Connections still in use carry final answers that were written above; callers that do not read them are cut.
+	const cutTimer = context.services.timer.schedule(1000, () => {
+		server.closeAllConnections();
+	});
+	await closed;
+	cutTimer();
+	await context.connections.close();
+};
+
+/** Starts the listener for callers. */
+export const startCallerServer = async (services: EntryServices, options: CallerServerOptions): Promise<CallerServer> => {
+	const context = new CallerContext(services);
+	const server = createServer({
+		maxHeaderSize: headerLimitBytes,
+		headersTimeout: headersTimeoutMs,
+		// Bodies have their own limit, which counts as a refusal; see `readBody`.
+		requestTimeout: 0,
+		keepAliveTimeout: idleConnectionMs,
+		connectionsCheckingInterval: 1000,
+	});
+	server.on('clientError', (error, socket) => {
+		handleClientError(context, error, socket as Socket);
+	});
+	addRoutes(context, server);
+	const {host, port} = parseAddress(options.address) ?? {host: options.address, port: 0};
+	server.listen(port, host);
+	await once(server, 'listening');
+	const bound = server.address() as AddressInfo;
+	const address = bound.family === 'IPv6' ? `[${bound.address}]:${bound.port}` : `${bound.address}:${bound.port}`;
+	log('listening for callers on %s', address);
+	return {
+		address,
+		close: async () => closeServer(context, server),
+		countOpenRequests: () => context.tasks.size + context.countBackground(),
+	};
+};
--- /dev/null
+++ b/packages/entry/src/callers/claim-session.ts
@@ -0,0 +1,201 @@
+import {createHash, randomUUID} from 'node:crypto';
+import {
+	decideClaim, outcomeKinds, refusalReasons,
+	type ClaimDecision, type ClaimOutcome, type ClaimPhase, type ClaimRecord, type RefusalReason,
+} from '@knapweedrack/core';
+import {deadlineLimitMs, objectKeys} from '@knapweedrack/protocol';
+import type {CallerContext} from './caller-context.js';
+import {claimRecordSchema} from './claim-record.js';
+
+/** A request that may be executed once. */
+export type ClaimSubject = {workspaceId: string; idempotencyKey: string; bodyDigest: string};
+
+/** Result of asking for the claim. */
+export type ClaimResult =
+	| {type: 'owned'}
+	/** An earlier attempt with the same key has finished. */
+	| {type: 'answer'; outcome: ClaimOutcome}
+	| {type: 'refused'; outcome: 'not_run' | 'unknown'; reason: RefusalReason; retryAfterMs?: number | undefined};
+
+type StoredClaim = {record: ClaimRecord; version: number};
+
+const longestRounds = 6;
+const callTimeoutMs = 2000;
+const finishAttempts = 20;
+const finishRetryMs = 1000;
+
+const storeUnavailable = {
+	type: 'refused', outcome: outcomeKinds.notRun, reason: refusalReasons.claimStoreUnavailable, retryAfterMs: 2000,
+} as const;
+
+/** Digest of the parts of a request, to detect a key reused for another request. */
+export const hashRequest = (...parts: Array<string | Uint8Array>): string => {
+	const hash = createHash('sha256');
+	for (const part of parts) {
+		hash.update(part).update('\0');
+	}
+
+	return hash.digest('hex');
+};
+
+/** Key of the claim object of a workspace's idempotency key. */
+export const buildClaimKey = (workspaceId: string, idempotencyKey: string): string =>
+	`${objectKeys.claimPrefix}${workspaceId}/${createHash('sha256').update(idempotencyKey).digest('hex')}`;
+
+/** The claim of one request in the object API. */
+export class ClaimSession {
+	readonly #nonce = randomUUID();
+	readonly #key: string;
+	#stored: StoredClaim | undefined;
+	/** True once a write may have taken effect. */
+	#mayExist = false;
+
+	constructor(private readonly context: CallerContext, private readonly subject: ClaimSubject) {
+		this.#key = buildClaimKey(subject.workspaceId, subject.idempotencyKey);
+	}
+
+	/** Claims the single execution of the request. */
+	async open(): Promise<ClaimResult> {
+		this.context.openClaims.add(this.#nonce);
+		const result = await this.#runRounds('claiming', this.#decide('claiming'));
+		if (result === storeUnavailable && this.#mayExist) {
+			// The claim may have been written although its answer was lost; without this it would block later attempts.
+			this.context.runInBackground(async () => this.finish({kind: outcomeKinds.notRun, reason: refusalReasons.claimStoreUnavailable}));
+		} else if (result.type !== 'owned') {
+			this.context.openClaims.delete(this.#nonce);
+		}
+
+		return result;
+	}
+
+	/** Marks the claim as dispatched; nothing may be sent unless it resolves with `undefined`. */
+	async mark(): Promise<{reason: RefusalReason; retryAfterMs?: number | undefined} | undefined> {
+		const result = await this.#runRounds('marking', this.#decide('marking'));
+		return result.type === 'owned' ? undefined : this.#describe(result);
+	}
+
+	/** Stores the outcome; repeated while the object API is unavailable. */
+	async finish(outcome: ClaimOutcome): Promise<void> {
+		try {
+			for (let attempt = 1; attempt <= finishAttempts; attempt++) {
+				// Without a known version the claim may still have been written.
+				const isKnown = this.#stored !== undefined || await this.#read();
+				const result = isKnown ? await this.#runRounds('finishing', this.#decide('finishing', outcome), outcome) : storeUnavailable;
+				if (result !== storeUnavailable || this.context.closing.aborted) {
+					return;
+				}
+
+				await this.context.waitFor(finishRetryMs);
+			}
+		} finally {
+			this.context.openClaims.delete(this.#nonce);
+		}
+	}
+
+	#describe(result: Exclude<ClaimResult, {type: 'owned'}>): {reason: RefusalReason; retryAfterMs?: number | undefined} {
+		return result.type === 'refused'
+			? {reason: result.reason, retryAfterMs: result.retryAfterMs}
+			: {reason: refusalReasons.claimInProgress, retryAfterMs: 1000};
+	}
+
+	#decide(phase: ClaimPhase, outcome?: ClaimOutcome): ClaimDecision {
+		const {record} = this.#stored ?? {};
+		return decideClaim(record, {
+			...this.subject,
+			nonce: this.#nonce,
+			entryId: this.context.services.entryId,
+			epoch: this.context.epoch,
+			phase,
+			outcome,
+			wallNow: Date.now(),
+			isHolderGone: record !== undefined && this.#isHolderGone(record),
+		});
+	}
+
+	/** A holder is gone when its entry is not listed, has started again, or has ended the request. */
+	#isHolderGone(record: ClaimRecord): boolean {
+		const {services, epoch, openClaims} = this.context;
+		// No request lives longer than this. A wrong clock cannot cause a second execution,
+		// because the mark before the first byte is conditional on the version replaced here.
+		if (Date.now() - record.createdAt > deadlineLimitMs) {
+			return true;
+		}
+
+		if (record.entryId === services.entryId) {
+			return record.epoch !== epoch || !openClaims.has(record.nonce);
+		}
+
+		return !services.membership.listEntries(undefined, undefined).entries.some(entry => entry.entryId === record.entryId);
+	}
+
+	async #runRounds(phase: ClaimPhase, first: ClaimDecision, outcome?: ClaimOutcome): Promise<ClaimResult> {
+		let decision = first;
+		for (let round = 1; round <= longestRounds; round++) {
+			const settled = this.#settle(decision, phase);
+			if (settled !== undefined) {
+				return settled;
+			}
+
+			const written = await this.#write(decision as Extract<ClaimDecision, {record: ClaimRecord}>);
+			if (written === 'unavailable') {
+				return storeUnavailable;
+			}
+
+			if (written === 'written') {
+				return {type: 'owned'};
+			}
+
+			if (!await this.#read()) {
+				return storeUnavailable;
+			}
+
+			decision = this.#decide(phase, outcome);
+		}
+
+		return storeUnavailable;
+	}
+
+	#settle(decision: ClaimDecision, phase: ClaimPhase): ClaimResult | undefined {
+		if (decision.type === 'answer') {
+			return {type: 'answer', outcome: decision.outcome};
+		}
+
+		if (decision.type === 'refuse') {
+			return {
+				type: 'refused', outcome: decision.outcome === outcomeKinds.notRun ? outcomeKinds.notRun : outcomeKinds.unknown, reason: decision.reason, retryAfterMs: decision.retryAfterMs,
+			};
+		}
+
+		const isOwned = decision.type === 'dispatch' || decision.type === 'done' || (decision.type === 'mark' && phase === 'claiming');
+		return isOwned ? {type: 'owned'} : undefined;
+	}
+
+	async #write({type, record}: Extract<ClaimDecision, {record: ClaimRecord}>): Promise<'written' | 'unavailable' | 'unclear'> {
+		const condition = type === 'create' ? {create: true} as const : {version: this.#stored!.version};
+		const result = await this.context.services.store.put(this.#key, record, condition, {timeoutMs: callTimeoutMs});
+		this.#mayExist ||= result.ok || result.error.kind === 'unknown';
+		if (result.ok) {
+			this.#stored = {record, version: result.value.version};
+			return 'written';
+		}
+
+		// An unknown answer and a version mismatch, which a repeated write causes too, are both resolved by reading back.
+		return result.error.kind === 'unknown' || result.error.kind === 'version_mismatch' || result.error.kind === 'not_found' ? 'unclear' : 'unavailable';
+	}
+
+	async #read(): Promise<boolean> {
+		const result = await this.context.services.store.get(this.#key, {timeoutMs: callTimeoutMs});
+		if (!result.ok) {
+			this.#stored = undefined;
+			return result.error.kind === 'not_found';
+		}
+
+		const parsed = claimRecordSchema.safeParse(result.value.value);
+		if (!parsed.success) {
+			return false;
+		}
+
+		this.#stored = {record: parsed.data, version: result.value.version};
+		return true;
+	}
+}
--- /dev/null
+++ b/packages/entry/src/callers/completion-answer.ts
@@ -0,0 +1,113 @@
+import type {ServerResponse} from 'node:http';
+import type {AnswerSink} from './engine-attempt.js';
+import {
+	buildChunk, buildUsageChunk, buildWholeAnswer, formatSseData, formatSseError, type AnswerIdentity, type AnswerTotals,
+} from './completion-response.js';
+
+/** Collects a whole answer, or passes a streamed one on chunk by chunk. */
+export class CompletionAnswer implements AnswerSink {
+	readonly isPassedOn: boolean;
+	totals: AnswerTotals | undefined;
+	firstTokenAt: number | undefined;
+	#parts: string[] = [];
+	#lastText = '';
+	#seq = 0;
+
+	constructor(
+		private readonly response: ServerResponse,
+		private readonly identity: AnswerIdentity,
+		private readonly options: {isStreamed: boolean; includesUsage: boolean; now: () => number},
+	) {
+		this.isPassedOn = options.isStreamed;
+	}
+
+	get text(): string {
+		return this.#parts.join('');
+	}
+
+	reset(): void {
+		this.#parts = [];
+		this.totals = undefined;
+	}
+
+	async write(text: string): Promise<void> {
+		this.firstTokenAt ??= this.options.now();
+		this.#parts.push(text);
+		if (this.options.isStreamed && !this.#writeChunk(text, null)) {
+			await this.#waitForDrain();
+		}
+	}
+
+	finish(text: string, totals: AnswerTotals): void {
+		this.firstTokenAt ??= this.options.now();
+		this.#parts.push(text);
+		this.#lastText = text;
+		this.totals = totals;
+	}
+
+	/** Takes the answer of an earlier request; it is sent as one chunk. */
+	accept(text: string, totals: AnswerTotals): void {
+		this.reset();
+		this.finish(text, totals);
+	}
+
+	/** Sends the end of a verified answer. */
+	send(): void {
+		const {response, identity, totals, options} = this;
+		if (response.destroyed || totals === undefined) {
+			return;
+		}
+
+		if (!options.isStreamed) {
+			response.writeHead(200, {'content-type': 'application/json', 'x-request-id': identity.requestId});
+			response.end(JSON.stringify(buildWholeAnswer(identity, this.text, totals)));
+			return;
+		}
+
+		const chunks = this.#seq + (options.includesUsage ? 2 : 1);
+		const summary = {chunks, tokens: totals.completionTokens, checksum: totals.checksum};
+		this.#writeChunk(this.#lastText, totals.finishReason, options.includesUsage ? {} : summary);
+		if (options.includesUsage) {
+			response.write(formatSseData(buildUsageChunk(identity, totals, {seq: this.#seq, ...summary})));
+		}
+
+		response.end('data: [DONE]\n\n');
+	}
+
+	/** Ends a stream that cannot be completed; it never carries the end marker. */
+	sendError(body: unknown): void {
+		if (!this.response.destroyed) {
+			this.response.end(formatSseError(body));
+		}
+	}
+
+	#writeChunk(text: string, finishReason: string | null, summary: {chunks?: number; tokens?: number; checksum?: string} = {}): boolean {
+		const {response, identity} = this;
+		if (!response.headersSent) {
+			response.writeHead(200, {'content-type': 'text/event-stream', 'cache-control': 'no-cache', 'x-request-id': identity.requestId});
+		}
+
+		const chunk = buildChunk(identity, text, finishReason, {seq: this.#seq, ...summary});
+		this.#seq++;
+		return response.write(formatSseData(chunk));
+	}
+
+	/** A caller that reads slowly slows the engine's stream instead of filling the memory of the entry. */
+	async #waitForDrain(): Promise<void> {
+		const {response} = this;
+		if (response.destroyed) {
+			return;
+		}
+
+		return new Promise(resolve => {
+			const handleEnd = () => {
+				response.off('drain', handleEnd);
+				response.off('close', handleEnd);
+				resolve();
+			};
+
+			response.once('drain', handleEnd);
+			response.once('close', handleEnd);
+		});
+	}
+}
--- /dev/null
+++ b/packages/entry/src/callers/engine-attempt.ts
@@ -0,0 +1,261 @@
+import {
+	attemptResults, FrameValidator, refusalReasons, type AttemptRecord, type BackendServerDescription, type Frame, type RefusalReason,
+} from '@knapweedrack/core';
+import {
+	engineChunkSchema, type EngineChunk, type EngineError, type GenerateRequest,
+} from '@knapweedrack/protocol';
+import {isConnectFailure, type BackendAnswer} from './backend-connections.js';
+import type {CallerContext} from './caller-context.js';
+import type {AnswerTotals} from './completion-response.js';
+import {createTextHash} from './content-hash.js';
+import type {RequestTask} from './request-task.js';
+import type {AttemptEnd, PermittedAttempt} from './request-work.js';
+import {SseReader} from './sse-reader.js';
+
+/** Receives the verified answer of an attempt. */
+export type AnswerSink = {
+	/** Forgets what an earlier attempt delivered; called only when nothing was passed on. */
+	reset: () => void;
+	/** Takes verified text; resolves when more can be taken. `isPassedOn` tells whether the caller can see it. */
+	write: (text: string) => Promise<void> | void;
+	/** True when written text is passed on to the caller at once. */
+	isPassedOn: boolean;
+	/** Takes the last text and the totals of the complete answer. */
+	finish: (text: string, totals: AnswerTotals) => void;
+};
+
+/** Input of one generation. */
+export type Generation = {
+	request: GenerateRequest;
+	sink: AnswerSink;
+	fingerprint: string;
+	/** Tokens to prefill, for learning the prefill rate. */
+	prefillTokens: number;
+};
+
+const longestCancelAttempts = 3;
+const cancelRetryMs = 500;
+
+type StreamEnd =
+	| {type: 'complete'}
+	| {type: 'corrupt'; reason: RefusalReason}
+	/** The connection ended or failed before the last frame. */
+	| {type: 'broken'}
+	| {type: 'stopped'};
+
+/** Runs one generation on one engine and passes its verified frames on. */
+export class EngineAttempt {
+	readonly #validator: FrameValidator;
+	readonly #reader = new SseReader();
+	readonly #attempt: AttemptRecord;
+	readonly #server: BackendServerDescription;
+	#sentAt = 0;
+	#firstTokenMs: number | undefined;
+	#finishReason = 'stop';
+
+	constructor(
+		private readonly context: CallerContext,
+		private readonly task: RequestTask,
+		private readonly permitted: PermittedAttempt,
+		private readonly generation: Generation,
+	) {
+		this.#attempt = permitted.attempt;
+		this.#server = permitted.server;
+		this.#validator = new FrameValidator(task.requestId, this.#attempt.attemptId, createTextHash());
+	}
+
+	async run(): Promise<AttemptEnd> {
+		const {context, generation} = this;
+		context.addRunning(this.#server.id, generation.fingerprint);
+		try {
+			const end = await this.#run();
+			return {...end, firstTokenMs: this.#firstTokenMs};
+		} finally {
+			context.removeRunning(this.#server.id, generation.fingerprint);
+		}
+	}
+
+	async #run(): Promise<AttemptEnd> {
+		const {context, task, generation} = this;
+		generation.sink.reset();
+		this.#sentAt = context.services.timer.now();
+		// Until the opposite is proved, bytes may have left.
+		this.#attempt.sentBytes = true;
+		let reply: Awaited<ReturnType<CallerContext['engines']['sendGenerate']>>;
+		try {
+			reply = await context.engines.sendGenerate(this.#server.address, generation.request, task.signal);
+		} catch (error) {
+			return this.#handleSendFailure(error);
+		}
+
+		if (reply.type === 'refused') {
+			return this.#handleRefusal(reply.error);
+		}
+
+		return this.#finish(await this.#readStream(reply.answer));
+	}
+
+	async #handleSendFailure(error: unknown): Promise<AttemptEnd> {
+		if (isConnectFailure(error)) {
+			this.#attempt.sentBytes = false;
+			return {result: attemptResults.notStarted, reason: refusalReasons.backendFailed};
+		}
+
+		return this.#finish(this.task.signal.aborted ? {type: 'stopped'} : {type: 'broken'});
+	}
+
+	#handleRefusal(error: EngineError | undefined): AttemptEnd {
+		if (error?.started === false) {
+			this.#attempt.refusedByServer = true;
+			return {result: attemptResults.notStarted, reason: refusalReasons.backendRefused, retryAfterMs: error.retryAfterMs};
+		}
+
+		this.#cancelOnEngine();
+		return {result: attemptResults.failed, reason: refusalReasons.backendFailed};
+	}
+
+	async #readStream({body}: BackendAnswer): Promise<StreamEnd> {
+		try {
+			for await (const bytes of body) {
+				for (const data of this.#reader.accept(bytes as Uint8Array)) {
+					const end = await this.#acceptEvent(data);
+					if (end !== undefined) {
+						return end;
+					}
+				}
+			}
+		} catch (error) {
+			if (this.task.signal.aborted) {
+				return {type: 'stopped'};
+			}
+
+			return error instanceof TypeError || error instanceof RangeError || error instanceof SyntaxError
+				? {type: 'corrupt', reason: refusalReasons.streamCorrupt}
+				: {type: 'broken'};
+		}
+
+		return this.task.signal.aborted ? {type: 'stopped'} : {type: 'broken'};
+	}
+
+	async #acceptEvent(data: string): Promise<StreamEnd | undefined> {
+		if (this.task.isFinal) {
+			return {type: 'stopped'};
+		}
+
+		// An end marker before the last frame is an incomplete answer.
+		if (data === '[DONE]') {
+			return {type: 'broken'};
+		}
+
+		const parsed = engineChunkSchema.safeParse(JSON.parse(data));
+		return parsed.success ? this.#acceptChunk(parsed.data) : {type: 'corrupt', reason: refusalReasons.streamCorrupt};
+	}
+
+	async #acceptChunk(chunk: EngineChunk): Promise<StreamEnd | undefined> {
+		const frame: Frame = {...chunk.knapweedrack, text: chunk.text};
+		const verdict = this.#validator.accept(frame);
+		if (verdict.type === 'discard') {
+			this.context.services.metrics.count('stream.frame_discarded');
+			return undefined;
+		}
+
+		if (verdict.type === 'corrupt') {
+			return {type: 'corrupt', reason: refusalReasons.streamCorrupt};
+		}
+
+		this.#recordFirstToken();
+		this.#finishReason = chunk.finishReason ?? this.#finishReason;
+		if (verdict.type === 'next') {
+			await this.#passOn(verdict.text);
+			return undefined;
+		}
+
+		this.#attempt.completed = true;
+		this.generation.sink.finish(verdict.text, {
+			promptTokens: verdict.promptTokens, completionTokens: verdict.completionTokens, checksum: verdict.checksum, finishReason: this.#finishReason,
+		});
+		return {type: 'complete'};
+	}
+
+	async #passOn(text: string): Promise<void> {
+		const {sink} = this.generation;
+		if (sink.isPassedOn) {
+			this.#attempt.passedOn = true;
+		}
+
+		await sink.write(text);
+	}
+
+	#recordFirstToken(): void {
+		if (this.#firstTokenMs !== undefined) {
+			return;
+		}
+
+		const {context, task, permitted, generation} = this;
+		this.#firstTokenMs = context.services.timer.now() - this.#sentAt;
+		context.services.permits.recordFirstToken(permitted.permit);
+		context.recordPrefill(generation.prefillTokens, this.#firstTokenMs);
+		if (generation.sink.isPassedOn) {
+			task.apply({type: 'firstFrame', attempt: this.#attempt});
+		}
+	}
+
+	async #finish(end: StreamEnd): Promise<AttemptEnd> {
+		if (end.type === 'complete') {
+			return {result: attemptResults.completed};
+		}
+
+		this.#cancelOnEngine();
+		if (end.type === 'stopped') {
+			return {result: attemptResults.cancelled};
+		}
+
+		if (end.type === 'corrupt') {
+			return {result: attemptResults.failed, reason: end.reason};
+		}
+
+		const hasCrashed = await this.#checkCrash();
+		return {
+			result: hasCrashed ? attemptResults.crashed : attemptResults.failed,
+			reason: this.#attempt.passedOn || this.#firstTokenMs !== undefined ? refusalReasons.streamIncomplete : refusalReasons.backendFailed,
+		};
+	}
+
+	/** A cut connection is a crash when the engine does not answer or has started again since the permit. */
+	async #checkCrash(): Promise<boolean> {
+		const {context, permitted, generation} = this;
+		const runningFingerprints = context.listRunning(this.#server.id);
+		const report = await context.engines.fetchStatus(this.#server.address);
+		if (report?.bootId === permitted.permit.bootId) {
+			return false;
+		}
+
+		await context.services.quarantine.report({
+			fingerprint: generation.fingerprint, attemptId: this.#attempt.attemptId, serverId: this.#server.id, result: 'crashed', runningFingerprints,
+		});
+		return true;
+	}
+
+	#cancelOnEngine(): void {
+		this.context.runInBackground(async () => cancelOnEngine(this.context, this.#server.address, this.task.requestId));
+	}
+}
+
+/** Cancels a request on an engine; repeated, because an engine that keeps the request keeps its memory. */
+export const cancelOnEngine = async (context: CallerContext, address: string, requestId: string): Promise<void> => {
+	for (let attempt = 1; attempt <= longestCancelAttempts; attempt++) {
+		try {
+			const reply = await context.engines.cancel(address, requestId);
+			if (reply.type === 'ok') {
+				return;
+			}
+		} catch (error) {
+			// A dead engine holds no memory.
+			if (isConnectFailure(error)) {
+				return;
+			}
+		}
+
+		await context.waitFor(cancelRetryMs);
+	}
+};
--- /dev/null
+++ b/packages/entry/src/callers/index.ts
@@ -0,0 +1,1 @@
+export {startCallerServer, type CallerServer, type CallerServerOptions} from './caller-server.js';
--- /dev/null
+++ b/packages/entry/src/callers/permit-acquisition.ts
@@ -0,0 +1,83 @@
+import {
+	type Permit, type PermitReply, type PermitRequest, attemptResults, refusalReasons,
+} from '@knapweedrack/core';
+import type {EntryServices} from '../contracts.js';
+import type {RequestTask} from './request-task.js';
+
+/** What one attempt asks of a backend server. */
+export type AttemptDemand = Pick<PermitRequest, 'attemptId' | 'serverId' | 'prefillTokens' | 'decodeTokens' | 'kvTokens' | 'isSuspect'>;
+
+/** Builds the permit request of one attempt. */
+export const buildPermitRequest = (entryId: string, task: RequestTask, fields: AttemptDemand): PermitRequest => ({
+	...fields,
+	requestId: task.requestId,
+	entryId,
+	workspaceId: task.facts.workspace.id,
+	weight: task.facts.plan.share,
+	priority: task.facts.priority,
+	deadlineInMs: task.leftMs,
+	firstTokenInMs: Math.max(0, Math.min(task.leftMs, task.firstTokenLeftMs)),
+});
+
+/** Asks for a permit; ends at once when the request ends, and returns a permit that is granted too late. */
+export const requestPermit = async (services: EntryServices, request: PermitRequest, signal: AbortSignal): Promise<PermitReply | 'aborted'> => {
+	const reply = requestSafely(services, request);
+	const aborted = waitForAbort(signal);
+	const first = await Promise.race([reply, aborted.promise]);
+	aborted.stop();
+	if (first !== 'aborted') {
+		return first;
+	}
+
+	services.permits.withdraw(request);
+	void releaseLate(services, reply);
+	return 'aborted';
+};
+
+const requestSafely = async (services: EntryServices, request: PermitRequest): Promise<PermitReply> => {
+	try {
+		return await services.permits.request(request);
+	} catch {
+		return {type: 'refused', reason: refusalReasons.ownerUnreachable, retryAfterMs: 1000};
+	}
+};
+
+const releaseLate = async (services: EntryServices, reply: Promise<PermitReply>): Promise<void> => {
+	const late = await reply;
+	if (late.type === 'granted') {
+		services.permits.release(late.permit, {result: attemptResults.notStarted});
+	}
+};
+
+const waitForAbort = (signal: AbortSignal): {promise: Promise<'aborted'>; stop: () => void} => {
+	const stopping = new AbortController();
+	const promise = new Promise<'aborted'>(resolve => {
+		if (signal.aborted) {
+			resolve('aborted');
+		}
+
+		signal.addEventListener('abort', () => {
+			resolve('aborted');
+		}, {once: true, signal: stopping.signal});
+	});
+	return {
+		promise,
+		stop() {
+			stopping.abort();
+		},
+	};
+};
+
+/** Holds one permit and returns it exactly once. */
+export class HeldPermit {
+	#isReleased = false;
+
+	constructor(private readonly services: EntryServices, readonly permit: Permit) {}
+
+	release(result: Parameters<EntryServices['permits']['release']>[1]): void {
+		if (!this.#isReleased) {
+			this.#isReleased = true;
+			this.services.permits.release(this.permit, result);
+		}
+	}
+}
--- /dev/null
+++ b/packages/entry/src/callers/request-flow.ts
@@ -0,0 +1,184 @@
+import {
+	outcomeKinds, refusalReasons, type ClaimOutcome, type Outcome,
+} from '@knapweedrack/core';
+import type {LimitAnswer} from '../contracts.js';
+import {AttemptLoop} from './attempt-loop.js';
+import type {CallerContext} from './caller-context.js';
+import {ClaimSession, type ClaimSubject} from './claim-session.js';
+import {sendRefusal, type AuthenticatedCaller, type Exchange} from './exchange.js';
+import {createRefusal, type Refusal} from './refusal.js';
+import {refusalMessages} from './refusal-messages.js';
+import {RequestTask} from './request-task.js';
+import type {RequestWork} from './request-work.js';
+
+/** What a completion or a service call adds to the common flow. */
+export type RequestPlan = {
+	/** Prompt length in tokens for limits and the daily report. */
+	promptTokens: number;
+	/** Tokens charged at admission. */
+	costTokens: number;
+	isIdempotent: boolean;
+	/** Claim on the single execution; undefined when none is needed. */
+	claim?: {
+		subject: ClaimSubject;
+		/** Takes the answer of an earlier request with the same key. */
+		acceptAnswer: (outcome: ClaimOutcome) => Outcome;
+		/** Describes what to store at the end. */
+		describe: (outcome: Outcome) => ClaimOutcome;
+	} | undefined;
+	/** Builds the work; `session` is the claim when there is one. */
+	createWork: (task: RequestTask, session: ClaimSession | undefined) => RequestWork;
+	/** Sends the final answer. */
+	respond: (outcome: Outcome) => void;
+	/** Tokens used, known at the end. */
+	countUsedTokens: (outcome: Outcome) => number;
+	/** Monotonic time in ms of the first token; undefined before it. */
+	getFirstTokenAt: () => number | undefined;
+};
+
+const findTarget = ({plan}: AuthenticatedCaller, promptTokens: number): number | undefined =>
+	plan.firstTokenTargets.find(target => target.upToTokens === undefined || promptTokens <= target.upToTokens)?.targetMs;
+
+/** Records the facts of one request for the daily report. */
+type FinishedRequest = {exchange: Exchange; caller: AuthenticatedCaller; plan: RequestPlan; outcome: Outcome};
+
+const recordSummary = (context: CallerContext, {exchange, caller, plan, outcome}: FinishedRequest): void => {
+	const {summary, timer, metrics} = context.services;
+	const firstTokenAt = plan.getFirstTokenAt();
+	const firstTokenMs = firstTokenAt === undefined ? undefined : firstTokenAt - exchange.arrivedAt;
+	const firstTokenTargetMs = findTarget(caller, plan.promptTokens);
+	const durationMs = timer.now() - exchange.arrivedAt;
+	if (firstTokenMs !== undefined) {
+		metrics.recordDuration('request.first_token', firstTokenMs);
+	}
+
+	metrics.recordDuration('request.duration', durationMs);
+	if (outcome.kind === outcomeKinds.completed) {
+		metrics.count('request.completed');
+	}
+
+	summary.record({
+		workspaceId: caller.workspace.id,
+		promptTokens: plan.promptTokens,
+		outcome: outcome.kind,
+		reason: outcome.reason,
+		firstTokenMs,
+		firstTokenTargetMs,
+		durationMs,
+		isLate: outcome.reason === refusalReasons.deadlineExceeded
+			|| (firstTokenMs !== undefined && firstTokenTargetMs !== undefined && firstTokenMs > firstTokenTargetMs),
+	});
+};
+
+/** A refusal before admission. */
+export type RefusedRequest = Pick<Refusal, 'reason' | 'message' | 'retryAfterMs' | 'param'> & {promptTokens: number};
+
+/** Records a request that was refused before its admission. */
+export const refuseAuthenticated = (context: CallerContext, exchange: Exchange, caller: AuthenticatedCaller, refused: RefusedRequest): void => {
+	const {reason, message, retryAfterMs, param, promptTokens} = refused;
+	sendRefusal(context, exchange, createRefusal(reason, message, {retryAfterMs, param}));
+	context.services.summary.record({
+		workspaceId: caller.workspace.id,
+		promptTokens,
+		outcome: outcomeKinds.notRun,
+		reason,
+		durationMs: context.services.timer.now() - exchange.arrivedAt,
+		isLate: false,
+	});
+};
+
+const runClaimed = async (context: CallerContext, task: RequestTask, plan: RequestPlan, claim: NonNullable<RequestPlan['claim']>): Promise<void> => {
+	const session = new ClaimSession(context, claim.subject);
+	task.apply({type: 'claimRequired'});
+	const result = await session.open();
+	task.record('claim', {...result});
+	if (result.type === 'answer') {
+		task.apply({type: 'answered', outcome: claim.acceptAnswer(result.outcome)});
+		return;
+	}
+
+	if (result.type === 'refused') {
+		const {reason, retryAfterMs} = result;
+		task.apply({type: result.outcome === outcomeKinds.unknown ? 'claimUnknown' : 'refused', reason, retryAfterMs});
+		return;
+	}
+
+	try {
+		task.apply({type: 'claimed'});
+		await new AttemptLoop(context, task, plan.createWork(task, session)).run();
+	} finally {
+		task.apply({type: 'refused', reason: refusalReasons.internal});
+		await session.finish(claim.describe(await task.done));
+	}
+};
+
+const runTask = async (context: CallerContext, task: RequestTask, plan: RequestPlan): Promise<void> => {
+	try {
+		if (plan.claim === undefined) {
+			task.apply({type: 'claimSkipped'});
+			await new AttemptLoop(context, task, plan.createWork(task, undefined)).run();
+		} else {
+			await runClaimed(context, task, plan, plan.claim);
+		}
+	} catch (error) {
+		task.record('internal_error', {message: error instanceof Error ? error.message : 'unknown error'});
+	} finally {
+		task.apply({type: 'refused', reason: refusalReasons.internal});
+	}
+};
+
+/** Runs one authenticated request from its limits to its final answer. */
+export const runRequest = async (context: CallerContext, exchange: Exchange, caller: AuthenticatedCaller, plan: RequestPlan): Promise<void> => {
+	const {services} = context;
+	const limit = await services.limits.tryAdmit(caller.workspace, caller.plan, {tokens: plan.costTokens});
+	if (limit.type === 'refused') {
+		refuseAuthenticated(context, exchange, caller, {
+			reason: limit.reason, message: refusalMessages[limit.reason], retryAfterMs: limit.retryAfterMs, promptTokens: plan.promptTokens,
+		});
+		return;
+	}
+
+	await runAdmitted(context, exchange, caller, {plan, limit});
+};
+
+type Admission = {plan: RequestPlan; limit: Extract<LimitAnswer, {type: 'admitted'}>};
+
+const runAdmitted = async (context: CallerContext, exchange: Exchange, caller: AuthenticatedCaller, {plan, limit}: Admission): Promise<void> => {
+	const task = new RequestTask(context.services, {
+		requestId: exchange.requestId,
+		workspace: caller.workspace,
+		plan: caller.plan,
+		priority: caller.headers.priority,
+		arrivedAt: exchange.arrivedAt,
+		deadlineMs: Math.min(caller.headers.deadlineMs ?? caller.plan.deadlineMs, caller.plan.deadlineMs),
+		isIdempotent: plan.isIdempotent,
+		firstTokenTargetMs: findTarget(caller, plan.promptTokens),
+	});
+	const handleClose = () => {
+		if (!exchange.response.writableFinished) {
+			task.apply({type: 'callerGone'});
+		}
+	};
+
+	context.tasks.add(task);
+	context.services.metrics.count('request.accepted');
+	exchange.response.once('close', handleClose);
+	let outcome: Outcome = {kind: outcomeKinds.failed, reason: refusalReasons.internal};
+	try {
+		task.applyAdmission();
+		if (exchange.response.closed) {
+			handleClose();
+		}
+
+		context.runInBackground(async () => runTask(context, task, plan));
+		outcome = await task.done;
+		plan.respond(outcome);
+	} finally {
+		context.tasks.delete(task);
+		limit.release(plan.countUsedTokens(outcome));
+		task.record('outcome', {...outcome});
+		recordSummary(context, {
+			exchange, caller, plan, outcome,
+		});
+	}
+};
--- /dev/null
+++ b/packages/entry/src/callers/request-task.ts
@@ -0,0 +1,121 @@
+import {
+	outcomeKinds, RequestLifecycle, type AttemptRecord, type Outcome, type Plan, type Priority, type RequestCommand, type RequestEvent, type Workspace,
+} from '@knapweedrack/core';
+import type {EntryServices} from '../contracts.js';
+
+/** Facts of a request that passed authentication. */
+export type RequestFacts = {
+	requestId: string;
+	workspace: Workspace;
+	plan: Plan;
+	priority: Priority;
+	/** Monotonic time in ms at which the headers arrived. */
+	arrivedAt: number;
+	/** Time in ms from arrival to the deadline. */
+	deadlineMs: number;
+	isIdempotent: boolean;
+	/** Target for the first token in ms from arrival; undefined when the plan has none. */
+	firstTokenTargetMs?: number | undefined;
+};
+
+/** One request from authentication to its one final outcome. */
+export class RequestTask {
+	/** Settles once with the final outcome; work that is still to be cleaned up may continue. */
+	readonly done: Promise<Outcome>;
+	readonly deadlineAt: number;
+	readonly #lifecycle: RequestLifecycle;
+	readonly #abort = new AbortController();
+	#settle!: (outcome: Outcome) => void;
+	#cancelDeadline: (() => void) | undefined;
+
+	constructor(private readonly services: EntryServices, readonly facts: RequestFacts) {
+		this.#lifecycle = new RequestLifecycle({isIdempotent: facts.isIdempotent});
+		this.deadlineAt = facts.arrivedAt + facts.deadlineMs;
+		this.done = new Promise(resolve => {
+			this.#settle = resolve;
+		});
+	}
+
+	get requestId(): string {
+		return this.facts.requestId;
+	}
+
+	/** Aborts when the request ends in any way other than by its complete answer. */
+	get signal(): AbortSignal {
+		return this.#abort.signal;
+	}
+
+	get isFinal(): boolean {
+		return this.#lifecycle.isFinal;
+	}
+
+	get attempts(): AttemptRecord[] {
+		return this.#lifecycle.attempts;
+	}
+
+	/** Time in ms until the deadline. */
+	get leftMs(): number {
+		return this.deadlineAt - this.services.timer.now();
+	}
+
+	/** Time in ms until the first token is due; the queues of backend servers are ordered by it. */
+	get firstTokenLeftMs(): number {
+		const {arrivedAt, firstTokenTargetMs, deadlineMs} = this.facts;
+		return arrivedAt + (firstTokenTargetMs ?? deadlineMs) - this.services.timer.now();
+	}
+
+	/** Applies an event of the request's lifecycle; events after the final outcome have no effect. */
+	apply(event: RequestEvent): void {
+		const now = this.services.timer.now();
+		for (const command of this.#lifecycle.handle(event, now)) {
+			this.#execute(command, now);
+		}
+	}
+
+	/** Starts the deadline after the limits admitted the request. */
+	applyAdmission(): void {
+		this.apply({type: 'admitted', deadlineInMs: Math.max(0, this.leftMs)});
+	}
+
+	/** Keeps the present state of an attempt, from which the outcome is computed at any later moment. */
+	recordAttempt(attempt: AttemptRecord): void {
+		this.#lifecycle.recordAttempt(attempt);
+	}
+
+	/** Records a step for `explain`. */
+	record(step: string, detail: Record<string, unknown>): void {
+		this.services.explain.record(this.requestId, {step, detail});
+	}
+
+	#execute(command: RequestCommand, now: number): void {
+		const handlers: {[Type in RequestCommand['type']]: (command: Extract<RequestCommand, {type: Type}>) => void} = {
+			startDeadline: ({at}) => {
+				this.#startDeadline(at - now);
+			},
+			cancelDeadline: () => {
+				this.#cancelDeadline?.();
+			},
+			cancelAttempt: () => {
+				this.#abort.abort();
+			},
+			finish: ({outcome}) => {
+				this.#finish(outcome);
+			},
+		};
+		handlers[command.type](command as never);
+	}
+
+	#startDeadline(delayMs: number): void {
+		this.#cancelDeadline = this.services.timer.schedule(delayMs, () => {
+			this.apply({type: 'deadline', retryAfterMs: 1000});
+		});
+	}
+
+	#finish(outcome: Outcome): void {
+		if (outcome.kind !== outcomeKinds.completed) {
+			this.#abort.abort();
+		}
+
+		this.#settle(outcome);
+	}
+}
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,1 +1,2 @@
+export * from './callers/index.js';
 export type * from './contracts.js';
