--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -5,3 +5,4 @@
 export type * from './http/stand-in.js';
 export * from './platform/platform.js';
 export * from './service/service.js';
+export * from './process-group/process-group.js';
--- /dev/null
+++ b/packages/testkit/src/process-group/parent-handlers.ts
@@ -0,0 +1,32 @@
+import process from 'node:process';
+
+const parentSignals = ['SIGINT', 'SIGTERM', 'SIGHUP'] as const;
+
+/**
+ * Calls a function when this process exits or receives a signal that ends it; returns a function that removes the handlers.
+ * Only synchronous work is possible then. A signal keeps its default effect.
+ */
+export const addParentHandlers = (closeChildren: () => void): (() => void) => {
+	const handleSignal = (signal: NodeJS.Signals): void => {
+		closeChildren();
+		removeHandlers();
+		// Another handler of the signal, such as that of a test runner, decides about the end of the process.
+		if (process.listenerCount(signal) === 0) {
+			process.kill(process.pid, signal);
+		}
+	};
+
+	const removeHandlers = (): void => {
+		process.off('exit', closeChildren);
+		for (const signal of parentSignals) {
+			process.off(signal, handleSignal);
+		}
+	};
+
+	process.on('exit', closeChildren);
+	for (const signal of parentSignals) {
+		process.on(signal, handleSignal);
+	}
+
+	return removeHandlers;
+};
