--- /dev/null
+++ b/packages/testkit/src/fleet/deployment.ts
@@ -0,0 +1,59 @@
+import {z} from 'zod';
+
+const name = z.string().regex(/^[a-z\d][a-z\d\-]{0,60}$/v);
+const count = z.number().int().nonnegative();
+
+/** Instances of one deployment and the lists to install. */
+export const deploymentSchema = z.strictObject({
+	/** Region of each failure domain. */
+	failureDomains: z.record(name, name),
+	/** Number of engines by model and failure domain. */
+	engines: z.record(name, z.record(name, count)),
+	/** Number of plain service instances by service and failure domain. */
+	services: z.record(name, z.record(name, count)).default({}),
+	/** Number of entries by failure domain. */
+	entries: z.record(name, count).default({}),
+	/** Text of the operators' lists in YAML. */
+	lists: z.strictObject({workspaces: z.string(), plans: z.string()}),
+});
+/** Instances of one deployment and the lists to install. */
+export type Deployment = z.infer<typeof deploymentSchema>;
+/** Description of a deployment; services and entries may be left out. */
+export type DeploymentInput = z.input<typeof deploymentSchema>;
+
+/** One instance to start. */
+export type PlannedInstance = {
+	id: string;
+	kind: 'engine' | 'service' | 'entry';
+	failureDomain: string;
+	region: string;
+	/** Model of an engine or name of a service; empty for entries. */
+	serves: string;
+};
+
+/** Lists the instances of a deployment with ids such as `fibre-scribe-kochi-1`. */
+export const listPlannedInstances = (deployment: Deployment): PlannedInstance[] => [
+	...listByName(deployment, 'engine', deployment.engines),
+	...listByName(deployment, 'service', deployment.services),
+	...listByName(deployment, 'entry', {entry: deployment.entries}),
+];
+
+const listByName = ({failureDomains}: Deployment, kind: PlannedInstance['kind'], counts: Deployment['engines']): PlannedInstance[] => {
+	const instances: PlannedInstance[] = [];
+	for (const [serves, byDomain] of Object.entries(counts)) {
+		for (const [failureDomain, number] of Object.entries(byDomain)) {
+			const region = failureDomains[failureDomain];
+			if (region === undefined) {
+				throw new RangeError(`${serves} has instances in the unknown failure domain ${failureDomain}`);
+			}
+
+			for (let index = 1; index <= number; index += 1) {
+				instances.push({
+					id: `${serves}-${failureDomain}-${index}`, kind, failureDomain, region, serves: kind === 'entry' ? '' : serves,
+				});
+			}
+		}
+	}
+
+	return instances;
+};
