--- a/packages/entry/src/callers/body-reader.ts
+++ b/packages/entry/src/callers/body-reader.ts
@@ -27,9 +27,17 @@
 		const cancelTimeout = timer.schedule(timeoutMs, () => {
 			settle(createError(createRefusal(refusalReasons.requestTimeout, `the body did not arrive within ${timeoutMs} ms`)));
 		});
+		const handleEnd = () => {
+			settle(createOk(Buffer.concat(parts)));
+		};
+
+		const handleClose = () => {
+			settle(createError(createRefusal(refusalReasons.callerGone, 'the connection ended before the end of the body')));
+		};
+
 		const settle = (result: Result<Buffer, Refusal>) => {
 			cancelTimeout();
-			request.off('data', handleData);
+			request.off('data', handleData).off('end', handleEnd).off('error', handleClose).off('close', handleClose);
 			// Discards the rest: closing a socket with unread data would reset it and lose the answer.
 			request.resume();
 			resolve(result);
@@ -43,16 +51,7 @@
 			}
 		};
 
-		request.on('data', handleData);
-		request.once('end', () => {
-			settle(createOk(Buffer.concat(parts)));
-		});
-		request.once('error', () => {
-			settle(createError(createRefusal(refusalReasons.callerGone, 'the connection ended before the end of the body')));
-		});
-		request.once('close', () => {
-			settle(createError(createRefusal(refusalReasons.callerGone, 'the connection ended before the end of the body')));
-		});
+		request.on('data', handleData).once('end', handleEnd).once('error', handleClose).once('close', handleClose);
 	});
 };
 
--- a/packages/entry/src/callers/caller-fixture.test.ts
+++ b/packages/entry/src/callers/caller-fixture.test.ts
@@ -82,7 +82,7 @@
 
 		if (options.hasService) {
 			this.service = await startService();
-			this.#addServer('service-1', this.service.address, 'service');
+			this.addServer('service-1', this.service.address, 'service');
 		}
 
 		const store = this.#createCountingStore(createObjectStore(this.#http));
@@ -149,6 +149,12 @@
 		}
 	}
 
+	addServer(id: string, address: string, kind: 'engine' | 'service'): void {
+		this.servers.push({
+			id, address, kind, failureDomain: 'regina', serves: kind === 'engine' ? 'truing-model' : 'work-orders', state: 'live',
+		});
+	}
+
 	async #addEngine(id: string, options: Partial<EngineOptions>): Promise<void> {
 		// A fast warm engine, so that tests do not wait for modelled time.
 		const engine = await startEngine({
@@ -156,17 +162,11 @@
 		});
 		this.engines.push(engine);
 		this.#kvTokens.set(id, options.kvTokens ?? 400_000);
-		this.#addServer(id, engine.address, 'engine');
+		this.addServer(id, engine.address, 'engine');
 		const state = await this.fetchState<EngineState>(engine);
 		this.#bootIds.set(id, state.bootId);
 	}
 
-	#addServer(id: string, address: string, kind: 'engine' | 'service'): void {
-		this.servers.push({
-			id, address, kind, failureDomain: 'regina', serves: kind === 'engine' ? 'truing-model' : 'work-orders', state: 'live',
-		});
-	}
-
 	#createCountingStore(store: ObjectStore): ObjectStore {
 		const {storeCalls} = this;
 		return {
--- a/packages/entry/src/callers/completion-answer.ts
+++ b/packages/entry/src/callers/completion-answer.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import type {AnswerSink} from './engine-attempt.js';
 import {
@@ -12,6 +13,7 @@
 	#parts: string[] = [];
 	#lastText = '';
 	#seq = 0;
+	#isCorked = false;
 
 	constructor(
 		private readonly response: ServerResponse,
@@ -38,6 +40,20 @@
 		}
 	}
 
+	cork(): void {
+		if (!this.#isCorked && !this.response.destroyed) {
+			this.#isCorked = true;
+			this.response.cork();
+		}
+	}
+
+	uncork(): void {
+		if (this.#isCorked) {
+			this.#isCorked = false;
+			this.response.uncork();
+		}
+	}
+
 	finish(text: string, totals: AnswerTotals): void {
 		this.firstTokenAt ??= this.options.now();
 		this.#parts.push(text);
@@ -59,11 +75,13 @@
 		}
 
 		if (!options.isStreamed) {
-			response.writeHead(200, {'content-type': 'application/json', 'x-request-id': identity.requestId});
-			response.end(JSON.stringify(buildWholeAnswer(identity, this.text, totals)));
+			const body = JSON.stringify(buildWholeAnswer(identity, this.text, totals));
+			response.writeHead(200, {'content-type': 'application/json', 'content-length': Buffer.byteLength(body), 'x-request-id': identity.requestId});
+			response.end(body);
 			return;
 		}
 
+		this.cork();
 		const chunks = this.#seq + (options.includesUsage ? 2 : 1);
 		const summary = {chunks, tokens: totals.completionTokens, checksum: totals.checksum};
 		this.#writeChunk(this.#lastText, totals.finishReason, options.includesUsage ? {} : summary);
@@ -72,6 +90,7 @@
 		}
 
 		response.end('data: [DONE]\n\n');
+		this.uncork();
 	}
 
 	/** Ends a stream that cannot be completed; it never carries the end marker. */
@@ -95,7 +114,8 @@
 	/** A caller that reads slowly slows the engine's stream instead of filling the memory of the entry. */
 	async #waitForDrain(): Promise<void> {
 		const {response} = this;
-		if (response.destroyed) {
+		this.uncork();
+		if (response.destroyed || !response.writableNeedDrain) {
 			return;
 		}
 
--- a/packages/entry/src/callers/engine-attempt.ts
+++ b/packages/entry/src/callers/engine-attempt.ts
@@ -20,6 +20,9 @@
 	write: (text: string) => Promise<void> | void;
 	/** True when written text is passed on to the caller at once. */
 	isPassedOn: boolean;
+	/** Holds back and releases output, so that frames that arrive together leave together. */
+	cork: () => void;
+	uncork: () => void;
 	/** Takes the last text and the totals of the complete answer. */
 	finish: (text: string, totals: AnswerTotals) => void;
 };
@@ -35,6 +38,8 @@
 
 const longestCancelAttempts = 3;
 const cancelRetryMs = 500;
+/** Bytes after the last frame, usually the end marker, that are read to keep a connection. */
+const unreadLimitBytes = 16_384;
 
 type StreamEnd =
 	| {type: 'complete'}
@@ -115,13 +120,20 @@
 	}
 
 	async #readStream({body}: BackendAnswer): Promise<StreamEnd> {
+		// A destroyed body reports an error to nobody else; without a listener it would stop the process.
+		body.on('error', () => undefined);
 		try {
-			for await (const bytes of body) {
-				for (const data of this.#reader.accept(bytes as Uint8Array)) {
-					const end = await this.#acceptEvent(data);
-					if (end !== undefined) {
-						return end;
-					}
+			// The body is not destroyed on return, so that its connection can be used again.
+			for await (const bytes of body.iterator({destroyOnReturn: false})) {
+				const end = await this.#acceptBytes(bytes as Uint8Array);
+				if (end?.type === 'complete') {
+					this.context.runInBackground(async () => body.dump({limit: unreadLimitBytes}));
+					return end;
+				}
+
+				if (end !== undefined) {
+					body.destroy();
+					return end;
 				}
 			}
 		} catch (error) {
@@ -137,6 +149,23 @@
 		return this.task.signal.aborted ? {type: 'stopped'} : {type: 'broken'};
 	}
 
+	async #acceptBytes(bytes: Uint8Array): Promise<StreamEnd | undefined> {
+		const {sink} = this.generation;
+		sink.cork();
+		try {
+			for (const data of this.#reader.accept(bytes)) {
+				const end = await this.#acceptEvent(data);
+				if (end !== undefined) {
+					return end;
+				}
+			}
+		} finally {
+			sink.uncork();
+		}
+
+		return undefined;
+	}
+
 	async #acceptEvent(data: string): Promise<StreamEnd | undefined> {
 		if (this.task.isFinal) {
 			return {type: 'stopped'};
--- a/packages/entry/src/callers/permit-acquisition.ts
+++ b/packages/entry/src/callers/permit-acquisition.ts
@@ -50,20 +50,22 @@
 };
 
 const waitForAbort = (signal: AbortSignal): {promise: Promise<'aborted'>; stop: () => void} => {
-	const stopping = new AbortController();
+	let handleAbort!: () => void;
 	const promise = new Promise<'aborted'>(resolve => {
-		if (signal.aborted) {
+		handleAbort = () => {
 			resolve('aborted');
-		}
-
-		signal.addEventListener('abort', () => {
-			resolve('aborted');
-		}, {once: true, signal: stopping.signal});
+		};
 	});
+	if (signal.aborted) {
+		handleAbort();
+	}
+
+	// Removed by hand: aborting a second signal for the removal would build an error object for each request.
+	signal.addEventListener('abort', handleAbort, {once: true});
 	return {
 		promise,
 		stop() {
-			stopping.abort();
+			signal.removeEventListener('abort', handleAbort);
 		},
 	};
 };
