--- a/packages/core/src/admission/admission-point.ts
+++ b/packages/core/src/admission/admission-point.ts
@@ -3,7 +3,7 @@
 	type AttemptResult, type BackendServerProfile, type EngineReport, type LoadSnapshot, type Permit, type PermitRequest,
 	type RefusalReason,
 } from '../types/index.js';
-import {WarmupLevel} from '../warmup/index.js';
+import {WarmupLevel, type WarmupHandover} from '../warmup/index.js';
 import {computeBounds, type AdmissionBounds} from './admission-bounds.js';
 import type {AdmissionCommand, AdmissionEvent, AdmissionMode} from './admission-events.js';
 import {resolveAdmissionOptions, type AdmissionOptions, type ResolvedAdmissionOptions} from './admission-options.js';
@@ -11,12 +11,14 @@
 import {DrainEstimator} from './drain-estimator.js';
 import {LaneCredits} from './lane-credits.js';
 import {computeEnginePriority, computeLane, lanes} from './lanes.js';
-import {buildPermitId, parsePermitAttemptId} from './permit-id.js';
+import {buildPermitId, parsePermitId} from './permit-id.js';
 import {PermitLedger, type HeldPermit} from './permit-ledger.js';
 
 /** Capacity set aside for a request that waited for long. */
 type Claim = {queued: QueuedRequest; waitedMs: number};
 
+type EventHandlers = {[Type in AdmissionEvent['type']]: (event: AdmissionEvent & {type: Type}) => void};
+
 const minRetryAfterMs = 100;
 const maxRetryAfterMs = 60_000;
 const deadlineScanMs = 250;
@@ -46,12 +48,40 @@
 	#mode: AdmissionMode = 'full';
 	#bootId: string | undefined;
 	#isLeaving = false;
+	/** True once the boot id changed while this entry was the owner. */
+	#hasRestarted = false;
 	/** True until a report shows the state of the server, initially and after a crash. */
 	#needsReport: boolean;
 	#sequence = 0;
 	#now = 0;
 	#scannedAt = 0;
 	#commands: AdmissionCommand[] = [];
+	readonly #handlers: EventHandlers = {
+		request: ({request}) => {
+			this.#handleRequest(request);
+		},
+		renew: ({permitIds}) => {
+			for (const permitId of permitIds) {
+				this.#handleRenew(permitId);
+			}
+		},
+		firstToken: ({permitId}) => {
+			this.#handleFirstToken(permitId);
+		},
+		release: ({permitId, result}) => {
+			this.#handleRelease(permitId, result);
+		},
+		withdraw: ({attemptId}) => {
+			this.#handleWithdraw(attemptId);
+		},
+		report: ({report}) => {
+			this.#handleReport(report);
+		},
+		mode: ({mode}) => {
+			this.#mode = mode;
+		},
+		tick: () => undefined,
+	};
 
 	constructor(profile: BackendServerProfile, options: AdmissionOptions = {}) {
 		this.#options = resolveAdmissionOptions(options);
@@ -98,6 +128,11 @@
 		return this.#bootId;
 	}
 
+	/** Level to pass on to the next owner at a planned handover; `undefined` before the first report. */
+	get handover(): WarmupHandover | undefined {
+		return this.#bootId === undefined ? undefined : {bootId: this.#bootId, factor: this.#warmup.factor};
+	}
+
 	/** True when a permit is known; entries drop renewals of unknown ones. */
 	hasPermit(permitId: string): boolean {
 		return this.#ledger.get(permitId) !== undefined;
@@ -121,34 +156,8 @@
 		return !this.#needsReport && !this.#isLeaving && this.#mode !== 'stopped';
 	}
 
-	#apply(event: AdmissionEvent): void {
-		const handlers: {[Type in AdmissionEvent['type']]: (event: AdmissionEvent & {type: Type}) => void} = {
-			request: ({request}) => {
-				this.#handleRequest(request);
-			},
-			renew: ({permitIds}) => {
-				for (const permitId of permitIds) {
-					this.#handleRenew(permitId);
-				}
-			},
-			firstToken: ({permitId}) => {
-				this.#handleFirstToken(permitId);
-			},
-			release: ({permitId, result}) => {
-				this.#handleRelease(permitId, result);
-			},
-			withdraw: ({attemptId}) => {
-				this.#handleWithdraw(attemptId);
-			},
-			report: ({report}) => {
-				this.#handleReport(report);
-			},
-			mode: ({mode}) => {
-				this.#mode = mode;
-			},
-			tick: () => undefined,
-		};
-		(handlers[event.type] as (event: AdmissionEvent) => void)(event);
+	#apply<Type extends AdmissionEvent['type']>(event: AdmissionEvent & {type: Type}): void {
+		(this.#handlers[event.type] as (event: AdmissionEvent & {type: Type}) => void)(event);
 	}
 
 	#handleRequest(request: PermitRequest): void {
@@ -223,18 +232,25 @@
 
 	#handleRenew(permitId: string): void {
 		const held = this.#ledger.get(permitId);
-		const expiresAt = this.#now + this.#options.permitLifetimeMs;
 		if (held !== undefined) {
-			this.#ledger.renew(held, expiresAt);
+			this.#ledger.renew(held, this.#now + this.#options.permitLifetimeMs);
 			return;
 		}
 
-		const attemptId = parsePermitAttemptId(permitId);
-		if (attemptId !== undefined && this.#mode !== 'stopped' && this.#ledger.findByAttempt(attemptId) === undefined) {
-			this.#addAdopted(permitId, attemptId);
+		const parsed = parsePermitId(permitId);
+		if (parsed !== undefined && this.#canAdopt(parsed)) {
+			this.#addAdopted(permitId, parsed.attemptId);
 		}
 	}
 
+	/** A late renewal of an own or a finished permit, or of one for a former boot, must not hold capacity again. */
+	#canAdopt({fencingNumber, attemptId}: {fencingNumber: number; attemptId: string}): boolean {
+		return fencingNumber < this.#options.fencingNumber
+			&& !this.#hasRestarted
+			&& this.#mode !== 'stopped'
+			&& !this.#ledger.isKnown(attemptId);
+	}
+
 	#addAdopted(permitId: string, attemptId: string): void {
 		this.#ledger.addAdopted({
 			permitId,
@@ -258,7 +274,6 @@
 		this.#ledger.recordFirstToken(held);
 		if (!held.isAdopted) {
 			this.#warmup.recordFirstToken({
-				grantedAt: held.grantedAt,
 				firstTokenMs: this.#now - held.grantedAt,
 				expectedMs: held.expectedFirstTokenMs,
 			}, this.#now);
@@ -280,6 +295,7 @@
 		}
 
 		if (result === attemptResults.completed) {
+			this.#warmup.recordCompleted(held.grantedAt, this.#now);
 			this.#estimator.recordHold(this.#now - held.grantedAt);
 			this.#estimator.recordDecode(this.#now - (held.firstTokenAt ?? held.grantedAt), held.decodeTokens);
 		}
@@ -311,18 +327,27 @@
 
 		this.#needsReport = false;
 		this.#isLeaving = report.state === 'leaving';
-		for (const orphan of this.#ledger.reconcileReport(report, this.#now)) {
-			this.#commands.push({type: 'cancel', ...orphan});
+		const orphans = this.#ledger.reconcileReport(report, this.#now);
+		// Only a sole owner knows that nobody else renews the permit.
+		if (this.#mode === 'full') {
+			this.#commands.push(...orphans.map(orphan => ({type: 'cancel' as const, ...orphan})));
 		}
 	}
 
 	#handleBoot(bootId: string): void {
 		if (this.#bootId !== undefined) {
 			this.#ledger.reset();
+			this.#hasRestarted = true;
+		}
+
+		const {handover} = this.#options;
+		if (this.#bootId === undefined && handover?.bootId === bootId) {
+			this.#warmup.resetTo(handover.factor, this.#now);
+		} else {
+			this.#warmup.reset(this.#now);
 		}
 
 		this.#bootId = bootId;
-		this.#warmup.reset(this.#now);
 	}
 
 	#updateExpired(): void {
@@ -346,7 +371,7 @@
 
 		this.#scannedAt = this.#now;
 		for (const queued of this.#queue.list()) {
-			const leastMs = this.#computePrefillMs(queued.request.prefillTokens) + this.#estimateDecodeMs(queued.request);
+			const leastMs = this.#estimateLeast(queued) + this.#estimateDecodeMs(queued.request);
 			const misfit = this.#findMisfit(queued.request);
 			if (misfit !== undefined || this.#now + leastMs > queued.deadlineAt) {
 				this.#queue.remove(queued.request.attemptId);
@@ -359,6 +384,14 @@
 		}
 	}
 
+	/** Least time in ms to the first token of a queued request; only the shortest lane drains steadily enough to be measured. */
+	#estimateLeast({request, lane}: QueuedRequest): number {
+		const inFlight = this.#ledger.usage.lanePrefillTokens[0]!;
+		return lane === 0
+			? ((inFlight + request.prefillTokens) * 1000) / Math.max(1, this.#estimator.getDrainRate(0))
+			: this.#computePrefillMs(request.prefillTokens);
+	}
+
 	#refuseAll(): void {
 		const reason = this.#isLeaving ? refusalReasons.noBackendServer : refusalReasons.ownershipDisputed;
 		for (const queued of this.#queue.list()) {
