--- a/packages/testkit/src/engine/engine-model.ts
+++ b/packages/testkit/src/engine/engine-model.ts
@@ -246,7 +246,7 @@
 	reset(): void {
 		this.#jobs.clear();
 		this.#ledger = new KvLedger(this.#options.kvTokens);
-		this.#cache.clear();
+		this.#cache.reset();
 		this.#step = undefined;
 		this.#events = [];
 		this.#completed = 0;
--- a/packages/testkit/src/engine/engine-status.ts
+++ b/packages/testkit/src/engine/engine-status.ts
@@ -7,15 +7,13 @@
 
 const idleLoad: LoadFigures = {kvTokensUsed: 0, running: [], reservations: []};
 
-/** Status of an engine whose load figures lag; real time in ms is passed in. */
+/** Status of an engine whose load figures are published periodically, so that they are up to one period old; real time in ms is passed in. */
 export class EngineStatus {
 	readonly #options: EngineOptions;
 	readonly #model: EngineModel;
 	readonly #clock: EngineClock;
-	/** Load shown now. */
+	/** Load at the last publication. */
 	#shown = idleLoad;
-	/** Load that is shown after the lag. */
-	#pending: {at: number; load: LoadFigures} | undefined;
 
 	constructor(options: EngineOptions, model: EngineModel, clock: EngineClock) {
 		this.#options = options;
@@ -37,29 +35,19 @@
 				coldConcurrency: options.coldConcurrency,
 				coldPrefillTokens: options.coldPrefillTokens,
 			},
-			...this.#getLoad(now),
+			...(options.statusLagMs === 0 ? this.#readLoad(now) : this.#shown),
 			...(state.fencingNumber === undefined ? {} : {fencingNumber: state.fencingNumber}),
 		};
 	}
 
+	/** Takes the present load as the one to show; called once per lag period. */
+	publish(now: number): void {
+		this.#shown = this.#readLoad(now);
+	}
+
 	/** Forgets the load of an earlier boot. */
 	reset(): void {
 		this.#shown = idleLoad;
-		this.#pending = undefined;
-	}
-
-	#getLoad(now: number): LoadFigures {
-		if (this.#options.statusLagMs === 0) {
-			return this.#readLoad(now);
-		}
-
-		if (this.#pending && now - this.#pending.at >= this.#options.statusLagMs) {
-			this.#shown = this.#pending.load;
-			this.#pending = undefined;
-		}
-
-		this.#pending ??= {at: now, load: this.#readLoad(now)};
-		return this.#shown;
 	}
 
 	#readLoad(now: number): LoadFigures {
--- a/packages/testkit/src/engine/engine.ts
+++ b/packages/testkit/src/engine/engine.ts
@@ -1,6 +1,8 @@
 import {randomUUID} from 'node:crypto';
 import {performance} from 'node:perf_hooks';
-import {clearTimeout, setTimeout} from 'node:timers';
+import {
+	clearInterval, clearTimeout, setInterval, setTimeout,
+} from 'node:timers';
 import {setTimeout as wait} from 'node:timers/promises';
 import {
 	engineOrderSchema, generateRequestSchema, reservationRequestSchema, segmentRequestSchema,
@@ -101,11 +103,12 @@
 	#seenAttempts = new Set<string>();
 	#bootId = randomUUID();
 	#crashes = 0;
-	#isDown = false;
+	#downUntil = 0;
 	#isClosed = false;
 	#fencingNumber = 0;
 	#assignment: EngineAssignment;
 	#timer: NodeJS.Timeout | undefined;
+	readonly #publishTimer: NodeJS.Timeout | undefined;
 	#thaw: {promise: Promise<void>; resolve: () => void} | undefined;
 
 	constructor(readonly options: EngineOptions) {
@@ -116,6 +119,11 @@
 		this.#assignment = {
 			model: options.model, version: options.modelVersion, adapters: [], role: 'both', lastOrderId: '',
 		};
+		if (options.statusLagMs > 0) {
+			this.#publishTimer = setInterval(() => {
+				this.#publishStatus();
+			}, options.statusLagMs).unref();
+		}
 	}
 
 	addRoutes(router: Router): void {
@@ -164,6 +172,7 @@
 	close(): void {
 		this.#isClosed = true;
 		clearTimeout(this.#timer);
+		clearInterval(this.#publishTimer);
 		this.#thaw?.resolve();
 	}
 
@@ -193,7 +202,7 @@
 				this.#exchanges.delete(exchange);
 			});
 			await this.#thaw?.promise;
-			if (this.#isDown || this.#isClosed) {
+			if (this.#isDown() || this.#isClosed) {
 				closeConnection(exchange);
 				return;
 			}
@@ -210,15 +219,16 @@
 
 	/** Runs the model up to the present and schedules the next call. */
 	#handleTime(): void {
-		if (this.#isDown || this.#isClosed || this.#clock.isFrozen) {
+		if (this.#isDown() || this.#isClosed || this.#clock.isFrozen) {
 			return;
 		}
 
 		const now = getNow();
 		this.#model.setSlowness(this.#faults.find('slow', now)?.factor ?? 1);
+		const bootId = this.#bootId;
 		for (const event of this.#model.handleTime(this.#clock.getModelTime(now))) {
 			this.#eventHandlers[event.type](event as never, now);
-			if (this.#isDown) {
+			if (bootId !== this.#bootId) {
 				return;
 			}
 		}
@@ -227,6 +237,12 @@
 		this.#schedule();
 	}
 
+	#publishStatus(): void {
+		if (!this.#clock.isFrozen) {
+			this.#status.publish(getNow());
+		}
+	}
+
 	#schedule(): void {
 		clearTimeout(this.#timer);
 		const next = this.#model.getNextTime();
@@ -555,6 +571,10 @@
 		sendJson(exchange, 200, {bootId: this.#bootId, events: this.#feed.list(after.data, getNow())});
 	}
 
+	#isDown(): boolean {
+		return getNow() < this.#downUntil;
+	}
+
 	#isLeaving(): boolean {
 		return this.#faults.has('leaving', getNow());
 	}
@@ -606,11 +626,8 @@
 	/** Cuts all connections and stays down for the restart time. */
 	#crash(): void {
 		this.#crashes += 1;
-		this.#isDown = true;
+		this.#downUntil = getNow() + this.options.restartMs;
 		this.#restart();
-		setTimeout(() => {
-			this.#isDown = false;
-		}, this.options.restartMs).unref();
 	}
 
 	/** Cuts all connections and starts with a new boot id and empty memory. */
@@ -623,7 +640,7 @@
 		this.#model.consumeCacheChanges();
 		this.#feed.reset();
 		this.#status.reset();
-		this.#streams.cut();
+		this.#streams.closeAll();
 		for (const exchange of this.#exchanges) {
 			closeConnection(exchange);
 		}
--- a/packages/testkit/src/engine/generate-streams.ts
+++ b/packages/testkit/src/engine/generate-streams.ts
@@ -49,7 +49,7 @@
 	}
 
 	/** Cuts all streams. */
-	cut(): void {
+	closeAll(): void {
 		for (const {stream} of this.#open.values()) {
 			stream.close('cut');
 		}
--- a/packages/testkit/src/engine/prefix-cache.ts
+++ b/packages/testkit/src/engine/prefix-cache.ts
@@ -71,7 +71,7 @@
 		this.#record('evicted', evicted);
 	}
 
-	clear(): void {
+	reset(): void {
 		this.#users = new Map();
 		this.#unused = 0;
 		this.#changes.push({kind: 'cleared', blocks: []});
--- a/packages/testkit/src/fleet/fleet.ts
+++ b/packages/testkit/src/fleet/fleet.ts
@@ -140,29 +140,29 @@
 	/** Writes a member into the instance list; it is shown there with the list's lag. */
 	async setInstanceState(id: string, state: ListedInstance['state']): Promise<void> {
 		const {kind, failureDomain, serves, address} = this.#getPlan(id).member;
-		await this.#callPlatform('PUT', `/testkit/instances/${id}`, {
+		await this.#sendToPlatform('PUT', `/testkit/instances/${id}`, {
 			id, address, kind, failureDomain, serves, state,
 		} satisfies ListedInstance);
 	}
 
 	/** Removes a member from the instance list. */
 	async removeInstance(id: string): Promise<void> {
-		await this.#callPlatform('DELETE', `/testkit/instances/${id}`);
+		await this.#sendToPlatform('DELETE', `/testkit/instances/${id}`);
 	}
 
 	/** Adds a fault to a stand-in; `platform` is the id of the platform. */
 	async addFault(id: string, fault: Record<string, unknown>): Promise<void> {
-		await callStandIn('POST', this.#getAddress(id), '/testkit/faults', fault);
+		await sendToStandIn('POST', this.#getAddress(id), '/testkit/faults', fault);
 	}
 
 	/** Ends all faults of a stand-in. */
 	async removeFaults(id: string): Promise<void> {
-		await callStandIn('DELETE', this.#getAddress(id), '/testkit/faults');
+		await sendToStandIn('DELETE', this.#getAddress(id), '/testkit/faults');
 	}
 
 	/** State of a stand-in without lag; see `docs/testkit.md`. */
 	async fetchState(id: string): Promise<unknown> {
-		return callStandIn('GET', this.#getAddress(id), '/testkit/state');
+		return sendToStandIn('GET', this.#getAddress(id), '/testkit/state');
 	}
 
 	/** Ends all processes and removes the temporary folder. */
@@ -242,8 +242,8 @@
 		}
 	}
 
-	async #callPlatform(method: 'PUT' | 'DELETE', path: string, body?: unknown): Promise<void> {
-		await callStandIn(method, this.#platformAddress, path, body);
+	async #sendToPlatform(method: 'PUT' | 'DELETE', path: string, body?: unknown): Promise<void> {
+		await sendToStandIn(method, this.#platformAddress, path, body);
 	}
 
 	#getPlan(id: string): StartPlan {
@@ -262,7 +262,7 @@
 
 // The values are the parts of an HTTP request line and its body.
 
-const callStandIn = async (method: 'GET' | 'POST' | 'PUT' | 'DELETE', address: string, path: string, body?: unknown): Promise<unknown> => {
+const sendToStandIn = async (method: 'GET' | 'POST' | 'PUT' | 'DELETE', address: string, path: string, body?: unknown): Promise<unknown> => {
 	const {statusCode, body: answer} = await sendRequest(`http://${address}${path}`, {
 		method,
 		...(body === undefined ? {} : {headers: {'content-type': 'application/json'}, body: JSON.stringify(body)}),
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -8,3 +8,4 @@
 export * from './process-group/process-group.js';
 export * from './fleet/deployment.js';
 export * from './fleet/fleet.js';
+export * from './engine/engine-model.js';
--- a/packages/testkit/src/platform/platform.ts
+++ b/packages/testkit/src/platform/platform.ts
@@ -139,7 +139,7 @@
 	}
 
 	close(): void {
-		this.#watches.close();
+		this.#watches.closeAll();
 	}
 
 	#getState(): unknown {
@@ -339,11 +339,11 @@
 		}
 
 		if (fault.kind === 'watchCut') {
-			this.#watches.cut(fault);
+			this.#watches.closeSome(fault);
 		}
 
 		if (fault.kind === 'down') {
-			this.#watches.cut({mode: 'cut', prefix: '', caller: fault.caller});
+			this.#watches.closeSome({mode: 'cut', prefix: '', caller: fault.caller});
 		}
 	}
 }
--- a/packages/testkit/src/platform/watch-table.ts
+++ b/packages/testkit/src/platform/watch-table.ts
@@ -55,7 +55,7 @@
 	}
 
 	/** Cuts or silences the waiting watches that a filter selects. */
-	cut(filter: WatchFilter): void {
+	closeSome(filter: WatchFilter): void {
 		for (const watch of this.#waiting.keys()) {
 			if (!watch.prefix.startsWith(filter.prefix) || (filter.caller !== undefined && filter.caller !== watch.caller)) {
 				continue;
@@ -71,7 +71,7 @@
 		}
 	}
 
-	close(): void {
+	closeAll(): void {
 		for (const watch of this.#waiting.keys()) {
 			this.#remove(watch);
 			closeConnection(watch.exchange);
--- a/packages/testkit/src/service/service.test.ts
+++ b/packages/testkit/src/service/service.test.ts
@@ -5,7 +5,7 @@
 describe('startService', () => {
 	let service: StandIn;
 
-	const call = async (id: string, key?: string): Promise<Response> => fetch(`http://${service.address}/bookings`, {
+	const send = async (id: string, key?: string): Promise<Response> => fetch(`http://${service.address}/bookings`, {
 		method: 'POST',
 		headers: {'x-request-id': id, 'x-attempt-id': `${id}-1`, ...(key === undefined ? {} : {'idempotency-key': key})},
 		body: `body of ${id}`,
@@ -32,9 +32,9 @@
 
 	// A service that deduplicated would hide a second execution.
 	it('counts every execution by idempotency key', async () => {
-		await call('r1', 'k1');
-		await call('r2', 'k1');
-		const response = await call('r3');
+		await send('r1', 'k1');
+		await send('r2', 'k1');
+		const response = await send('r3');
 		expect(response.headers.get('x-request-id')).to.equal('r3');
 		expect(await getExecutions()).to.deep.equal({k1: 2, r3: 1});
 	});
@@ -43,7 +43,7 @@
 		await addFault({kind: 'answerLost'});
 		let isLost = false;
 		try {
-			await call('r1', 'k1');
+			await send('r1', 'k1');
 		} catch {
 			isLost = true;
 		}
@@ -54,7 +54,7 @@
 
 	it('does not execute a call that it reports as not started', async () => {
 		await addFault({kind: 'notStarted'});
-		const response = await call('r1', 'k1');
+		const response = await send('r1', 'k1');
 		expect(response.status).to.equal(503);
 		expect(response.headers.get('x-started')).to.equal('false');
 		expect(await getExecutions()).to.deep.equal({});
@@ -62,9 +62,9 @@
 
 	// Guarantee 5 is tested against answers of other requests.
 	it('answers with the ids and the body of another request', async () => {
-		await call('r1');
+		await send('r1');
 		await addFault({kind: 'answerCrossed'});
-		const response = await call('r2');
+		const response = await send('r2');
 		expect(response.headers.get('x-request-id')).to.equal('r1');
 		expect(await response.json()).to.include({answerTo: 'r1'});
 		expect(await getExecutions()).to.deep.equal({r1: 1, r2: 1});
--- a/packages/testkit/src/service/service.ts
+++ b/packages/testkit/src/service/service.ts
@@ -94,12 +94,12 @@
 			return;
 		}
 
-		const answer = this.#execute(exchange, {requestId, attemptId}, body);
+		const answer = this.#runCall(exchange, {requestId, attemptId}, body);
 		await wait(this.options.workMs + (this.#faults.consume('slow', getNow(), applies)?.delayMs ?? 0), undefined, {ref: false});
 		this.#sendAnswer(exchange, answer);
 	}
 
-	#execute(exchange: Exchange, ids: {requestId: string; attemptId: string}, body: Buffer): ServiceAnswer {
+	#runCall(exchange: Exchange, ids: {requestId: string; attemptId: string}, body: Buffer): ServiceAnswer {
 		const idempotencyKey = findHeader(exchange, 'idempotency-key');
 		const key = idempotencyKey ?? ids.requestId;
 		const executions = this.#executions.get(key) ?? [];
