Add the command line for lists, drains, status and explain

Operators had no way to put their lists into force or to take failure domains out of service. The commands write by conditional update and read a lost answer back by edit id. Manifest and availability carry a short history of edits, so that the loser of a race sees who changed what; entries ignore that field.

Ruled out: resolving a lost answer from the latest edit id alone (a later edit hides it), and giving up when the base version is still present (the write may arrive later; the same conditional write sent again settles it). The client reports an aborted write as not sent, so writes are limited by their time-out and not by a signal. A secret on the command line is visible in the process list and comes from a file.

--- /dev/null
+++ b/packages/cli/src/commands/availability-commands.test.ts
@@ -0,0 +1,97 @@
+import {expect} from 'chai';
+import {
+	runJson, startRun, startTestPlatform, type TestPlatform,
+} from './cli-fixture.test.js';
+
+describe('availability commands', () => {
+	let platform: TestPlatform;
+
+	const edit = async (...argv: string[]) => runJson([...argv, '--no-wait', ...platform.flags]);
+
+	beforeEach(async () => {
+		platform = await startTestPlatform();
+		await platform.addEntries('alappuzha', 'kochi', 'kollam');
+	});
+
+	afterEach(async () => {
+		await platform.close();
+	});
+
+	it('drains and restores a failure domain and an instance', async () => {
+		expect(await edit('domain', 'drain', 'kochi', '--author', 'ana')).to.include({exitCode: 0, revision: 1, isChanged: true});
+		expect(await edit('domain', 'drain', 'kochi')).to.include({exitCode: 0, revision: 1, isChanged: false});
+		expect(await edit('instance', 'drain', 'kollam-1')).to.include({revision: 2});
+		const status = await runJson(['domain', 'status', ...platform.flags]);
+		expect(status.failureDomains[1]).to.include({
+			failureDomain: 'kochi', state: 'out_of_service', entries: 0, listed: 1,
+		});
+		expect(status.edits[1]).to.include({author: 'ana', summary: 'failure domain kochi out of service'});
+		const instances = await runJson(['instance', 'status', 'kollam-1', ...platform.flags]);
+		expect(instances.instances).to.have.length(1);
+		expect(instances.instances[0]).to.include({state: 'out_of_service', domainState: 'in_service'});
+
+		expect(await edit('domain', 'restore', 'kochi')).to.include({revision: 3});
+		expect(await edit('instance', 'restore', 'kollam-1')).to.include({revision: 4});
+		expect(await platform.getValue('availability')).to.deep.include({failureDomains: {}, instances: {}});
+	});
+
+	it('tells how many entries have the change', async () => {
+		await platform.putSession('kochi-1', {availabilityRevision: 1});
+		const run = await startRun(['domain', 'drain', 'kochi', ...platform.flags]).done;
+		expect(run.out).to.match(/availability revision 1\nkochi-1 .*\n1 of 1 entries have it\n$/v);
+	});
+
+	it('refuses unknown names and the last failure domain in service', async () => {
+		expect(await edit('domain', 'drain', 'nowhere')).to.include({exitCode: 7});
+		expect(await edit('instance', 'restore', 'nowhere')).to.include({exitCode: 7});
+		expect(await runJson(['instance', 'status', 'nowhere', ...platform.flags])).to.include({exitCode: 7});
+		await edit('domain', 'drain', 'kochi');
+		await edit('domain', 'drain', 'kollam');
+		const refused = await edit('domain', 'drain', 'alappuzha');
+		expect(refused).to.include({exitCode: 6});
+		expect(refused.error).to.include({effect: 'none', code: 'last_serving_failure_domain'});
+	});
+
+	// Edits decided on the same old state, one after another, would take the whole fleet out of service.
+	it('keeps one failure domain in service when operators drain all of them at once', async () => {
+		for (let round = 0; round < 5; round++) {
+			const runs = await Promise.all(['alappuzha', 'kochi', 'kollam'].map(async name => edit('domain', 'drain', name)));
+			expect(runs.map(({exitCode}) => exitCode as number)).to.have.members([0, 0, 6]);
+			const {failureDomains} = await platform.getValue('availability');
+			expect(Object.keys(failureDomains as object)).to.have.length(2);
+			await Promise.all(['alappuzha', 'kochi', 'kollam'].map(async name => edit('domain', 'restore', name)));
+		}
+	});
+
+	// An edit sent twice after a lost answer would show a conflict with itself.
+	it('resolves a lost answer by reading back', async () => {
+		await platform.addFault({kind: 'answerLost', keyPrefix: 'availability', count: 1});
+		expect(await edit('domain', 'drain', 'kochi')).to.include({exitCode: 0, revision: 1, lostRaces: 0});
+	});
+
+	describe('outage of the platform', () => {
+		const commands = [['domain', 'drain', 'kochi'], ['domain', 'status'], ['instance', 'status'], ['status'], ['config', 'show']];
+
+		// A command that hangs leaves the operator without knowing whether the failure domain is out of service.
+		const verifyErrors = async (mode: string): Promise<void> => {
+			await platform.addFault({kind: 'down', mode});
+			const startedAt = performance.now();
+			const runs = await Promise.all(commands.map(async command => startRun([...command, ...platform.flags]).done));
+			expect(performance.now() - startedAt).to.be.lessThan(5000);
+			for (const run of runs) {
+				expect(run.exitCode).to.equal(4);
+				expect(run.error).to.match(/the platform \S+ cannot be reached: .*(?:nothing was changed|the command only reads)/v);
+			}
+		};
+
+		for (const mode of ['refuse', 'cut', 'hang']) {
+			it(`ends within 5 s with a clear error (${mode})`, async () => verifyErrors(mode));
+		}
+
+		it('ends with a clear error when nothing listens', async () => {
+			const run = await runJson(['domain', 'drain', 'kochi', '--platform', '127.0.0.1:1']);
+			expect(run).to.include({exitCode: 4});
+			expect(run.error).to.include({effect: 'none'});
+		});
+	});
+});
--- /dev/null
+++ b/packages/cli/src/commands/command-table.ts
@@ -0,0 +1,16 @@
+import type {CommandSpec} from '../program/command-spec.js';
+import {configCommands} from './config-commands.js';
+import {domainCommands, instanceCommands} from './availability-commands.js';
+import {explainCommand} from './explain-command.js';
+import {settingsCommand} from './settings-command.js';
+import {statusCommand} from './status-command.js';
+
+/** All commands in the order of `--help`; a new command is a row here. */
+export const commandTable: readonly CommandSpec[] = [
+	...configCommands,
+	...domainCommands,
+	...instanceCommands,
+	statusCommand,
+	explainCommand,
+	settingsCommand,
+];
--- /dev/null
+++ b/packages/cli/src/commands/entry-commands.test.ts
@@ -0,0 +1,59 @@
+import path from 'node:path';
+import {expect} from 'chai';
+import {
+	createDirectory, runJson, startRun, startTestEntry, startTestPlatform, testSecret, type TestPlatform,
+} from './cli-fixture.test.js';
+
+describe('commands that ask entries', () => {
+	let platform: TestPlatform;
+	let entry: Awaited<ReturnType<typeof startTestEntry>>;
+	let files: Awaited<ReturnType<typeof createDirectory>>;
+
+	const getSettings = (): string[] => ['--settings', path.join(files.directory, 'operator.yaml')];
+
+	beforeEach(async () => {
+		platform = await startTestPlatform();
+		entry = await startTestEntry({
+			getStatus: () => ({entryId: 'kochi-1', configurationRevision: 3, availabilityRevision: 2}),
+			explainRequest: requestId => requestId === 'r1' ? [{step: 'admitted', detail: {serverId: 's1'}}] : undefined,
+		});
+		files = await createDirectory({operator: `platform: ${platform.address}\nentries: ["${entry.address}"]\npeerSecret: ${testSecret}\n`});
+	});
+
+	afterEach(async () => {
+		entry.close();
+		await platform.close();
+		await files.remove();
+	});
+
+	it('explains a request and reports an unknown one', async () => {
+		const {out} = await startRun(['explain', 'r1', ...getSettings()]).done;
+		expect(out).to.include('admitted serverId="s1"');
+		expect(await runJson(['explain', 'r2', ...getSettings()])).to.include({exitCode: 7});
+	});
+
+	// "Not known" would be wrong while the entry that ran the request does not answer.
+	it('does not report a request as unknown while an entry does not answer', async () => {
+		await platform.putSession('kollam-1', {peerAddress: '127.0.0.1:1'});
+		const run = await runJson(['explain', 'r2', ...getSettings()]);
+		expect(run).to.include({exitCode: 4});
+		expect(run.error.failed[0]).to.include({address: '127.0.0.1:1'});
+	});
+
+	it('reports a secret that the entry does not accept', async () => {
+		const other = await createDirectory({secret: 'a-secret-of-no-entry'});
+		const run = await runJson(['explain', 'r1', ...getSettings(), '--peer-secret-file', path.join(other.directory, 'secret.yaml')]);
+		await other.remove();
+		expect(run).to.include({exitCode: 4});
+		expect(run.error.message).to.include('secret');
+	});
+
+	it('shows the state of the entries, also while the platform is down', async () => {
+		const up = await runJson(['status', ...getSettings()]);
+		expect(up.answers.answered[0].value).to.include({entryId: 'kochi-1', configurationRevision: 3});
+		await platform.addFault({kind: 'down', mode: 'hang'});
+		const down = await startRun(['status', ...getSettings()]).done;
+		expect(down.exitCode).to.equal(4);
+		expect(down.error).to.include('1 of 1 configured entries answer');
+	});
+});
--- /dev/null
+++ b/packages/cli/src/entries/entry-client.ts
@@ -0,0 +1,88 @@
+import {
+	createTRPCClient, createWSClient, TRPCClientError, wsLink, type TRPCClient,
+} from '@trpc/client';
+import {WebSocket} from 'ws';
+import {z} from 'zod';
+import {createError, createOk, type Result} from '@knapweedrack/core';
+import type {PeerRouter} from '@knapweedrack/protocol';
+
+/** Why an entry did not answer. */
+export type EntryFailure = {kind: 'unreachable' | 'refused'; message: string};
+
+const statusSchema = z.looseObject({
+	entryId: z.string().optional(),
+	configurationRevision: z.number().optional(),
+	availabilityRevision: z.number().optional(),
+});
+/** Answer of `operations.status`, as far as the command line reads it. */
+export type EntryStatus = z.infer<typeof statusSchema>;
+
+const explainSchema = z.array(z.object({step: z.string(), detail: z.record(z.string(), z.unknown())}));
+/** Answer of `operations.explain`: the steps of one request at one entry. */
+export type ExplainSteps = z.infer<typeof explainSchema>;
+
+const peerPath = '/peer';
+const reconnectMs = 200;
+
+/** Connection to the peer listener of one entry, for the operations that the command line calls. */
+export class EntryClient {
+	readonly #socket: ReturnType<typeof createWSClient>;
+	readonly #caller: TRPCClient<PeerRouter>;
+	#connectError: Error | undefined;
+	#abortCalls = new AbortController();
+
+	constructor(readonly address: string, secret: string) {
+		const recordError = (error: Error): void => {
+			this.#connectError = error;
+			// The library connects again without end; a refused connection is reported to the calls at once.
+			this.#abortCalls.abort(error);
+			this.#abortCalls = new AbortController();
+		};
+
+		const socketClass = class extends WebSocket {
+			constructor(url: string | URL) {
+				super(url, {perMessageDeflate: false});
+				this.on('error', recordError);
+			}
+		};
+		this.#socket = createWSClient({
+			url: `ws://${address}${peerPath}`,
+			connectionParams: () => ({secret}),
+			// eslint-disable-next-line @typescript-eslint/naming-convention -- The option's name is given by the library.
+			WebSocket: socketClass as unknown as typeof globalThis.WebSocket,
+			retryDelayMs: () => reconnectMs,
+		});
+		this.#caller = createTRPCClient<PeerRouter>({links: [wsLink({client: this.#socket})]});
+	}
+
+	async getStatus(timeoutMs: number): Promise<Result<EntryStatus, EntryFailure>> {
+		return this.#run(timeoutMs, async signal => statusSchema.parse(await this.#caller.operations.status.query(undefined, {signal})));
+	}
+
+	/** Steps of a request; undefined when the entry does not know it. */
+	async explain(requestId: string, timeoutMs: number): Promise<Result<ExplainSteps | undefined, EntryFailure>> {
+		return this.#run(timeoutMs, async signal => explainSchema.nullish().parse(await this.#caller.operations.explain.query(requestId, {signal})) ?? undefined);
+	}
+
+	async close(): Promise<void> {
+		try {
+			await this.#socket.close();
+		} catch {
+			// The connection ended while it was being opened.
+		}
+	}
+
+	async #run<Value>(timeoutMs: number, call: (signal: AbortSignal) => Promise<Value>): Promise<Result<Value, EntryFailure>> {
+		const signal = AbortSignal.any([AbortSignal.timeout(timeoutMs), this.#abortCalls.signal]);
+		try {
+			return createOk(await call(signal));
+		} catch (error) {
+			const code = error instanceof TRPCClientError ? (error.data as {code?: string} | undefined)?.code : undefined;
+			if (signal.aborted) {
+				return createError({kind: 'unreachable', message: this.#connectError?.message ?? `no answer within ${timeoutMs} ms`});
+			}
+
+			return createError({kind: code === undefined ? 'unreachable' : 'refused', message: (error as Error).message});
+		}
+	}
+}
--- /dev/null
+++ b/packages/cli/src/entries/query-entries.ts
@@ -0,0 +1,39 @@
+import type {Result} from '@knapweedrack/core';
+import type {EntryFailure} from './entry-client.js';
+
+/** Answers of several entries. */
+export type EntryAnswers<Value> = {
+	answered: Array<{address: string; value: Value}>;
+	failed: Array<{address: string; message: string}>;
+};
+
+/**
+ * Asks the entries of the settings at once, and those named by the platform when it answers,
+ * so that an outage of the platform does not delay the answers of the entries.
+ */
+export const queryEntries = async <Value>(
+	configured: readonly string[], listed: Promise<readonly string[]>, query: (address: string) => Promise<Result<Value, EntryFailure>>,
+): Promise<EntryAnswers<Value>> => {
+	const answers: EntryAnswers<Value> = {answered: [], failed: []};
+	const runAll = async (addresses: readonly string[]): Promise<void> => {
+		await Promise.all([...new Set(addresses)].map(async address => {
+			const answer = await query(address);
+			if (answer.ok) {
+				answers.answered.push({address, value: answer.value});
+			} else {
+				answers.failed.push({address, message: answer.error.message});
+			}
+		}));
+	};
+
+	const runListed = async (): Promise<void> => {
+		const addresses = await listed;
+		await runAll(addresses.filter(address => !configured.includes(address)));
+	};
+
+	await Promise.all([runAll(configured), runListed()]);
+	return answers;
+};
+
+/** Renders the entries without an answer. */
+export const renderFailed = (failed: EntryAnswers<unknown>['failed']): string => failed.map(({address, message}) => `  ${address}: ${message}`).join('\n');
--- /dev/null
+++ b/packages/cli/src/main.ts
@@ -0,0 +1,14 @@
+#!/usr/bin/env node
+import process from 'node:process';
+import {runCli} from './program/run-cli.js';
+
+process.exitCode = await runCli(process.argv.slice(2), {
+	writeOut(text) {
+		process.stdout.write(text);
+	},
+	writeError(text) {
+		process.stderr.write(text);
+	},
+	env: process.env,
+	now: () => performance.now(),
+});
--- /dev/null
+++ b/packages/cli/src/platform/edit-record.ts
@@ -0,0 +1,29 @@
+import {randomUUID} from 'node:crypto';
+import {z} from 'zod';
+
+/** One edit of the configuration or the availability, kept with the state it produced. */
+export const editRecordSchema = z.object({
+	revision: z.number().int().nonnegative(),
+	editId: z.string(),
+	author: z.string(),
+	/** What was changed, in words. */
+	summary: z.string(),
+});
+/** One edit of the configuration or the availability. */
+export type EditRecord = z.infer<typeof editRecordSchema>;
+
+/** Enough for an operator who reads back after a lost answer while others go on editing. */
+const keptEdits = 32;
+
+/** Adds an edit, newest first; the oldest ones are dropped. */
+export const addEdit = (edits: readonly EditRecord[], edit: EditRecord): EditRecord[] => [edit, ...edits].slice(0, keptEdits);
+
+/** Lists the edits that were made after a revision, newest first. */
+export const listEditsAfter = (edits: readonly EditRecord[], revision: number): EditRecord[] => edits.filter(edit => edit.revision > revision);
+
+/** Renders who changed what, one line per edit. */
+export const renderEdits = (edits: readonly EditRecord[]): string =>
+	edits.map(edit => `  revision ${edit.revision} by ${edit.author}: ${edit.summary}`).join('\n');
+
+/** Creates an id that identifies one edit over all operators. */
+export const createEditId = (): string => randomUUID();
--- /dev/null
+++ b/packages/cli/src/platform/platform-access.ts
@@ -0,0 +1,68 @@
+import {setTimeout as wait} from 'node:timers/promises';
+import {createError, type Result} from '@knapweedrack/core';
+import {
+	createInstanceDirectory, createObjectStore, PlatformHttp,
+	type CallOptions, type InstanceDirectory, type ObjectStore, type StoreFailure, type WriteCondition,
+} from '@knapweedrack/platform-client';
+import type {InstanceList, ObjectList, StoredObject} from '@knapweedrack/protocol';
+
+/** A write whose answer is lost is followed by a read; both fit into the time limit of one call. */
+const writeTimeShare = 0.55;
+
+/** Calls of the platform within the time limit of the command line. Calls refused because of their rate are repeated. */
+export class PlatformAccess {
+	readonly #http: PlatformHttp;
+	readonly #store: ObjectStore;
+	readonly #directory: InstanceDirectory;
+
+	constructor(readonly address: string, readonly timeoutMs: number) {
+		this.#http = new PlatformHttp({address, timeoutMs});
+		this.#store = createObjectStore(this.#http);
+		this.#directory = createInstanceDirectory(this.#http);
+	}
+
+	async get(key: string): Promise<Result<StoredObject, StoreFailure>> {
+		return this.#repeat(this.timeoutMs, async options => this.#store.get(key, options));
+	}
+
+	/** Reads an object after the answer to its write was lost. */
+	async readBack(key: string): Promise<Result<StoredObject, StoreFailure>> {
+		return this.#repeat(this.timeoutMs * (1 - writeTimeShare), async options => this.#store.get(key, options));
+	}
+
+	async list(prefix: string): Promise<Result<ObjectList, StoreFailure>> {
+		return this.#repeat(this.timeoutMs, async options => this.#store.list(prefix, options));
+	}
+
+	async listInstances(): Promise<Result<InstanceList, StoreFailure>> {
+		return this.#repeat(this.timeoutMs, async options => this.#directory.list(options));
+	}
+
+	async put(key: string, value: unknown, condition: WriteCondition): Promise<Result<{version: number}, StoreFailure>> {
+		// The client reports an aborted write as not sent, so a write is limited by its time-out alone.
+		return this.#repeat(this.timeoutMs * writeTimeShare, async ({timeoutMs}) => this.#store.put(key, value, condition, {timeoutMs}));
+	}
+
+	async close(): Promise<void> {
+		await this.#http.close();
+	}
+
+	async #repeat<Value>(callLimitMs: number, call: (options: CallOptions) => Promise<Result<Value, StoreFailure>>): Promise<Result<Value, StoreFailure>> {
+		const limitMs = Math.ceil(callLimitMs);
+		const deadline = performance.now() + limitMs;
+		const signal = AbortSignal.timeout(limitMs);
+		for (;;) {
+			// The client repeats reads; the signal ends the repetitions together with the time limit.
+			const result = await call({timeoutMs: Math.max(1, Math.ceil(deadline - performance.now())), signal});
+			if (!result.ok && signal.aborted) {
+				return createError({kind: result.error.kind === 'unknown' ? 'unknown' : 'unavailable', message: `no answer within ${limitMs} ms`});
+			}
+
+			if (result.ok || result.error.kind !== 'rate_limited' || performance.now() + result.error.retryAfterMs >= deadline) {
+				return result;
+			}
+
+			await wait(result.error.retryAfterMs);
+		}
+	}
+}
--- /dev/null
+++ b/packages/cli/src/program/cli-io.ts
@@ -0,0 +1,8 @@
+/** Output, environment and clock of one run. */
+export type CliIo = {
+	writeOut: (text: string) => void;
+	writeError: (text: string) => void;
+	env: Record<string, string | undefined>;
+	/** Monotonic time in ms. */
+	now: () => number;
+};
--- /dev/null
+++ b/packages/cli/src/program/command-context.ts
@@ -0,0 +1,95 @@
+import {readFile} from 'node:fs/promises';
+import {createOk, type Result} from '@knapweedrack/core';
+import type {SourceFile} from '@knapweedrack/protocol';
+import {renderProblems} from '../configuration/read-lists.js';
+import {EntryPool} from '../entries/entry-pool.js';
+import {PlatformAccess} from '../platform/platform-access.js';
+import {resolveSettings, type OperatorSettings, type SettingFlags} from '../settings/operator-settings.js';
+import type {CliIo} from './cli-io.js';
+import {createFailure, type CommandFailure} from './command-result.js';
+import {exitCodes} from './exit-codes.js';
+import {startProgress, type Progress} from './progress.js';
+
+/** What a command uses besides its arguments. */
+export type CommandContext = {
+	settings: OperatorSettings;
+	progress: Progress;
+	entries: EntryPool;
+	/** Prints one line while the command runs; nothing with `--json`. */
+	printLine: (line: string) => void;
+	/** Opens the platform connection; fails when no address is set. */
+	openPlatform: () => Result<PlatformAccess, CommandFailure>;
+	close: () => Promise<void>;
+};
+
+/** Options that every command has. */
+export type CommonOptions = {
+	json?: boolean;
+	settings?: string;
+	platform?: string;
+	entry?: string[];
+	peerSecretFile?: string;
+	author?: string;
+	timeoutMs?: number;
+};
+
+/** Names the settings file when `--settings` is not given. */
+export const settingsVariable = 'KNAPWEEDRACK_SETTINGS';
+
+/** Reads the settings and builds the context of one command. */
+export const loadContext = async (options: CommonOptions, io: CliIo): Promise<Result<CommandContext, CommandFailure>> => {
+	const settings = await loadSettings(options, io);
+	return settings.ok ? createOk(createContext(settings.value, options, io)) : settings;
+};
+
+const createContext = (settings: OperatorSettings, options: CommonOptions, io: CliIo): CommandContext => {
+	const progress = startProgress(io);
+	const entries = new EntryPool(settings.peerSecret.value, settings.timeoutMs.value);
+	let access: PlatformAccess | undefined;
+	return {
+		settings,
+		progress,
+		entries,
+		printLine(line) {
+			if (options.json !== true) {
+				io.writeOut(`${line}\n`);
+			}
+		},
+		openPlatform() {
+			const address = settings.platform.value;
+			if (address === undefined) {
+				return createFailure(exitCodes.usage, 'no platform address is set: use --platform, or "platform" in the settings file');
+			}
+
+			access ??= new PlatformAccess(address, settings.timeoutMs.value);
+			return createOk(access);
+		},
+		async close() {
+			progress.stop();
+			await Promise.all([access?.close(), entries.close()]);
+		},
+	};
+};
+
+const loadSettings = async (options: CommonOptions, io: CliIo): Promise<Result<OperatorSettings, CommandFailure>> => {
+	const file = options.settings ?? io.env[settingsVariable];
+	const source = file === undefined ? createOk(undefined) : await readSource(file);
+	const secret = options.peerSecretFile === undefined ? createOk(undefined) : await readSource(options.peerSecretFile);
+	if (!source.ok || !secret.ok) {
+		return source.ok ? secret as {ok: false; error: CommandFailure} : source;
+	}
+
+	const flags: SettingFlags = {
+		platform: options.platform, entries: options.entry, peerSecret: secret.value?.text.trim(), author: options.author, timeoutMs: options.timeoutMs,
+	};
+	const settings = resolveSettings(flags, source.value);
+	return settings.ok ? createOk(settings.value) : createFailure(exitCodes.usage, renderProblems(settings.error), {problems: settings.error});
+};
+
+const readSource = async (file: string): Promise<Result<SourceFile, CommandFailure>> => {
+	try {
+		return createOk({file, text: await readFile(file, 'utf8')});
+	} catch (error) {
+		return createFailure(exitCodes.usage, `${file} cannot be read: ${(error as Error).message}`);
+	}
+};
--- /dev/null
+++ b/packages/cli/src/program/command-result.ts
@@ -0,0 +1,15 @@
+import {createError, type Result} from '@knapweedrack/core';
+import type {ExitCode} from './exit-codes.js';
+
+/** What a command prints: `text` for people, `data` with `--json`. */
+export type CommandReport = {text: string; data: Record<string, unknown>};
+
+/** Failure of a command; `data` is added to the answer with `--json`. */
+export type CommandFailure = {exitCode: ExitCode; message: string; data?: Record<string, unknown> | undefined};
+
+/** Outcome of a command. */
+export type CommandResult = Result<CommandReport, CommandFailure>;
+
+/** Builds a failed outcome. */
+export const createFailure = (exitCode: ExitCode, message: string, data?: Record<string, unknown>): {ok: false; error: CommandFailure} =>
+	createError({exitCode, message, data});
--- /dev/null
+++ b/packages/cli/src/program/command-spec.ts
@@ -0,0 +1,26 @@
+import type {CommandContext} from './command-context.js';
+import type {CommandResult} from './command-result.js';
+
+/** An option of one command, in the notation of commander. */
+export type OptionSpec = {
+	flags: string;
+	description: string;
+	parse?: (text: string) => unknown;
+	byDefault?: unknown;
+};
+
+/** Arguments and options of one run; options are named as commander names them. */
+export type CommandInput = {args: string[]; options: Record<string, unknown>};
+
+/** One row of the command table. */
+export type CommandSpec = {
+	/** Words of the command, for example `['config', 'apply']`. */
+	words: readonly [string] | readonly [string, string];
+	description: string;
+	/** Arguments in the notation of commander, for example `<dir>`. */
+	args?: ReadonlyArray<{name: string; description: string}>;
+	options?: readonly OptionSpec[];
+	/** Further lines of `--help`. */
+	help?: string;
+	run: (context: CommandContext, input: CommandInput) => Promise<CommandResult>;
+};
--- /dev/null
+++ b/packages/cli/src/program/number-option.ts
@@ -0,0 +1,11 @@
+import {InvalidArgumentError} from 'commander';
+
+/** Parses a whole number of at least 0. */
+export const parseCount = (text: string): number => {
+	const value = Number(text);
+	if (!/^\d{1,15}$/v.test(text)) {
+		throw new InvalidArgumentError('expected a whole number of at least 0');
+	}
+
+	return value;
+};
--- /dev/null
+++ b/packages/cli/src/rollout/wait-rollout.ts
@@ -0,0 +1,81 @@
+import {setTimeout as wait} from 'node:timers/promises';
+import {createOk, type Result} from '@knapweedrack/core';
+import type {EntryPool} from '../entries/entry-pool.js';
+import {fetchSessions} from '../fleet/sessions.js';
+import type {PlatformAccess} from '../platform/platform-access.js';
+import {createFailure, type CommandFailure} from '../program/command-result.js';
+import {exitCodes} from '../program/exit-codes.js';
+import type {Progress} from '../program/progress.js';
+import {RolloutTracker, type RevisionField, type RolloutEntry} from './rollout-tracker.js';
+
+/** A rollout to follow. */
+export type RolloutRequest = {
+	field: RevisionField;
+	revision: number;
+	/** Longest wait in ms. */
+	waitMs: number;
+};
+
+/** What the wait for a rollout uses. */
+export type RolloutTools = {
+	access: PlatformAccess;
+	entries: EntryPool;
+	progress: Progress;
+	printLine: (line: string) => void;
+};
+
+/** A list of 350 sessions is about 100 KB, so that this period costs one operator's command about 0.2 MB/s. */
+const pollPeriodMs = 500;
+
+/** Waits until every live entry has a revision in force and prints each one as it comes into force. */
+export const waitForRollout = async (request: RolloutRequest, tools: RolloutTools): Promise<Result<RolloutEntry[], CommandFailure>> => {
+	const startedAt = performance.now();
+	const tracker = new RolloutTracker(request.field, request.revision, startedAt);
+	const effect = `the change took effect as revision ${request.revision}`;
+	for (;;) {
+		const sessions = await fetchSessions(tools.access, `${effect}, but its arrival at the entries was not observed to the end`);
+		if (!sessions.ok) {
+			return createFailure(sessions.error.exitCode, sessions.error.message, {effect: 'applied', revision: request.revision, entries: tracker.listEntries(performance.now())});
+		}
+
+		printArrivals(tracker.acceptSessions(sessions.value, performance.now()), tools);
+		await askEntries(tracker, request.field, tools);
+		const entries = tracker.listEntries(performance.now());
+		if (tracker.isDone(performance.now())) {
+			return createOk(entries);
+		}
+
+		if (performance.now() - startedAt > request.waitMs) {
+			const message = `${effect}, but not at all entries after ${request.waitMs / 1000} s: ${renderCounts(entries)}; not at ${listWaiting(entries)}`;
+			return createFailure(exitCodes.failure, message, {effect: 'applied', revision: request.revision, entries});
+		}
+
+		tools.progress.update(`waiting for entries: ${renderCounts(entries)}`);
+		await wait(pollPeriodMs);
+	}
+};
+
+/** Renders how many entries have a revision, for example "5 of 7 entries have it, 1 lapsed". */
+export const renderCounts = (entries: readonly RolloutEntry[]): string => {
+	const count = (state: RolloutEntry['state']): number => entries.filter(entry => entry.state === state).length;
+	const others = (['lapsed', 'stopping'] as const).flatMap(state => count(state) > 0 ? [`, ${count(state)} ${state}`] : []);
+	return `${count('in_force')} of ${count('in_force') + count('waiting')} entries have it${others.join('')}`;
+};
+
+const listWaiting = (entries: readonly RolloutEntry[]): string => entries.filter(({state}) => state === 'waiting').map(({entryId}) => entryId).join(', ');
+
+const printArrivals = (entries: readonly RolloutEntry[], {printLine}: RolloutTools): void => {
+	for (const {entryId, failureDomain, revision, afterMs} of entries) {
+		printLine(`${entryId} (${failureDomain}): revision ${revision} in force after ${((afterMs ?? 0) / 1000).toFixed(1)} s`);
+	}
+};
+
+const askEntries = async (tracker: RolloutTracker, field: RevisionField, tools: RolloutTools): Promise<void> => {
+	const waiting = tracker.listEntries(performance.now()).filter(({state}) => state === 'waiting');
+	await Promise.all(waiting.map(async ({entryId, peerAddress}) => {
+		const status = await tools.entries.getStatus(peerAddress);
+		if (status.ok) {
+			printArrivals(tracker.acceptStatus(entryId, status.value[field] ?? 0, performance.now()), tools);
+		}
+	}));
+};
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -19,3 +19,5 @@
 export * from './streams/index.js';
 export * from './types/index.js';
 export * from './warmup/index.js';
+// Both folders have a selection of this name; the one over hashed candidates is the public one.
+export {selectRendezvous} from './ownership/rendezvous.js';
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,4 +1,6 @@
-export {formatPath, type SourceFile, type ValidationProblem} from './documents/yaml-document.js';
+export {
+	formatPath, parseSource, validateSource, type SourceDocument, type SourceFile, type ValidationProblem,
+} from './documents/yaml-document.js';
 export * from './engine/engine-api.js';
 export * from './lists/index.js';
 export * from './peer/peer-records.js';
