--- a/packages/core/src/routing/select-candidates.ts
+++ b/packages/core/src/routing/select-candidates.ts
@@ -1,6 +1,6 @@
 import type {LoadSnapshot} from '../types/index.js';
 import {computePromptClass, isLongPrompt} from './prompt-class.js';
-import {hashRendezvous, selectRendezvous} from './rendezvous.js';
+import {hashRendezvous, selectRendezvousSubset} from './rendezvous.js';
 
 /** A backend server that is alive, not leaving, in service and not quarantined for the request. */
 export type RoutingServer = {
@@ -90,7 +90,7 @@
 	const usable = input.servers.filter(server => !input.excluded.has(server.id)
 		&& (server.kvTokens === undefined || input.kvTokens <= server.kvTokens));
 	if (isLongPrompt(input.promptTokens)) {
-		return selectRendezvous(longPoolKey, usable, Math.max(1, input.longPoolSize));
+		return selectRendezvousSubset(longPoolKey, usable, Math.max(1, input.longPoolSize));
 	}
 
 	const size = input.subsetSize ?? defaultSubsetSize;
@@ -100,7 +100,7 @@
 	}
 
 	const rest = usable.filter(server => !server.isOwned);
-	return [...owned, ...selectRendezvous(input.subsetKey, rest, Math.max(1, size - owned.length))];
+	return [...owned, ...selectRendezvousSubset(input.subsetKey, rest, Math.max(1, size - owned.length))];
 };
 
 /** Server with the best affinity whose load is within the bound: most cached tokens, then highest hash. */
