Split the engine stand-in into calls, runtime and orders

Reading it showed that an order held by a freeze was measured from the end of the freeze, so it never expired; the arrival time is now taken before.

--- a/packages/testkit/src/engine/engine-links.ts
+++ b/packages/testkit/src/engine/engine-links.ts
@@ -1,4 +1,4 @@
-import type {EngineOrder} from '@knapweedrack/protocol';
+import type {EngineOrder, GenerateRequest} from '@knapweedrack/protocol';
 import {request as sendRequest} from 'undici';
 import {z} from 'zod';
 
@@ -6,11 +6,28 @@
 const exportAnswerSchema = z.object({tokens: z.number(), digest: z.string()});
 const transferAnswerSchema = z.object({durationMs: z.number()});
 
-/** Segment of another engine. */
-export type ExportedSegment = z.infer<typeof exportAnswerSchema>;
+type ExportedSegment = z.infer<typeof exportAnswerSchema>;
 
-/** Reads a KV segment from the engine that holds it; undefined when that fails. */
-export const fetchSegment = async (address: string, requestId: string, index: number): Promise<ExportedSegment | undefined> => {
+/** KV that was read from other engines. */
+export type ImportedSegments = {tokens: number; digests: string[]};
+
+/** Reads the KV of segments from the engines that hold them; undefined when one of them has it no more. */
+export const fetchSegments = async (requestId: string, segments: NonNullable<GenerateRequest['segments']>): Promise<ImportedSegments | undefined> => {
+	const imported: ImportedSegments = {tokens: 0, digests: []};
+	for (const segment of segments) {
+		const answer = await fetchSegment(segment.address, requestId, segment.index);
+		if (!answer) {
+			return undefined;
+		}
+
+		imported.tokens += answer.tokens;
+		imported.digests.push(answer.digest);
+	}
+
+	return imported;
+};
+
+const fetchSegment = async (address: string, requestId: string, index: number): Promise<ExportedSegment | undefined> => {
 	try {
 		const {statusCode, body} = await sendRequest(`http://${address}/admin/v1/kv/export`, {
 			method: 'POST',
--- /dev/null
+++ b/packages/testkit/src/engine/engine-runtime.ts
@@ -0,0 +1,284 @@
+import {randomUUID} from 'node:crypto';
+import {performance} from 'node:perf_hooks';
+import {
+	clearInterval, clearTimeout, setInterval, setTimeout,
+} from 'node:timers';
+import {setTimeout as wait} from 'node:timers/promises';
+import type {EngineReport} from '@knapweedrack/core';
+import {FaultTable} from '../faults/fault-table.js';
+import {closeConnection, type Exchange} from '../http/exchange.js';
+import {CacheFeed} from './cache-feed.js';
+import {EngineClock} from './engine-clock.js';
+import type {EngineFault, FrameFault} from './engine-faults.js';
+import {
+	EngineModel, type EngineModelEvent, type EngineWork, type SubmitResult,
+} from './engine-model.js';
+import type {EngineOptions} from './engine-options.js';
+import {EngineStatus} from './engine-status.js';
+import {GenerateStreams} from './generate-streams.js';
+
+/** Longest timer that Node.js accepts, in ms. */
+const longestTimerMs = 2_147_483_647;
+
+const frameFaultKinds = ['framesLate', 'framesCrossed', 'framesDuplicated', 'framesDropped', 'framesReordered', 'framesTruncated'] as const;
+
+/** How accepted work ended. */
+export type WorkEnd = 'finished' | 'cancelled' | 'expired';
+
+/** Real time in ms. */
+export const getNow = (): number => performance.now();
+
+/** Runs the engine model in real time: timers, boot, crashes and freezes. */
+export class EngineRuntime {
+	readonly model: EngineModel;
+	readonly feed: CacheFeed;
+	readonly streams = new GenerateStreams();
+	readonly faults = new FaultTable<EngineFault>();
+	readonly #clock: EngineClock;
+	readonly #status: EngineStatus;
+	readonly #exchanges = new Set<Exchange>();
+	readonly #prompts = new Map<string, string>();
+	readonly #endHandlers = new Map<string, (end: WorkEnd) => void>();
+	/** Started attempts by request id; kept over crashes. */
+	readonly #attempts = new Map<string, number>();
+	readonly #eventHandlers: {[Type in EngineModelEvent['type']]: (event: Extract<EngineModelEvent, {type: Type}>, now: number) => void} = {
+		started: ({work}, now) => {
+			this.#recordStart(work, now);
+		},
+		token: ({work, index}, now) => {
+			this.streams.sendToken(work, index, now);
+		},
+		finished: ({work}) => {
+			this.streams.remove(work.attemptId);
+			this.#recordEnd(work, 'finished');
+		},
+		ended: ({work, reason}, now) => {
+			this.streams.closeIncomplete(work.attemptId, now);
+			this.#recordEnd(work, reason);
+		},
+	};
+
+	#seenAttempts = new Set<string>();
+	#bootId = randomUUID();
+	#crashes = 0;
+	#downUntil = 0;
+	#isClosed = false;
+	#timer: NodeJS.Timeout | undefined;
+	readonly #publishTimer: NodeJS.Timeout | undefined;
+	#thaw: {promise: Promise<void>; resolve: () => void} | undefined;
+
+	constructor(readonly options: EngineOptions) {
+		this.model = new EngineModel(options);
+		this.feed = new CacheFeed({delayMs: options.cacheEventDelayMs, lossRate: options.cacheEventLossRate, seed: options.seed});
+		this.#clock = new EngineClock(options.timeScale);
+		this.#status = new EngineStatus(options, this.model, this.#clock);
+		if (options.statusLagMs > 0) {
+			this.#publishTimer = setInterval(() => {
+				this.#publishStatus();
+			}, options.statusLagMs).unref();
+		}
+	}
+
+	get bootId(): string {
+		return this.#bootId;
+	}
+
+	get crashes(): number {
+		return this.#crashes;
+	}
+
+	get attempts(): ReadonlyMap<string, number> {
+		return this.#attempts;
+	}
+
+	/** True while the engine is down after a crash, and once it is closed. */
+	get isUnavailable(): boolean {
+		return this.#isClosed || getNow() < this.#downUntil;
+	}
+
+	get isLeaving(): boolean {
+		return this.faults.has('leaving', getNow());
+	}
+
+	/** Modelled time, or the modelled time after a real delay in ms. */
+	getModelTime(delayMs = 0): number {
+		return this.#clock.getModelTime(getNow()) + this.#clock.toModelDuration(delayMs);
+	}
+
+	getReport(fencingNumber: number | undefined): EngineReport {
+		return this.#status.get(getNow(), {bootId: this.#bootId, isLeaving: this.isLeaving, fencingNumber});
+	}
+
+	hasSeen(attemptId: string): boolean {
+		return this.#seenAttempts.has(attemptId);
+	}
+
+	/** Resolves at once, or at the end of a freeze. */
+	async waitForThaw(): Promise<void> {
+		await this.#thaw?.promise;
+	}
+
+	/** Registers an exchange that a crash cuts. */
+	addExchange(exchange: Exchange): void {
+		this.#exchanges.add(exchange);
+		exchange.response.once('close', () => {
+			this.#exchanges.delete(exchange);
+		});
+	}
+
+	/** Gives work to the model; `handleEnd` is called when accepted work ends, except by a crash. */
+	submit(work: EngineWork, prompt: string, handleEnd?: (end: WorkEnd) => void): SubmitResult {
+		const result = this.model.submit(work, this.getModelTime());
+		if (result.type === 'crashed') {
+			this.crash();
+		}
+
+		if (result.type === 'accepted') {
+			this.#seenAttempts.add(work.attemptId);
+			this.#prompts.set(work.attemptId, prompt);
+			if (handleEnd) {
+				this.#endHandlers.set(work.attemptId, handleEnd);
+			}
+		}
+
+		return result;
+	}
+
+	/** Runs the model up to the present and schedules the next call. */
+	handleTime(): void {
+		if (this.isUnavailable || this.#clock.isFrozen) {
+			return;
+		}
+
+		const now = getNow();
+		const bootId = this.#bootId;
+		this.model.setSlowness(this.faults.find('slow', now)?.factor ?? 1);
+		for (const event of this.model.handleTime(this.#clock.getModelTime(now))) {
+			this.#eventHandlers[event.type](event as never, now);
+			// The other events belong to work that a crash has ended.
+			if (bootId !== this.#bootId) {
+				return;
+			}
+		}
+
+		this.feed.publish(this.model.consumeCacheChanges(), now);
+		this.#schedule();
+	}
+
+	/** Selects the fault of the frames of a new stream. */
+	consumeFrameFault(prompt: string): FrameFault | undefined {
+		for (const kind of frameFaultKinds) {
+			const fault = this.faults.consume(kind, getNow(), ({marker}) => prompt.includes(marker));
+			if (fault) {
+				return fault;
+			}
+		}
+
+		return undefined;
+	}
+
+	/** Applies a fault that acts at once. */
+	handleFault(fault: EngineFault): void {
+		if (fault.kind === 'crash') {
+			this.crash();
+		}
+
+		if (fault.kind === 'cold') {
+			this.reset();
+		}
+
+		if (fault.kind === 'freeze') {
+			void this.#runFreeze(fault.durationMs);
+		}
+	}
+
+	/** Cuts all connections and stays down for the restart time. */
+	crash(): void {
+		this.#crashes += 1;
+		this.#downUntil = getNow() + this.options.restartMs;
+		this.reset();
+	}
+
+	/** Cuts all connections and starts with a new boot id and empty memory. */
+	reset(): void {
+		this.#bootId = randomUUID();
+		this.#seenAttempts = new Set();
+		this.#prompts.clear();
+		this.#endHandlers.clear();
+		this.model.reset();
+		this.model.consumeCacheChanges();
+		this.feed.reset();
+		this.#status.reset();
+		this.streams.closeAll();
+		for (const exchange of this.#exchanges) {
+			closeConnection(exchange);
+		}
+
+		this.#exchanges.clear();
+	}
+
+	close(): void {
+		this.#isClosed = true;
+		clearTimeout(this.#timer);
+		clearInterval(this.#publishTimer);
+		this.#thaw?.resolve();
+	}
+
+	#recordStart(work: EngineWork, now: number): void {
+		this.#attempts.set(work.requestId, (this.#attempts.get(work.requestId) ?? 0) + 1);
+		const prompt = this.#prompts.get(work.attemptId) ?? '';
+		if (this.faults.consume('crashMarker', now, ({marker}) => prompt.includes(marker))) {
+			this.crash();
+		}
+	}
+
+	#recordEnd({attemptId}: EngineWork, end: WorkEnd): void {
+		this.#prompts.delete(attemptId);
+		const handleEnd = this.#endHandlers.get(attemptId);
+		this.#endHandlers.delete(attemptId);
+		handleEnd?.(end);
+	}
+
+	#publishStatus(): void {
+		if (!this.#clock.isFrozen) {
+			this.#status.publish(getNow());
+		}
+	}
+
+	#schedule(): void {
+		clearTimeout(this.#timer);
+		const next = this.model.getNextTime();
+		if (next === undefined) {
+			return;
+		}
+
+		const delayMs = this.#clock.toRealDuration(next - this.getModelTime());
+		this.#timer = setTimeout(() => {
+			this.handleTime();
+		}, Math.min(longestTimerMs, Math.max(0, Math.ceil(delayMs))));
+		this.#timer.unref();
+	}
+
+	async #runFreeze(durationMs: number): Promise<void> {
+		if (this.#clock.isFrozen) {
+			return;
+		}
+
+		this.#clock.stop(getNow());
+		this.#thaw = createSignal();
+		const {resolve} = this.#thaw;
+		await wait(durationMs, undefined, {ref: false});
+		this.#thaw = undefined;
+		this.model.applyFreeze(this.#clock.toModelDuration(this.#clock.start(getNow())));
+		resolve();
+		this.handleTime();
+	}
+}
+
+const createSignal = (): {promise: Promise<void>; resolve: () => void} => {
+	let resolve!: () => void;
+	const promise = new Promise<void>(_resolve => {
+		resolve = _resolve;
+	});
+	return {promise, resolve};
+};
--- a/packages/testkit/src/engine/engine.test.ts
+++ b/packages/testkit/src/engine/engine.test.ts
@@ -1,6 +1,7 @@
 import {engineChunkSchema, engineReportSchema, type EngineChunk} from '@knapweedrack/protocol';
 import {expect} from 'chai';
 import type {StandIn} from '../http/stand-in.js';
+import {startPlatform} from '../platform/platform.js';
 import {renderAnswer} from './answer-text.js';
 import type {EngineOptions} from './engine-options.js';
 import {startEngine} from './engine.js';
@@ -279,6 +280,29 @@
 			expect(await sendJson('/admin/v1/orders', buildOrder(1))).to.have.property('status', 202);
 		});
 
+		// The sender's lease may be over when the engine continues; a late order must not take effect.
+		it('ignores an order that expired while it was frozen', async () => {
+			await start({loadMs: 0});
+			await addFault({kind: 'freeze', durationMs: 200});
+			expect(await sendJson('/admin/v1/orders', buildOrder(1, {expiresInMs: 50}))).to.have.nested.property('body.error', 'order_expired');
+			expect(await getJson(engine, '/admin/v1/orders')).to.include({lastOrderId: ''});
+		});
+
+		it('takes the weights from the store and waits while its rate is in use', async () => {
+			const platform = await startPlatform({weightTransfers: 1, weightTransferMs: 300});
+			await start({platform: platform.address});
+			const startedAt = performance.now();
+			await sendJson('/admin/v1/orders', buildOrder(1));
+			await sendJson('/admin/v1/orders', buildOrder(2, {target: 'adapter-2'}));
+			let assignment = await getJson<{adapters: string[]}>(engine, '/admin/v1/orders');
+			while (assignment.adapters.length < 2) {
+				assignment = await getJson(engine, '/admin/v1/orders');
+			}
+
+			expect(performance.now() - startedAt).to.be.above(590);
+			await platform.close();
+		});
+
 		it('loads a model with a new boot id', async () => {
 			await start({loadMs: 0});
 			const {bootId} = await getState();
