--- a/packages/core/src/admission/admission-point.ts
+++ b/packages/core/src/admission/admission-point.ts
@@ -3,7 +3,7 @@
 	type AttemptResult, type BackendServerProfile, type EngineReport, type LoadSnapshot, type Permit, type PermitRequest,
 	type RefusalReason,
 } from '../types/index.js';
-import {WarmupLevel} from '../warmup/index.js';
+import {WarmupLevel, type WarmupHandover} from '../warmup/index.js';
 import {computeBounds, type AdmissionBounds} from './admission-bounds.js';
 import type {AdmissionCommand, AdmissionEvent, AdmissionMode} from './admission-events.js';
 import {resolveAdmissionOptions, type AdmissionOptions, type ResolvedAdmissionOptions} from './admission-options.js';
@@ -11,7 +11,7 @@
 import {DrainEstimator} from './drain-estimator.js';
 import {LaneCredits} from './lane-credits.js';
 import {computeEnginePriority, computeLane, lanes} from './lanes.js';
-import {buildPermitId, parsePermitAttemptId} from './permit-id.js';
+import {buildPermitId, parsePermitId} from './permit-id.js';
 import {PermitLedger, type HeldPermit} from './permit-ledger.js';
 
 /** Capacity set aside for a request that waited for long. */
@@ -46,6 +46,8 @@
 	#mode: AdmissionMode = 'full';
 	#bootId: string | undefined;
 	#isLeaving = false;
+	/** True once the boot id changed while this entry was the owner. */
+	#hasRestarted = false;
 	/** True until a report shows the state of the server, initially and after a crash. */
 	#needsReport: boolean;
 	#sequence = 0;
@@ -98,6 +100,11 @@
 		return this.#bootId;
 	}
 
+	/** Level to pass on to the next owner at a planned handover; `undefined` before the first report. */
+	get handover(): WarmupHandover | undefined {
+		return this.#bootId === undefined ? undefined : {bootId: this.#bootId, factor: this.#warmup.factor};
+	}
+
 	/** True when a permit is known; entries drop renewals of unknown ones. */
 	hasPermit(permitId: string): boolean {
 		return this.#ledger.get(permitId) !== undefined;
@@ -223,18 +230,25 @@
 
 	#handleRenew(permitId: string): void {
 		const held = this.#ledger.get(permitId);
-		const expiresAt = this.#now + this.#options.permitLifetimeMs;
 		if (held !== undefined) {
-			this.#ledger.renew(held, expiresAt);
+			this.#ledger.renew(held, this.#now + this.#options.permitLifetimeMs);
 			return;
 		}
 
-		const attemptId = parsePermitAttemptId(permitId);
-		if (attemptId !== undefined && this.#mode !== 'stopped' && this.#ledger.findByAttempt(attemptId) === undefined) {
-			this.#addAdopted(permitId, attemptId);
+		const parsed = parsePermitId(permitId);
+		if (parsed !== undefined && this.#canAdopt(parsed)) {
+			this.#addAdopted(permitId, parsed.attemptId);
 		}
 	}
 
+	/** A late renewal of an own or a finished permit, or of one for a former boot, must not hold capacity again. */
+	#canAdopt({fencingNumber, attemptId}: {fencingNumber: number; attemptId: string}): boolean {
+		return fencingNumber < this.#options.fencingNumber
+			&& !this.#hasRestarted
+			&& this.#mode !== 'stopped'
+			&& !this.#ledger.isKnown(attemptId);
+	}
+
 	#addAdopted(permitId: string, attemptId: string): void {
 		this.#ledger.addAdopted({
 			permitId,
@@ -258,7 +272,6 @@
 		this.#ledger.recordFirstToken(held);
 		if (!held.isAdopted) {
 			this.#warmup.recordFirstToken({
-				grantedAt: held.grantedAt,
 				firstTokenMs: this.#now - held.grantedAt,
 				expectedMs: held.expectedFirstTokenMs,
 			}, this.#now);
@@ -280,6 +293,7 @@
 		}
 
 		if (result === attemptResults.completed) {
+			this.#warmup.recordCompleted(held.grantedAt, this.#now);
 			this.#estimator.recordHold(this.#now - held.grantedAt);
 			this.#estimator.recordDecode(this.#now - (held.firstTokenAt ?? held.grantedAt), held.decodeTokens);
 		}
@@ -311,18 +325,27 @@
 
 		this.#needsReport = false;
 		this.#isLeaving = report.state === 'leaving';
-		for (const orphan of this.#ledger.reconcileReport(report, this.#now)) {
-			this.#commands.push({type: 'cancel', ...orphan});
+		const orphans = this.#ledger.reconcileReport(report, this.#now);
+		// Only a sole owner knows that nobody else renews the permit.
+		if (this.#mode === 'full') {
+			this.#commands.push(...orphans.map(orphan => ({type: 'cancel' as const, ...orphan})));
 		}
 	}
 
 	#handleBoot(bootId: string): void {
 		if (this.#bootId !== undefined) {
 			this.#ledger.reset();
+			this.#hasRestarted = true;
+		}
+
+		const {handover} = this.#options;
+		if (this.#bootId === undefined && handover?.bootId === bootId) {
+			this.#warmup.resetTo(handover.factor, this.#now);
+		} else {
+			this.#warmup.reset(this.#now);
 		}
 
 		this.#bootId = bootId;
-		this.#warmup.reset(this.#now);
 	}
 
 	#updateExpired(): void {
