--- a/packages/cli/src/configuration/diff-configuration.ts
+++ b/packages/cli/src/configuration/diff-configuration.ts
@@ -48,7 +48,12 @@
 	const groups = new Map<string, ItemChange[]>();
 	for (const item of changes) {
 		const name = `${item.kind} ${item.change}`;
-		groups.set(name, [...groups.get(name) ?? [], item]);
+		const group = groups.get(name);
+		if (group) {
+			group.push(item);
+		} else {
+			groups.set(name, [item]);
+		}
 	}
 
 	return [...groups.values()].map(group => {
--- a/packages/cli/src/platform/edit-record.ts
+++ b/packages/cli/src/platform/edit-record.ts
@@ -23,7 +23,7 @@
 
 /** Renders who changed what, one line per edit. */
 export const renderEdits = (edits: readonly EditRecord[]): string =>
-	edits.map(edit => `  revision ${edit.revision} by ${edit.author}: ${edit.summary}`).join('\n');
+	edits.map(({revision, author, summary, editId}) => `  revision ${revision} by ${author}: ${summary} (edit ${editId})`).join('\n');
 
 /** Creates an id that identifies one edit over all operators. */
 export const createEditId = (): string => randomUUID();
--- a/packages/cli/src/platform/platform-access.ts
+++ b/packages/cli/src/platform/platform-access.ts
@@ -55,7 +55,7 @@
 			// The client repeats reads; the signal ends the repetitions together with the time limit.
 			const result = await call({timeoutMs: Math.max(1, Math.ceil(deadline - performance.now())), signal});
 			if (!result.ok && signal.aborted) {
-				return createError({kind: result.error.kind === 'unknown' ? 'unknown' : 'unavailable', message: `no answer within ${limitMs} ms`});
+				return createError({kind: result.error.kind === 'unknown' ? 'unknown' : 'unavailable', message: `no answer within ${limitMs} ms (see --timeout-ms)`});
 			}
 
 			if (result.ok || result.error.kind !== 'rate_limited' || performance.now() + result.error.retryAfterMs >= deadline) {
