--- /dev/null
+++ b/packages/entry/src/admission/owned-server.ts
@@ -0,0 +1,242 @@
+import {
+	AdmissionPoint, refusalReasons,
+	type AdmissionCommand, type AdmissionEvent, type BackendServerDescription, type BackendServerProfile, type EngineReport,
+	type LoadSnapshot, type OwnershipMode, type PermitReply, type PermitRequest, type RefusalReason,
+} from '@knapweedrack/core';
+import type {Metrics, TimerService} from '../contracts.js';
+import {counterNames} from '../metrics/metric-names.js';
+import type {EngineClient} from './engine-client.js';
+
+/** Failed status calls after which an engine counts as dead; one lost answer must not refuse its whole queue. */
+const failureLimit = 3;
+const deadRetryAfterMs = 1000;
+
+/** Plain services publish no capacity, so these bounds hold for each of them. */
+const serviceCapacity: Omit<BackendServerProfile, 'id'> = {
+	kvTokens: 1_000_000_000, prefillTokensPerSecond: 1_000_000_000, maxConcurrency: 64, coldConcurrency: 8, coldPrefillTokens: 1_000_000_000,
+};
+
+/** What an owned backend server needs. */
+export type OwnedServerOptions = {
+	description: BackendServerDescription;
+	engines: EngineClient;
+	timer: TimerService;
+	metrics: Metrics;
+	getMode: () => OwnershipMode;
+	getFencingNumber: () => number;
+	/** Called after the first report of a backend server. */
+	notifyReport: (report: EngineReport) => void;
+};
+
+type Waiter = (reply: PermitReply) => void;
+
+/** One backend server that this entry owns: its admission point, waiting permit requests and status. */
+export class OwnedServer {
+	description: BackendServerDescription;
+	readonly #options: OwnedServerOptions;
+	readonly #waiters = new Map<string, Waiter[]>();
+	/** Requests that arrived before the first report. */
+	readonly #early = new Map<string, PermitRequest>();
+	readonly #startedFirstTokens = new Set<string>();
+	#point: AdmissionPoint | undefined;
+	#report: EngineReport | undefined;
+	#mode: OwnershipMode = 'stopped';
+	#failures = 0;
+	#isPolling = false;
+
+	constructor(options: OwnedServerOptions) {
+		this.#options = options;
+		this.description = options.description;
+		if (options.description.kind === 'service') {
+			this.#openPoint({...serviceCapacity, id: options.description.id}, false);
+		}
+	}
+
+	get load(): LoadSnapshot | undefined {
+		return this.#point?.load;
+	}
+
+	/** Last report of the engine. */
+	get report(): EngineReport | undefined {
+		return this.#report;
+	}
+
+	/** Resolves when the request is granted or refused. */
+	async request(request: PermitRequest): Promise<PermitReply> {
+		this.#updateMode();
+		if (this.#mode === 'stopped') {
+			return this.#createRefusal(refusalReasons.ownershipDisputed, deadRetryAfterMs);
+		}
+
+		if (this.#failures >= failureLimit) {
+			return this.#createRefusal(refusalReasons.noBackendServer, deadRetryAfterMs);
+		}
+
+		return new Promise(resolve => {
+			this.#waiters.set(request.attemptId, [...this.#waiters.get(request.attemptId) ?? [], resolve]);
+			if (this.#point) {
+				this.handle({type: 'request', request});
+			} else {
+				this.#early.set(request.attemptId, request);
+			}
+		});
+	}
+
+	/** Gives up a request that waits. */
+	withdraw(requestId: string, attemptId: string): void {
+		this.#early.delete(attemptId);
+		this.handle({type: 'withdraw', requestId, attemptId});
+		this.#settle(attemptId, this.#createRefusal(refusalReasons.callerGone, 0));
+	}
+
+	/** Records the first token of a permit once, whichever message brings it. */
+	recordFirstToken(permitId: string): void {
+		if (!this.#startedFirstTokens.has(permitId)) {
+			this.#startedFirstTokens.add(permitId);
+			this.handle({type: 'firstToken', permitId});
+		}
+	}
+
+	release(event: AdmissionEvent & {type: 'release'}): void {
+		this.handle(event);
+		this.#startedFirstTokens.delete(event.permitId);
+		if (event.result === 'crashed') {
+			void this.poll();
+		}
+	}
+
+	/** Renews permits; returns the ids that are not known afterwards. */
+	renew(permitIds: string[]): string[] {
+		this.handle({type: 'renew', permitIds});
+		return permitIds.filter(permitId => !this.#point?.hasPermit(permitId));
+	}
+
+	/** Passes an event to the admission point and runs what follows. */
+	handle(event: AdmissionEvent): void {
+		for (const command of this.#point?.handle(event, this.#options.timer.now()) ?? []) {
+			this.#run(command);
+		}
+	}
+
+	/** Follows the ownership and lets queued requests time out. */
+	handleTick(): void {
+		this.#updateMode();
+		this.handle({type: 'tick'});
+	}
+
+	/** Reads the engine's status. */
+	async poll(): Promise<void> {
+		if (this.#isPolling || this.description.kind === 'service') {
+			return;
+		}
+
+		this.#isPolling = true;
+		const {engines, timer, metrics} = this.#options;
+		const startedAt = timer.now();
+		const report = await engines.fetchStatus(this.description.address);
+		this.#isPolling = false;
+		if (report) {
+			metrics.recordDuration('engine.poll', timer.now() - startedAt);
+			this.#acceptReport(report);
+		} else {
+			this.#acceptFailure();
+		}
+	}
+
+	/** Refuses everything that waits; called when the ownership ends. */
+	close(): void {
+		this.#mode = 'stopped';
+		this.handle({type: 'mode', mode: 'stopped'});
+		this.#refuseAll(refusalReasons.ownershipDisputed);
+	}
+
+	#openPoint(profile: BackendServerProfile, hasReports: boolean): void {
+		this.#point = new AdmissionPoint(profile, {fencingNumber: this.#options.getFencingNumber(), hasReports});
+		this.#mode = this.#options.getMode();
+		this.handle({type: 'mode', mode: this.#mode});
+	}
+
+	#acceptReport(report: EngineReport): void {
+		this.#failures = 0;
+		if (this.#report && this.#report.bootId !== report.bootId) {
+			this.#options.metrics.count(counterNames.engineRestarted);
+		}
+
+		this.#report = report;
+		if (!this.#point) {
+			this.#openPoint(report.profile, true);
+		}
+
+		this.handle({type: 'report', report});
+		this.#options.notifyReport(report);
+		for (const [attemptId, request] of this.#early) {
+			this.#early.delete(attemptId);
+			this.handle({type: 'request', request});
+		}
+	}
+
+	#acceptFailure(): void {
+		this.#failures++;
+		this.#options.metrics.count(counterNames.engineUnreachable);
+		if (this.#failures === failureLimit) {
+			this.#refuseAll(refusalReasons.noBackendServer);
+		}
+	}
+
+	#refuseAll(reason: RefusalReason): void {
+		for (const attemptId of this.#waiters.keys()) {
+			this.#early.delete(attemptId);
+			this.handle({type: 'withdraw', requestId: '', attemptId});
+			this.#settle(attemptId, this.#createRefusal(reason, deadRetryAfterMs));
+		}
+	}
+
+	#updateMode(): void {
+		const mode = this.#options.getMode();
+		if (mode !== this.#mode) {
+			this.#mode = mode;
+			this.handle({type: 'mode', mode});
+		}
+	}
+
+	#run(command: AdmissionCommand): void {
+		const handlers: {[Type in AdmissionCommand['type']]: (command: AdmissionCommand & {type: Type}) => void} = {
+			grant: ({permit}) => {
+				this.#options.metrics.count(counterNames.permitGranted);
+				// The record may have been written again since the admission point was created.
+				this.#settle(permit.attemptId, {
+					type: 'granted', permit: {...permit, fencingNumber: this.#options.getFencingNumber()}, load: this.#point!.load,
+				});
+			},
+			refuse: ({attemptId, reason, retryAfterMs}) => {
+				this.#options.metrics.count(counterNames.permitRefused);
+				this.#settle(attemptId, this.#createRefusal(reason, retryAfterMs));
+			},
+			cancel: ({requestId}) => {
+				void this.#cancel(requestId);
+			},
+		};
+		(handlers[command.type] as (command: AdmissionCommand) => void)(command);
+	}
+
+	#settle(attemptId: string, reply: PermitReply): void {
+		const waiters = this.#waiters.get(attemptId) ?? [];
+		this.#waiters.delete(attemptId);
+		for (const resolve of waiters) {
+			resolve(reply);
+		}
+	}
+
+	/** Orders to engines need a valid ownership at the time of sending. */
+	async #cancel(requestId: string): Promise<void> {
+		if (this.#options.getMode() !== 'stopped' && await this.#options.engines.cancel(this.description.address, requestId)) {
+			this.#options.metrics.count(counterNames.engineCancelled);
+		}
+	}
+
+	#createRefusal(reason: RefusalReason, retryAfterMs: number): PermitReply {
+		return {
+			type: 'refused', reason, retryAfterMs, load: this.load,
+		};
+	}
+}
--- /dev/null
+++ b/packages/entry/src/limits/limits-task.ts
@@ -0,0 +1,230 @@
+import {
+	SliceHolder, WorkspaceBudget,
+	type LimitSlice, type Plan, type TextHash32, type Workspace,
+} from '@knapweedrack/core';
+import {peerBatchLimit, type Slice, type SliceRequest} from '@knapweedrack/protocol';
+import type {
+	EntryServices, LimitAnswer, Metrics, RequestCost, TimerService,
+} from '../contracts.js';
+import type {MembershipTask} from '../membership/membership-task.js';
+import {selectResourceOwner} from '../membership/resource-owner.js';
+import {counterNames} from '../metrics/metric-names.js';
+
+const sliceLifetimeMs = 2000;
+/** A slice is renewed well before its end, so that one lost answer does not stop a workspace. */
+const renewalMs = 500;
+const requestTimeoutMs = 400;
+/** Workspaces without a request for this time are forgotten; 27,000 of them do not fit into memory with their histories. */
+const idleMs = 30_000;
+
+/** What the limits task needs. */
+export type LimitsOptions = {
+	entryId: string;
+	membership: MembershipTask;
+	timer: TimerService;
+	metrics: Metrics;
+	hash: TextHash32;
+	/** Plan of a workspace by the configuration in force. */
+	findPlan: (workspaceId: string) => Plan | undefined;
+};
+
+type HeldSlice = {holder: SliceHolder; usedAt: number; pending: Promise<void> | undefined};
+type OwnedBudget = {budget: WorkspaceBudget; usedAt: number};
+
+const unavailableSlice: LimitSlice = {
+	requestsPerSecond: 0, tokensPerSecond: 0, concurrency: 0, lifetimeMs: 0,
+};
+
+/** Workspace limits: slices that this entry uses, and budgets of the workspaces that it owns. */
+export class LimitsTask {
+	readonly #options: LimitsOptions;
+	readonly #slices = new Map<string, HeldSlice>();
+	readonly #budgets = new Map<string, OwnedBudget>();
+	#unsubscribe: (() => void) | undefined;
+	#liveKey = '';
+	#liveSince = Number.NEGATIVE_INFINITY;
+	#live: readonly string[] = [];
+
+	constructor(options: LimitsOptions) {
+		this.#options = options;
+	}
+
+	/** The part of the entry's services for request tasks. */
+	get services(): EntryServices['limits'] {
+		return {tryAdmit: async (workspace, plan, cost) => this.#tryAdmit(workspace, plan, cost)};
+	}
+
+	start(): void {
+		this.#unsubscribe = this.#options.timer.subscribe(renewalMs, now => {
+			this.#removeIdle(now);
+			this.#updateEntries(now);
+			void this.#renew([...this.#slices.keys()]);
+		});
+	}
+
+	stop(): void {
+		this.#unsubscribe?.();
+	}
+
+	/** Hands out slices of the workspaces that this entry owns; a workspace of another owner gets none. */
+	handOut(requests: readonly SliceRequest[]): Slice[] {
+		const now = this.#options.timer.now();
+		this.#updateEntries(now);
+		return requests.map(({entryId, workspaceId, ...demand}) => {
+			const budget = this.#findOwner(workspaceId) === this.#options.entryId ? this.#openBudget(workspaceId, now) : undefined;
+			return {workspaceId, ...budget?.handle({type: 'demand', entryId, demand}, now) ?? unavailableSlice};
+		});
+	}
+
+	async #tryAdmit(workspace: Workspace, plan: Plan, cost: RequestCost): Promise<LimitAnswer> {
+		const {timer, metrics} = this.#options;
+		const held = this.#openSlice(workspace.id, plan, timer.now());
+		if (!held.holder.hasSlice(timer.now())) {
+			held.pending ??= this.#renew([workspace.id]);
+			await held.pending;
+			held.pending = undefined;
+		}
+
+		const now = timer.now();
+		const verdict = held.holder.tryConsume(cost, now);
+		if (verdict.type === 'refused') {
+			return verdict;
+		}
+
+		if (!held.holder.hasSlice(now)) {
+			metrics.count(counterNames.sliceFloor);
+		}
+
+		return {
+			type: 'admitted',
+			release(usedTokens) {
+				held.holder.release(cost, usedTokens, timer.now());
+			},
+		};
+	}
+
+	#openSlice(workspaceId: string, plan: Plan, now: number): HeldSlice {
+		const known = this.#slices.get(workspaceId);
+		if (known) {
+			known.usedAt = now;
+			return known;
+		}
+
+		this.#updateEntries(now);
+		const held: HeldSlice = {holder: new SliceHolder(plan, {entries: this.#live.length}, now), usedAt: now, pending: undefined};
+		this.#slices.set(workspaceId, held);
+		return held;
+	}
+
+	#openBudget(workspaceId: string, now: number): WorkspaceBudget | undefined {
+		const known = this.#budgets.get(workspaceId);
+		if (known) {
+			known.usedAt = now;
+			return known.budget;
+		}
+
+		const plan = this.#options.findPlan(workspaceId);
+		if (!plan) {
+			return undefined;
+		}
+
+		// While the set of entries stands still for a slice lifetime, no former owner has slices in use.
+		const isSettled = now - this.#liveSince >= sliceLifetimeMs;
+		const budget = new WorkspaceBudget(plan, {entries: this.#live.length, sliceLifetimeMs, isSettled}, now);
+		this.#budgets.set(workspaceId, {budget, usedAt: now});
+		return budget;
+	}
+
+	async #renew(workspaceIds: readonly string[]): Promise<void> {
+		const byOwner = new Map<string, string[]>();
+		for (const workspaceId of workspaceIds) {
+			const owner = this.#findOwner(workspaceId);
+			if (owner !== undefined) {
+				byOwner.set(owner, [...byOwner.get(owner) ?? [], workspaceId]);
+			}
+		}
+
+		await Promise.all([...byOwner].map(async ([owner, owned]) => this.#renewAt(owner, owned)));
+	}
+
+	async #renewAt(owner: string, workspaceIds: readonly string[]): Promise<void> {
+		const {entryId, membership, timer} = this.#options;
+		for (let start = 0; start < workspaceIds.length; start += peerBatchLimit) {
+			const batch = workspaceIds.slice(start, start + peerBatchLimit);
+			const requestedAt = timer.now();
+			const requests = batch.map(workspaceId => ({entryId, workspaceId, ...this.#slices.get(workspaceId)!.holder.resetDemand()}));
+			if (owner === entryId) {
+				this.#acceptSlices(this.handOut(requests), requestedAt);
+				continue;
+			}
+
+			const answer = await membership.findPeer(owner)?.run(requestTimeoutMs, async (caller, signal) => caller.limits.slice.mutate(requests, {signal}));
+			if (answer?.ok) {
+				this.#acceptSlices(answer.value, requestedAt);
+			} else {
+				this.#acceptUnreachable(batch);
+			}
+		}
+	}
+
+	#acceptSlices(slices: readonly Slice[], requestedAt: number): void {
+		const now = this.#options.timer.now();
+		for (const {workspaceId, ...slice} of slices) {
+			this.#slices.get(workspaceId)?.holder.handle({type: 'slice', slice, requestedAt}, now);
+		}
+	}
+
+	#acceptUnreachable(workspaceIds: readonly string[]): void {
+		const now = this.#options.timer.now();
+		for (const workspaceId of workspaceIds) {
+			this.#slices.get(workspaceId)?.holder.handle({type: 'unreachable'}, now);
+		}
+	}
+
+	#updateEntries(now: number): void {
+		const {membership, entryId, findPlan} = this.#options;
+		this.#live = membership.listLiveSessions().filter(({state}) => state === 'serving').map(session => session.entryId).toSorted();
+		const key = this.#live.join(' ');
+		if (key !== this.#liveKey) {
+			this.#liveKey = key;
+			this.#liveSince = now;
+		}
+
+		const unreachable = this.#live.filter(other => other !== entryId && !membership.hasFreshHeartbeat(other));
+		for (const [workspaceId, {budget}] of this.#budgets) {
+			const plan = findPlan(workspaceId);
+			if (plan) {
+				budget.handle({type: 'plan', plan}, now);
+			}
+
+			budget.handle({type: 'entries', entries: this.#live.length, unreachable}, now);
+		}
+
+		for (const [workspaceId, {holder}] of this.#slices) {
+			const plan = findPlan(workspaceId);
+			if (plan) {
+				holder.handle({type: 'plan', plan}, now);
+			}
+
+			holder.handle({type: 'entries', entries: this.#live.length}, now);
+		}
+	}
+
+	#findOwner(workspaceId: string): string | undefined {
+		return selectResourceOwner(`workspace ${workspaceId}`, this.#options.membership.listLiveSessions(), this.#options.hash);
+	}
+
+	#removeIdle(now: number): void {
+		for (const [workspaceId, {holder, usedAt}] of this.#slices) {
+			if (now - usedAt > idleMs && holder.inProgress === 0) {
+				this.#slices.delete(workspaceId);
+			}
+		}
+
+		for (const [workspaceId, {usedAt}] of this.#budgets) {
+			if (now - usedAt > idleMs) {
+				this.#budgets.delete(workspaceId);
+			}
+		}
+	}
+}
--- /dev/null
+++ b/packages/entry/src/membership/membership-task.ts
@@ -0,0 +1,304 @@
+import createDebug from 'debug';
+import {
+	HeartbeatTable, SessionLease, SessionObserver, sessionRenewalMs,
+	type BackendServerDescription, type Heartbeat, type SessionRecord, type TextHash32,
+} from '@knapweedrack/core';
+import type {InstanceDirectory} from '@knapweedrack/platform-client';
+import {objectKeys, sessionRecordSchema, type InstanceList} from '@knapweedrack/protocol';
+import type {Metrics, TimerService} from '../contracts.js';
+import {Mailbox} from '../mailbox/mailbox.js';
+import {counterNames} from '../metrics/metric-names.js';
+import type {PeerClient} from '../peers/peer-client.js';
+import type {PeerClients} from '../peers/peer-clients.js';
+import type {MonitoredStore} from '../store/monitored-store.js';
+import {ObjectWatch, type WatchedState} from '../store/object-watch.js';
+import {waitFor} from '../timer/timer-service.js';
+import {selectHeartbeatTargets, type HeartbeatPlan} from './heartbeat-targets.js';
+
+const debug = createDebug('knapweedrack:membership');
+
+/** Shorter than the renewal period, so that a slow answer does not delay the next renewal. */
+const renewalTimeoutMs = 1500;
+const heartbeatTimeoutMs = 1500;
+const clockCheckMs = 250;
+/** An answer without a change confirms that a session was not renewed; it must not be older than about a second. */
+const sessionWatchMs = 1000;
+const shortestListPeriodMs = 1000;
+const longestListPeriodMs = 10_000;
+/** The list is read less often in a large fleet, because its size grows with the fleet. */
+const listPeriodPerInstanceMs = 10;
+
+/** Facts about entries and instances for the other tasks; `sentAt` is the sending time of the call that brought them. */
+export type MembershipMessage =
+	| {type: 'lease'; validUntil: number}
+	| {type: 'sessions'; sessions: readonly SessionRecord[]; sentAt: number}
+	| {type: 'heartbeat'; heartbeat: Heartbeat; sentAt: number}
+	| {type: 'instances'; servers: readonly BackendServerDescription[]; entryIds: readonly string[]}
+	| {type: 'entryEnded'; entryId: string};
+
+/** What the membership task needs. */
+export type MembershipOptions = {
+	/** Own session as first written. */
+	self: SessionRecord;
+	seedPeers: readonly string[];
+	store: MonitoredStore;
+	instances: InstanceDirectory;
+	peers: PeerClients;
+	timer: TimerService;
+	metrics: Metrics;
+	hash: TextHash32;
+	getRevisions: () => Pick<SessionRecord, 'configurationRevision' | 'availabilityRevision'>;
+};
+
+/** Own session, sessions of other entries, heartbeats and the instance list. */
+export class MembershipTask {
+	readonly messages = new Mailbox<MembershipMessage>();
+	readonly #options: MembershipOptions;
+	readonly #lease = new SessionLease();
+	readonly #observer = new SessionObserver();
+	readonly #heartbeats = new HeartbeatTable();
+	readonly #watch: ObjectWatch;
+	readonly #unsubscribes: Array<() => void> = [];
+	/** Entries that were live when the object API last answered. */
+	#lastLive = new Set<string>();
+	#plan: HeartbeatPlan = {targets: [], periodMs: 0};
+	#heartbeatAt = Number.NEGATIVE_INFINITY;
+	#checkedAt: number;
+	#self: SessionRecord;
+	#servers: readonly BackendServerDescription[] = [];
+	#entryIds: readonly string[] = [];
+	#isStopped = false;
+
+	constructor(options: MembershipOptions) {
+		this.#options = options;
+		this.#self = options.self;
+		this.#checkedAt = options.timer.now();
+		const {store, timer, metrics} = options;
+		this.#watch = new ObjectWatch({
+			prefix: objectKeys.sessionPrefix, waitMs: sessionWatchMs, paceMs: sessionWatchMs, store, timer, metrics,
+			notify: state => {
+				this.#acceptSessions(state);
+			},
+		});
+	}
+
+	get isStopping(): boolean {
+		return this.#self.state === 'stopping';
+	}
+
+	/** Entry instances by the lagging instance list. */
+	get entryIds(): readonly string[] {
+		return this.#entryIds;
+	}
+
+	/** Backend servers by the lagging instance list. */
+	get servers(): readonly BackendServerDescription[] {
+		return this.#servers;
+	}
+
+	/** Starts renewals, watches and heartbeats; resolves after the first round, successful or not. */
+	async start(): Promise<void> {
+		const {timer} = this.#options;
+		this.#unsubscribes.push(
+			timer.subscribe(clockCheckMs, now => {
+				this.#checkClock(now);
+				this.#sendDueHeartbeats(now);
+			}),
+			timer.subscribe(sessionRenewalMs, () => {
+				void this.#renew();
+			}),
+		);
+		await Promise.all([this.#watch.start(), this.#renew(), this.#readInstances()]);
+		this.#sendDueHeartbeats(timer.now());
+		void this.#followInstances();
+	}
+
+	/** Ends the lease when the process stood still; called before anything that depends on the lease. */
+	checkClock(): void {
+		this.#checkClock(this.#options.timer.now());
+	}
+
+	/** Answers a heartbeat of another entry. */
+	acceptHeartbeat(heartbeat: Heartbeat): Heartbeat {
+		// A heartbeat that waited while the process stood still is as old as the last check of the clock.
+		this.#recordHeartbeat(heartbeat, Math.min(this.#options.timer.now(), this.#checkedAt + clockCheckMs));
+		return this.#createHeartbeat();
+	}
+
+	/** Adds sessions that a peer knows; used while the object API is down. */
+	addSessions(sessions: readonly SessionRecord[]): void {
+		const now = this.#options.timer.now();
+		for (const session of sessions) {
+			if (session.entryId !== this.#self.entryId && !this.#observer.get(session.entryId)?.record) {
+				this.#observer.accept(session.entryId, session, now, now);
+				this.#lastLive.add(session.entryId);
+			}
+		}
+
+		this.#updatePlan();
+	}
+
+	/** Sessions that exist, expired ones included. */
+	listSessions(): SessionRecord[] {
+		return this.#observer.list();
+	}
+
+	getSession(entryId: string): SessionRecord | undefined {
+		return this.#observer.get(entryId)?.record;
+	}
+
+	/** Connection to another entry; undefined when its address is not known. */
+	findPeer(entryId: string): PeerClient | undefined {
+		const session = this.getSession(entryId);
+		return session && this.#options.peers.get(session.peerAddress);
+	}
+
+	/** Live entries, the own one included; in an outage of the object API the ones last seen, less those that do not answer. */
+	listLiveSessions(): SessionRecord[] {
+		const now = this.#options.timer.now();
+		const others = this.#observer.list().filter(({entryId}) => entryId !== this.#self.entryId && this.#isLive(entryId, now));
+		return [...others, this.#self];
+	}
+
+	/** True when an entry exchanged a heartbeat with this one recently. */
+	hasFreshHeartbeat(entryId: string): boolean {
+		return this.#heartbeats.get(entryId, this.#options.timer.now()) !== undefined;
+	}
+
+	findHighestRevision(kind: 'configurationRevision' | 'availabilityRevision'): {entryId: string; revision: number} | undefined {
+		return this.#heartbeats.findHighestRevision(kind, this.#options.timer.now());
+	}
+
+	/** Leaves the list of entries that callers use. */
+	async setStopping(): Promise<void> {
+		this.#self = {...this.#self, state: 'stopping'};
+		await this.#renew();
+	}
+
+	/** Ends renewals and watches and deletes the session. */
+	async stop(): Promise<void> {
+		this.#isStopped = true;
+		this.#watch.stop();
+		for (const unsubscribe of this.#unsubscribes) {
+			unsubscribe();
+		}
+
+		await this.#options.store.delete(this.#sessionKey, undefined, {timeoutMs: renewalTimeoutMs});
+	}
+
+	get #sessionKey(): string {
+		return `${objectKeys.sessionPrefix}${this.#self.entryId}`;
+	}
+
+	async #renew(): Promise<void> {
+		const {store, timer, metrics, getRevisions} = this.#options;
+		this.#self = {...this.#self, ...getRevisions(), renewal: this.#self.renewal + 1};
+		const sentAt = timer.now();
+		const result = await store.put(this.#sessionKey, this.#self, undefined, {timeoutMs: renewalTimeoutMs});
+		if (!result.ok) {
+			metrics.count(counterNames.sessionRenewalFailed);
+			debug('the session was not renewed: %o', result.error);
+			return;
+		}
+
+		metrics.count(counterNames.sessionRenewed);
+		this.checkClock();
+		this.#lease.recordRenewal(sentAt, timer.now());
+		this.messages.send({type: 'lease', validUntil: this.#lease.validUntil});
+	}
+
+	#checkClock(now: number): void {
+		this.#checkedAt = now;
+		if (this.#lease.checkClock(now, Date.now())) {
+			this.#options.metrics.count(counterNames.clockGap);
+			debug('the clock shows a gap; the lease has ended');
+			this.messages.send({type: 'lease', validUntil: this.#lease.validUntil});
+		}
+	}
+
+	#acceptSessions({objects, sentAt}: WatchedState): void {
+		const sessions = [...objects.values()].flatMap(({value}) => sessionRecordSchema.safeParse(value).data ?? []);
+		const now = this.#options.timer.now();
+		this.#observer.acceptList(sessions, sentAt, now);
+		this.#lastLive = new Set(sessions.map(({entryId}) => entryId).filter(entryId => this.#observer.isLive(entryId, now)));
+		this.#updatePlan();
+		this.messages.send({type: 'sessions', sessions, sentAt});
+	}
+
+	#isLive(entryId: string, now: number): boolean {
+		if (this.#observer.isLive(entryId, now) || this.#heartbeats.get(entryId, now) !== undefined) {
+			return true;
+		}
+
+		return !this.#options.store.isReachable() && this.#lastLive.has(entryId) && !this.#plan.targets.includes(entryId);
+	}
+
+	#updatePlan(): void {
+		const others = [...this.#lastLive].filter(entryId => entryId !== this.#self.entryId);
+		this.#plan = selectHeartbeatTargets(this.#self.entryId, others, this.#options.hash);
+	}
+
+	#sendDueHeartbeats(now: number): void {
+		if (now - this.#heartbeatAt < this.#plan.periodMs - (clockCheckMs / 2)) {
+			return;
+		}
+
+		this.#heartbeatAt = now;
+		for (const {entryId, peerAddress} of this.#plan.targets.flatMap(target => this.getSession(target) ?? [])) {
+			void this.#exchangeHeartbeat(this.#options.peers.get(peerAddress), entryId);
+		}
+
+		if (this.#lastLive.size <= 1) {
+			for (const address of this.#options.seedPeers) {
+				void this.#exchangeHeartbeat(this.#options.peers.get(address), undefined);
+			}
+		}
+	}
+
+	async #exchangeHeartbeat(peer: PeerClient, entryId: string | undefined): Promise<void> {
+		const {timer, metrics} = this.#options;
+		const sentAt = timer.now();
+		const heartbeat = this.#createHeartbeat();
+		const answer = await peer.run(heartbeatTimeoutMs, async (caller, signal) => caller.membership.heartbeat.mutate(heartbeat, {signal}));
+		metrics.count(answer.ok ? counterNames.heartbeatSent : counterNames.heartbeatFailed);
+		if (answer.ok) {
+			this.#recordHeartbeat(answer.value, sentAt);
+		} else if (entryId !== undefined && peer.isRefused) {
+			this.messages.send({type: 'entryEnded', entryId});
+		}
+	}
+
+	#recordHeartbeat(heartbeat: Heartbeat, sentAt: number): void {
+		if (heartbeat.entryId !== this.#self.entryId) {
+			this.#heartbeats.accept(heartbeat, sentAt);
+			this.messages.send({type: 'heartbeat', heartbeat, sentAt});
+		}
+	}
+
+	#createHeartbeat(): Heartbeat {
+		const {entryId, epoch, failureDomain, state} = this.#self;
+		return {
+			entryId, epoch, failureDomain, state, reachesStore: this.#options.store.isReachable(), ...this.#options.getRevisions(),
+		};
+	}
+
+	async #followInstances(): Promise<void> {
+		while (!this.#isStopped) {
+			const instances = this.#servers.length + this.#entryIds.length;
+			await waitFor(this.#options.timer, Math.min(longestListPeriodMs, Math.max(shortestListPeriodMs, instances * listPeriodPerInstanceMs)));
+			await this.#readInstances();
+		}
+	}
+
+	async #readInstances(): Promise<void> {
+		const result = await this.#options.instances.list();
+		if (result.ok && !this.#isStopped) {
+			this.#servers = listBackendServers(result.value);
+			this.#entryIds = result.value.instances.filter(({kind}) => kind === 'entry').map(({id}) => id);
+			this.messages.send({type: 'instances', servers: this.#servers, entryIds: this.#entryIds});
+		}
+	}
+}
+
+const listBackendServers = ({instances}: InstanceList): BackendServerDescription[] =>
+	instances.flatMap(({kind, ...instance}) => kind === 'entry' ? [] : [{...instance, kind}]);
--- a/packages/entry/src/peers/peer-client.ts
+++ b/packages/entry/src/peers/peer-client.ts
@@ -21,6 +21,10 @@
 const longestReconnectMs = 2000;
 /** Calls in progress with one peer; a peer that does not answer must not collect calls without bound. */
 const callLimit = 5000;
+const openWaitMs = 1000;
+/** A paused peer is noticed within twice this time; heartbeats keep most connections from needing a ping. */
+const pingPeriodMs = 1500;
+const pongWaitMs = 1500;
 const batchWaitMs = 10;
 const batchTimeoutMs = 1000;
 /** A release that is older than a permit's lifetime has no effect at the owner any more. */
@@ -46,8 +50,12 @@
 export class PeerClient {
 	readonly #options: PeerClientOptions;
 	#connection: Connection;
+	#client: ReturnType<typeof createWSClient> | undefined;
 	#calls = 0;
 	#isClosed = false;
+	#isRefused = false;
+	#openWaiters: Array<() => void> = [];
+	#isOpen = false;
 	readonly #releases: Array<{release: PermitRelease; at: number}> = [];
 	readonly #withdrawals: PermitWithdrawal[] = [];
 	#cancelFlush: (() => void) | undefined;
@@ -57,7 +65,12 @@
 		this.#connection = this.#openConnection();
 	}
 
-	/** Runs one call; without an answer within `timeoutMs` the peer counts as unreachable. */
+	/** True when the last attempt to connect was refused: no process listens on the address. */
+	get isRefused(): boolean {
+		return this.#isRefused;
+	}
+
+	/** Runs one call; without a connection within a second or an answer within `timeoutMs` the peer counts as unreachable. */
 	async run<Answer>(timeoutMs: number, call: (caller: PeerCaller, signal: AbortSignal) => Promise<Answer>): Promise<Result<Answer, PeerFailure>> {
 		if (this.#calls >= callLimit || this.#isClosed) {
 			return createError({kind: 'unreachable', message: this.#isClosed ? 'the connection is closed' : 'too many calls in progress'});
@@ -65,6 +78,10 @@
 
 		this.#calls++;
 		try {
+			if (!await this.#waitUntilOpen(Math.min(timeoutMs, openWaitMs))) {
+				return createError({kind: 'unreachable', message: 'there is no connection'});
+			}
+
 			return createOk(await runWithDeadline(this.#options.timer, timeoutMs, async signal => call(this.#connection.caller, signal)));
 		} catch (error) {
 			return createError(this.#acceptError(error));
@@ -94,6 +111,32 @@
 		this.#connection.close();
 	}
 
+	async #waitUntilOpen(timeoutMs: number): Promise<boolean> {
+		if (!this.#isOpen) {
+			await new Promise<void>(resolve => {
+				const cancel = this.#options.timer.schedule(timeoutMs, () => {
+					resolve();
+				});
+				this.#openWaiters.push(() => {
+					cancel();
+					resolve();
+				});
+			});
+		}
+
+		return this.#isOpen;
+	}
+
+	#setOpen(): void {
+		this.#isOpen = true;
+		this.#isRefused = false;
+		const waiters = this.#openWaiters;
+		this.#openWaiters = [];
+		for (const notify of waiters) {
+			notify();
+		}
+	}
+
 	#scheduleFlush(delayMs: number): void {
 		if (this.#cancelFlush !== undefined || this.#isClosed) {
 			return;
@@ -138,6 +181,7 @@
 		if (code === 'UNAUTHORIZED') {
 			// A secret that was removed at the peer stays bound to the connection, so that a new one is needed.
 			this.#connection.close();
+			this.#isOpen = false;
 			this.#connection = this.#openConnection();
 			return {kind: 'unauthorized', message};
 		}
@@ -148,12 +192,24 @@
 	#openConnection(): Connection {
 		const {secrets, metrics, traffic} = this.#options;
 		const {address} = this;
+		const setRefused = (isRefused: boolean) => {
+			this.#isRefused = isRefused;
+		};
+
 		const socketClass = class extends WebSocket {
 			constructor(url: string | URL) {
 				super(url, {perMessageDeflate: false, maxPayload: peerMessageLimitBytes, handshakeTimeout: handshakeTimeoutMs});
 				this.on('upgrade', ({socket}) => {
 					traffic.add(socket);
 				});
+				this.on('error', error => {
+					setRefused((error as NodeJS.ErrnoException).code === 'ECONNREFUSED');
+				});
+			}
+
+			/** Calls in progress must fail at once; the closing handshake with a paused peer takes 30 s. */
+			override close(): void {
+				this.terminate();
 			}
 		};
 		const client = createWSClient({
@@ -162,15 +218,27 @@
 			// eslint-disable-next-line @typescript-eslint/naming-convention -- The option's name is given by the library.
 			WebSocket: socketClass as unknown as typeof globalThis.WebSocket,
 			retryDelayMs: attempt => Math.min(firstReconnectMs * (2 ** attempt), longestReconnectMs),
-			onOpen() {
+			keepAlive: {enabled: true, intervalMs: pingPeriodMs, pongTimeoutMs: pongWaitMs},
+			onOpen: () => {
+				if (client !== this.#client) {
+					return;
+				}
+
+				this.#setOpen();
 				metrics.count(counterNames.peerConnected);
 				debug('connected to %s', address);
 			},
-			onClose() {
+			onClose: () => {
+				if (client !== this.#client) {
+					return;
+				}
+
+				this.#isOpen = false;
 				metrics.count(counterNames.peerDisconnected);
 				debug('connection to %s closed', address);
 			},
 		});
+		this.#client = client;
 		return {
 			caller: createTRPCClient<PeerRouter>({links: [wsLink({client})]}),
 			close() {
--- /dev/null
+++ b/packages/entry/src/permits/permit-client.ts
@@ -0,0 +1,194 @@
+import {
+	permitLifetimeMs, refusalReasons,
+	type LoadSnapshot, type Permit, type PermitReply, type PermitRequest,
+} from '@knapweedrack/core';
+import {peerBatchLimit, type PermitRenewal} from '@knapweedrack/protocol';
+import type {AdmissionTask} from '../admission/admission-task.js';
+import type {EntryServices, Metrics, TimerService} from '../contracts.js';
+import type {MembershipTask} from '../membership/membership-task.js';
+import {counterNames, durationNames} from '../metrics/metric-names.js';
+import type {OwnershipTask} from '../ownership/ownership-task.js';
+
+/** Two renewals may be lost before a permit expires. */
+const renewalMs = permitLifetimeMs / 3;
+const renewalTimeoutMs = 2000;
+/** First tokens of this time go in one message; the owner's estimate of running prefill lags by as much. */
+const firstTokenWaitMs = 50;
+const unreachableRetryAfterMs = 500;
+/** The owner refuses at the deadline itself; the allowance covers the way of its answer. */
+const replyAllowanceMs = 500;
+/** Loads older than this say nothing about the present queue. */
+const loadKeepMs = 10_000;
+
+/** What the permit client needs. */
+export type PermitClientOptions = {
+	entryId: string;
+	admission: AdmissionTask;
+	ownership: OwnershipTask;
+	membership: MembershipTask;
+	timer: TimerService;
+	metrics: Metrics;
+};
+
+type RenewalEntry = PermitRenewal['servers'][number];
+
+/** Permits that this entry holds, from its own admission points and from other owners. */
+export class PermitClient {
+	readonly #options: PermitClientOptions;
+	/** Permits in use, by server. */
+	readonly #held = new Map<string, Set<string>>();
+	readonly #loads = new Map<string, {load: LoadSnapshot; at: number}>();
+	readonly #firstTokens = new Map<string, string[]>();
+	#unsubscribe: (() => void) | undefined;
+	#isFirstTokenScheduled = false;
+
+	constructor(options: PermitClientOptions) {
+		this.#options = options;
+	}
+
+	/** The part of the entry's services for request tasks. */
+	get services(): EntryServices['permits'] {
+		return {
+			request: async request => this.#request(request),
+			withdraw: request => {
+				this.#withdraw(request);
+			},
+			recordFirstToken: permit => {
+				this.#recordFirstToken(permit);
+			},
+			release: (permit, release) => {
+				this.#release(permit, release);
+			},
+			getLoad: serverId => this.#getLoad(serverId),
+			isOwned: serverId => this.#isOwned(serverId),
+		};
+	}
+
+	start(): void {
+		this.#unsubscribe = this.#options.timer.subscribe(renewalMs, () => {
+			this.#renew([...this.#held].map(([serverId, permitIds]) => ({serverId, permitIds: [...permitIds], firstTokens: []})));
+		});
+	}
+
+	stop(): void {
+		this.#unsubscribe?.();
+	}
+
+	async #request(request: PermitRequest): Promise<PermitReply> {
+		const {timer, metrics} = this.#options;
+		const startedAt = timer.now();
+		const reply = this.#isOwned(request.serverId) ? await this.#options.admission.request(request) : await this.#requestFromPeer(request);
+		metrics.recordDuration(durationNames.permitWait, timer.now() - startedAt);
+		if (reply.load) {
+			this.#loads.set(request.serverId, {load: reply.load, at: timer.now()});
+		}
+
+		if (reply.type === 'granted') {
+			this.#addHeld(reply.permit);
+		}
+
+		return reply;
+	}
+
+	async #requestFromPeer(request: PermitRequest): Promise<PermitReply> {
+		const peer = this.#findOwner(request.serverId);
+		const answer = await peer?.run(request.deadlineInMs + replyAllowanceMs, async (caller, signal) => caller.permits.request.mutate(request, {signal}));
+		if (answer?.ok) {
+			return answer.value;
+		}
+
+		// The owner may have granted it although its answer was lost; the permit would count until it expires.
+		peer?.withdraw(request);
+		return {type: 'refused', reason: refusalReasons.ownerUnreachable, retryAfterMs: unreachableRetryAfterMs};
+	}
+
+	#withdraw({serverId, requestId, attemptId}: PermitRequest): void {
+		if (this.#isOwned(serverId)) {
+			this.#options.admission.withdraw([{serverId, requestId, attemptId}]);
+		} else {
+			this.#findOwner(serverId)?.withdraw({serverId, requestId, attemptId});
+		}
+	}
+
+	#recordFirstToken({serverId, permitId}: Permit): void {
+		if (this.#isOwned(serverId)) {
+			this.#options.admission.recordFirstToken(serverId, permitId);
+			return;
+		}
+
+		this.#firstTokens.set(serverId, [...this.#firstTokens.get(serverId) ?? [], permitId]);
+		if (!this.#isFirstTokenScheduled) {
+			this.#isFirstTokenScheduled = true;
+			this.#options.timer.schedule(firstTokenWaitMs, () => {
+				this.#isFirstTokenScheduled = false;
+				this.#renew([...this.#firstTokens].map(([server, firstTokens]) => ({serverId: server, permitIds: [], firstTokens})));
+				this.#firstTokens.clear();
+			});
+		}
+	}
+
+	#release({serverId, permitId}: Permit, release: Parameters<EntryServices['permits']['release']>[1]): void {
+		const held = this.#held.get(serverId);
+		held?.delete(permitId);
+		if (held?.size === 0) {
+			this.#held.delete(serverId);
+		}
+
+		if (this.#isOwned(serverId)) {
+			this.#options.admission.release([{serverId, permitId, ...release}]);
+		} else {
+			this.#findOwner(serverId)?.release({serverId, permitId, ...release});
+		}
+	}
+
+	#renew(entries: readonly RenewalEntry[]): void {
+		const {entryId, ownership, admission} = this.#options;
+		const byOwner = new Map<string, RenewalEntry[]>();
+		for (const entry of entries) {
+			const owner = ownership.getOwner(entry.serverId);
+			if (owner !== undefined) {
+				byOwner.set(owner, [...byOwner.get(owner) ?? [], entry]);
+			}
+		}
+
+		for (const [owner, servers] of byOwner) {
+			if (owner === entryId) {
+				admission.renew({entryId, servers});
+			} else {
+				void this.#renewAtPeer(owner, servers);
+			}
+		}
+	}
+
+	async #renewAtPeer(owner: string, servers: readonly RenewalEntry[]): Promise<void> {
+		const {entryId, membership, metrics} = this.#options;
+		for (let start = 0; start < servers.length; start += peerBatchLimit) {
+			const renewal = {entryId, servers: servers.slice(start, start + peerBatchLimit)};
+			const answer = await membership.findPeer(owner)?.run(renewalTimeoutMs, async (caller, signal) => caller.permits.renew.mutate(renewal, {signal}));
+			if (answer?.ok) {
+				metrics.count(counterNames.permitUnknown, answer.value.unknownPermitIds.length);
+			}
+		}
+	}
+
+	#addHeld({serverId, permitId}: Permit): void {
+		const held = this.#held.get(serverId) ?? new Set();
+		held.add(permitId);
+		this.#held.set(serverId, held);
+	}
+
+	#getLoad(serverId: string): LoadSnapshot | undefined {
+		const known = this.#loads.get(serverId);
+		const isRecent = known !== undefined && this.#options.timer.now() - known.at <= loadKeepMs;
+		return this.#options.admission.getLoad(serverId) ?? (isRecent ? known.load : undefined);
+	}
+
+	#isOwned(serverId: string): boolean {
+		return this.#options.ownership.getOwner(serverId) === this.#options.entryId;
+	}
+
+	#findOwner(serverId: string) {
+		const owner = this.#options.ownership.getOwner(serverId);
+		return owner === undefined ? undefined : this.#options.membership.findPeer(owner);
+	}
+}
--- /dev/null
+++ b/packages/entry/src/quarantine/quarantine-task.ts
@@ -0,0 +1,183 @@
+import createDebug from 'debug';
+import {
+	FingerprintTable, type FingerprintRecord, type ReportEffect, type TextHash32,
+} from '@knapweedrack/core';
+import {
+	fingerprintRecordSchema, objectKeys, type FingerprintReport, type FingerprintStanding,
+} from '@knapweedrack/protocol';
+import type {EntryServices, Metrics, TimerService} from '../contracts.js';
+import type {MembershipTask} from '../membership/membership-task.js';
+import {selectResourceOwner} from '../membership/resource-owner.js';
+import {counterNames} from '../metrics/metric-names.js';
+import type {MonitoredStore} from '../store/monitored-store.js';
+import {ObjectWatch, type WatchedState} from '../store/object-watch.js';
+
+const debug = createDebug('knapweedrack:quarantine');
+
+const watchMs = 10_000;
+const paceMs = 200;
+const peerTimeoutMs = 1000;
+const writeTimeoutMs = 2000;
+const retryAfterMs = 1000;
+/** A quarantined content crashes servers each time it runs, so a retry is not worthwhile before an operator acts. */
+const quarantinedRetryAfterMs = 60_000;
+/** A suspect run whose end is not reported blocks its content for this time only. */
+const runTimeoutMs = 120_000;
+/** `quarantine.check` names no attempt, so a run is recorded under this id until it is reported. */
+const checkedRun = {attemptId: 'checked', serverId: 'unknown'};
+
+/** What the quarantine task needs. */
+export type QuarantineOptions = {
+	entryId: string;
+	membership: MembershipTask;
+	store: MonitoredStore;
+	timer: TimerService;
+	metrics: Metrics;
+	hash: TextHash32;
+};
+
+/** Standing of content that was running when a backend server crashed. */
+export class QuarantineTask {
+	readonly #options: QuarantineOptions;
+	readonly #table = new FingerprintTable({runTimeoutMs});
+	readonly #watch: ObjectWatch;
+	/** Records by fingerprint as watched; content without a record is clear and costs no message. */
+	readonly #records = new Map<string, FingerprintRecord>();
+
+	constructor(options: QuarantineOptions) {
+		this.#options = options;
+		const {store, timer, metrics} = options;
+		this.#watch = new ObjectWatch({
+			prefix: objectKeys.quarantinePrefix, waitMs: watchMs, paceMs, store, timer, metrics,
+			notify: state => {
+				this.#acceptRecords(state);
+			},
+		});
+	}
+
+	/** The part of the entry's services for request tasks. */
+	get services(): EntryServices['quarantine'] {
+		return {
+			check: async fingerprint => this.#check(fingerprint),
+			report: async report => this.#report(report),
+		};
+	}
+
+	async start(): Promise<void> {
+		await this.#watch.start();
+	}
+
+	stop(): void {
+		this.#watch.stop();
+	}
+
+	/** Answers as the owner of the fingerprint; a suspect runs once at a time, and only after that is recorded. */
+	async checkOwned(fingerprint: string): Promise<FingerprintStanding> {
+		const verdict = this.#table.startRun(fingerprint, checkedRun, this.#options.timer.now());
+		if (verdict.type === 'run_alone') {
+			return await this.#write(fingerprint, verdict.record) ? {standing: 'suspect'} : {standing: 'quarantined', retryAfterMs};
+		}
+
+		if (verdict.type === 'run') {
+			this.#table.recordRunEnd(fingerprint, checkedRun.attemptId);
+			return {standing: 'clear'};
+		}
+
+		return {standing: 'quarantined', retryAfterMs: verdict.type === 'wait' ? verdict.retryAfterMs : quarantinedRetryAfterMs};
+	}
+
+	/** Records a report as the owner of the fingerprint. */
+	async reportOwned(report: FingerprintReport): Promise<FingerprintStanding> {
+		const {fingerprint, attemptId, serverId, result, runningFingerprints} = report;
+		this.#table.recordRunEnd(fingerprint, checkedRun.attemptId);
+		const effect = result === 'crashed'
+			? this.#table.recordCrash(fingerprint, {attemptId, serverId, companions: runningFingerprints.filter(other => other !== fingerprint)})
+			: this.#table.recordCompletion(fingerprint, attemptId);
+		await this.#apply(fingerprint, effect);
+		return {standing: effect.record?.standing ?? 'clear'};
+	}
+
+	async #check(fingerprint: string): Promise<FingerprintStanding> {
+		if (!this.#records.has(fingerprint)) {
+			return {standing: 'clear'};
+		}
+
+		const owner = this.#findOwner(fingerprint);
+		if (owner === this.#options.entryId) {
+			return this.checkOwned(fingerprint);
+		}
+
+		const answer = await this.#findPeer(owner)?.run(peerTimeoutMs, async (caller, signal) => caller.quarantine.check.query(fingerprint, {signal}));
+		// Without the owner nobody knows whether the suspect is running elsewhere.
+		return answer?.ok ? answer.value : {standing: 'quarantined', retryAfterMs};
+	}
+
+	async #report(report: FingerprintReport): Promise<FingerprintStanding> {
+		if (report.result === 'completed' && !this.#records.has(report.fingerprint)) {
+			return {standing: 'clear'};
+		}
+
+		const owner = this.#findOwner(report.fingerprint);
+		const answer = owner === this.#options.entryId
+			? undefined
+			: await this.#findPeer(owner)?.run(peerTimeoutMs, async (caller, signal) => caller.quarantine.report.mutate(report, {signal}));
+		// A crash must not be forgotten because the owner does not answer.
+		return answer?.ok ? answer.value : this.reportOwned(report);
+	}
+
+	async #apply(fingerprint: string, effect: ReportEffect): Promise<void> {
+		if (effect.record) {
+			await this.#write(fingerprint, effect.record);
+		} else if (this.#records.has(fingerprint)) {
+			await this.#delete(fingerprint);
+		}
+
+		for (const {fingerprint: cleared, serverId, culprit} of effect.exonerations) {
+			await this.#apply(cleared, this.#table.recordExoneration(cleared, {serverId, culprit}));
+		}
+	}
+
+	async #write(fingerprint: string, record: FingerprintRecord): Promise<boolean> {
+		this.#records.set(fingerprint, record);
+		const result = await this.#options.store.put(`${objectKeys.quarantinePrefix}${fingerprint}`, record, undefined, {timeoutMs: writeTimeoutMs});
+		this.#checkResult(fingerprint, result.ok);
+		return result.ok;
+	}
+
+	async #delete(fingerprint: string): Promise<void> {
+		this.#records.delete(fingerprint);
+		const result = await this.#options.store.delete(`${objectKeys.quarantinePrefix}${fingerprint}`, undefined, {timeoutMs: writeTimeoutMs});
+		this.#checkResult(fingerprint, result.ok || result.error.kind === 'not_found');
+	}
+
+	#checkResult(fingerprint: string, isWritten: boolean): void {
+		if (!isWritten) {
+			this.#options.metrics.count(counterNames.quarantineWriteFailed);
+			debug('the record of %s was not written', fingerprint);
+		}
+	}
+
+	#acceptRecords({objects, changed}: WatchedState): void {
+		for (const key of changed) {
+			const fingerprint = key.slice(objectKeys.quarantinePrefix.length);
+			const record = fingerprintRecordSchema.safeParse(objects.get(key)?.value).data;
+			if (!record) {
+				this.#records.delete(fingerprint);
+				continue;
+			}
+
+			this.#records.set(fingerprint, record);
+			if (this.#findOwner(fingerprint) !== this.#options.entryId || !this.#table.getRecord(fingerprint)) {
+				this.#table.load([record], this.#options.timer.now());
+			}
+		}
+	}
+
+	#findOwner(fingerprint: string): string | undefined {
+		return selectResourceOwner(`fingerprint ${fingerprint}`, this.#options.membership.listLiveSessions(), this.#options.hash);
+	}
+
+	#findPeer(entryId: string | undefined) {
+		return entryId === undefined ? undefined : this.#options.membership.findPeer(entryId);
+	}
+}
--- /dev/null
+++ b/packages/entry/src/settings/secret-reload.ts
@@ -0,0 +1,47 @@
+import {stat} from 'node:fs/promises';
+import createDebug from 'debug';
+import type {TimerService} from '../contracts.js';
+import type {PeerSecrets} from '../peers/peer-secrets.js';
+import {loadSettings} from './settings-file.js';
+
+const debug = createDebug('knapweedrack:settings');
+
+const checkMs = 2000;
+
+/** Follows the settings file and replaces the peer secrets when it changes; an invalid file changes nothing. */
+export const watchPeerSecrets = (file: string, secrets: PeerSecrets, timer: TimerService): (() => void) => {
+	let modifiedAt: number | undefined;
+	let isReading = false;
+	const check = async () => {
+		isReading = true;
+		const changedAt = await readModificationTime(file);
+		if (changedAt === undefined || changedAt === modifiedAt) {
+			return;
+		}
+
+		modifiedAt = changedAt;
+		const settings = await loadSettings(file);
+		if (settings.ok) {
+			secrets.update(settings.value.peerSecrets);
+			debug('peer secrets were read from the settings');
+		} else {
+			debug('the changed settings are invalid: %s', settings.error.message);
+		}
+	};
+
+	return timer.subscribe(checkMs, async () => {
+		if (!isReading) {
+			await check();
+			isReading = false;
+		}
+	});
+};
+
+const readModificationTime = async (file: string): Promise<number | undefined> => {
+	try {
+		const {mtimeMs} = await stat(file);
+		return mtimeMs;
+	} catch {
+		return undefined;
+	}
+};
--- /dev/null
+++ b/packages/entry/src/store/monitored-store.ts
@@ -0,0 +1,36 @@
+import type {Result} from '@knapweedrack/core';
+import type {ObjectStore, StoreFailure} from '@knapweedrack/platform-client';
+import type {TimerService} from '../contracts.js';
+
+/** Two renewal periods: one lost answer does not count as an outage. */
+const reachablePeriodMs = 4000;
+
+/** Object store that remembers when it last answered. */
+export type MonitoredStore = ObjectStore & {
+	/** True when a call succeeded recently. */
+	isReachable: () => boolean;
+};
+
+const outageKinds = new Set<StoreFailure['kind']>(['unavailable', 'unknown', 'rate_limited']);
+
+/** Wraps an object store; a refusal that depends on the object itself counts as an answer. */
+export const createMonitoredStore = (store: ObjectStore, timer: TimerService): MonitoredStore => {
+	let answeredAt = Number.NEGATIVE_INFINITY;
+	const record = async <Value>(call: Promise<Result<Value, StoreFailure>>): Promise<Result<Value, StoreFailure>> => {
+		const result = await call;
+		if (result.ok || !outageKinds.has(result.error.kind)) {
+			answeredAt = timer.now();
+		}
+
+		return result;
+	};
+
+	return {
+		get: async (...args) => record(store.get(...args)),
+		list: async (...args) => record(store.list(...args)),
+		put: async (...args) => record(store.put(...args)),
+		delete: async (...args) => record(store.delete(...args)),
+		watch: async (...args) => record(store.watch(...args)),
+		isReachable: () => timer.now() - answeredAt <= reachablePeriodMs,
+	};
+};
--- /dev/null
+++ b/packages/entry/src/store/object-watch.ts
@@ -0,0 +1,137 @@
+import createDebug from 'debug';
+import type {ObjectStore, StoreFailure} from '@knapweedrack/platform-client';
+import type {Metrics, TimerService} from '../contracts.js';
+import {counterNames} from '../metrics/metric-names.js';
+import {waitFor} from '../timer/timer-service.js';
+
+const debug = createDebug('knapweedrack:watch');
+
+const firstBackoffMs = 250;
+const longestBackoffMs = 2000;
+
+/** One object as watched. */
+export type WatchedObject = {version: number; value: unknown};
+
+/** State of a prefix after one answer. */
+export type WatchedState = {
+	objects: ReadonlyMap<string, WatchedObject>;
+	/** Keys that were written or deleted since the last message. */
+	changed: readonly string[];
+	/** Sending time of the call that brought the answer. */
+	sentAt: number;
+};
+
+/** What a watch follows and how often. */
+export type ObjectWatchOptions = {
+	prefix: string;
+	/** Longest wait of one call in ms; an answer without a change confirms the state. */
+	waitMs: number;
+	/** Least time in ms between two calls, so that frequent changes are read together. */
+	paceMs: number;
+	store: ObjectStore;
+	timer: TimerService;
+	metrics: Metrics;
+	notify: (state: WatchedState) => void;
+};
+
+/** Follows all objects of a prefix; lists them again when the watch was interrupted for too long. */
+export class ObjectWatch {
+	readonly #options: ObjectWatchOptions;
+	readonly #objects = new Map<string, WatchedObject>();
+	readonly #controller = new AbortController();
+	#revision: number | undefined;
+	#failures = 0;
+
+	constructor(options: ObjectWatchOptions) {
+		this.#options = options;
+	}
+
+	/** Lists the objects once; later changes follow until `stop`. Returns whether the first list succeeded. */
+	async start(): Promise<boolean> {
+		const failure = await this.#list();
+		void this.#run(failure);
+		return failure === undefined;
+	}
+
+	stop(): void {
+		this.#controller.abort();
+	}
+
+	async #run(firstFailure: StoreFailure | undefined): Promise<void> {
+		let failure = firstFailure;
+		while (!this.#controller.signal.aborted) {
+			await waitFor(this.#options.timer, this.#computeWaitMs(failure));
+			if (this.#controller.signal.aborted) {
+				return;
+			}
+
+			failure = this.#revision === undefined ? await this.#list() : await this.#watch(this.#revision);
+		}
+	}
+
+	#computeWaitMs(failure: StoreFailure | undefined): number {
+		if (failure === undefined) {
+			this.#failures = 0;
+			return this.#options.paceMs;
+		}
+
+		if (failure.kind === 'compacted') {
+			this.#revision = undefined;
+			this.#options.metrics.count(counterNames.watchRestarted);
+			return this.#options.paceMs;
+		}
+
+		this.#failures++;
+		debug('watch of %s failed: %o', this.#options.prefix, failure);
+		const backoffMs = Math.min(longestBackoffMs, firstBackoffMs * (2 ** this.#failures));
+		// All entries see an outage at the same time; without the spread they would all call again together.
+		return Math.max(backoffMs * (0.5 + (Math.random() / 2)), failure.kind === 'rate_limited' ? failure.retryAfterMs : 0);
+	}
+
+	async #list(): Promise<StoreFailure | undefined> {
+		const {store, prefix, timer} = this.#options;
+		const sentAt = timer.now();
+		const result = await store.list(prefix, {signal: this.#controller.signal});
+		if (!result.ok) {
+			return result.error;
+		}
+
+		const changed = new Set(this.#objects.keys());
+		this.#objects.clear();
+		for (const {key, version, value} of result.value.items) {
+			changed.add(key);
+			this.#objects.set(key, {version, value});
+		}
+
+		this.#revision = result.value.revision;
+		this.#notify([...changed], sentAt);
+		return undefined;
+	}
+
+	async #watch(after: number): Promise<StoreFailure | undefined> {
+		const {store, prefix, timer, waitMs} = this.#options;
+		const sentAt = timer.now();
+		const result = await store.watch(prefix, after, waitMs, {signal: this.#controller.signal});
+		if (!result.ok) {
+			return result.error;
+		}
+
+		for (const {type, key, version, value} of result.value.events) {
+			if (type === 'put') {
+				this.#objects.set(key, {version, value});
+			} else {
+				this.#objects.delete(key);
+			}
+		}
+
+		this.#revision = result.value.revision;
+		this.#notify(result.value.events.map(({key}) => key), sentAt);
+		return undefined;
+	}
+
+	#notify(changed: string[], sentAt: number): void {
+		if (!this.#controller.signal.aborted) {
+			this.#options.notify({objects: this.#objects, changed, sentAt});
+		}
+	}
+}
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -8,3 +8,4 @@
 export * from './platform/object-keys.js';
 export * from './platform/platform-api.js';
 export * from './settings/index.js';
+export * from './state/index.js';
--- a/packages/protocol/src/peer/peer-records.ts
+++ b/packages/protocol/src/peer/peer-records.ts
@@ -75,7 +75,13 @@
 /** Renewal of open permits of one entry, batched per owner. */
 export const permitRenewalSchema = z.object({
 	entryId: identifier,
-	permitIds: z.array(identifier),
+	servers: z.array(z.object({
+		/** Lets a new owner adopt permits of a former one. */
+		serverId: identifier,
+		permitIds: z.array(identifier),
+		/** Permits whose first token arrived since the last message; their prefill is done. */
+		firstTokens: z.array(identifier),
+	})),
 });
 /** Renewal of open permits. */
 export type PermitRenewal = z.infer<typeof permitRenewalSchema>;
--- /dev/null
+++ b/packages/protocol/src/state/index.ts
@@ -0,0 +1,2 @@
+export * from './configuration-records.js';
+export * from './state-records.js';
