--- a/packages/core/src/idempotency/decide-claim.ts
+++ b/packages/core/src/idempotency/decide-claim.ts
@@ -94,13 +94,8 @@
 	},
 };
 
-/** A claim that was lost before the mark was in place proves that nothing was sent; afterwards the outcome is kept by nobody. */
-const decideLostClaim = (attempt: ClaimAttempt): ClaimDecision =>
-	attempt.phase === 'marking'
-		? {
-			type: 'refuse', outcome: outcomeKinds.notRun, reason: refusalReasons.claimInProgress, retryAfterMs: inProgressRetryMs,
-		}
-		: refuseUnknown;
+/** Another attempt replaced the claim; with the same key it is the same request, so `not_run` could become wrong. */
+const decideLostClaim = (attempt: ClaimAttempt): ClaimDecision => attempt.phase === 'marking' ? refuseInProgress : refuseUnknown;
 
 const decideForeignClaim = (existing: ClaimRecord, attempt: ClaimAttempt): ClaimDecision => {
 	if (existing.bodyDigest !== attempt.bodyDigest) {
@@ -112,10 +107,7 @@
 	}
 
 	if (!attempt.isHolderGone) {
-		// The request may be running, so `not_run` would be wrong.
-		return {
-			type: 'refuse', outcome: outcomeKinds.unknown, reason: refusalReasons.claimInProgress, retryAfterMs: inProgressRetryMs,
-		};
+		return refuseInProgress;
 	}
 
 	// The mark of the former holder is conditional on the version replaced here, so it cannot dispatch any more.
@@ -133,3 +125,8 @@
 const refuseUnknown: ClaimDecision = {
 	type: 'refuse', outcome: outcomeKinds.unknown, reason: refusalReasons.claimOutcomeUnknown,
 };
+
+/** The request may be running or be run, so `not_run` would be wrong. */
+const refuseInProgress: ClaimDecision = {
+	type: 'refuse', outcome: outcomeKinds.unknown, reason: refusalReasons.claimInProgress, retryAfterMs: inProgressRetryMs,
+};
--- a/packages/core/src/membership/session-observer.ts
+++ b/packages/core/src/membership/session-observer.ts
@@ -76,26 +76,24 @@
 		return session?.record !== undefined && now - session.changedAt < this.#expiryMs;
 	}
 
-	/** Time at which the session of this epoch is expired unless it changes; undefined when nothing is known about the entry. */
-	getExpiry(entryId: string): number | undefined {
-		const session = this.#sessions.get(entryId);
-		return session && session.changedAt + this.#expiryMs;
-	}
-
 	/**
-	 * True when the session of an epoch has certainly expired. A session that exists under another epoch or was
-	 * deleted counts from the time of that change, because the former process may still hold its last renewal.
+	 * Time from which the session of an epoch is expired unless it changes; undefined when nothing is known about
+	 * the entry. A session that exists under another epoch or was deleted counts from the time of that change,
+	 * because the former process may still hold its last renewal.
 	 */
-	isExpired(entryId: string, epoch: string, now: number): boolean {
+	getExpiry(entryId: string, epoch: string): number | undefined {
 		const session = this.#sessions.get(entryId);
 		if (session === undefined) {
-			return false;
+			return undefined;
 		}
 
-		const isOtherEpoch = session.record?.epoch !== epoch;
-		return isOtherEpoch
-			? now - session.liveSince >= this.#expiryMs
-			: session.confirmedAt >= session.changedAt + this.#expiryMs;
+		return (session.record?.epoch === epoch ? session.changedAt : session.liveSince) + this.#expiryMs;
+	}
+
+	/** True when the session of an epoch has certainly expired, as a read sent after its expiry confirmed. */
+	isExpired(entryId: string, epoch: string): boolean {
+		const expiry = this.getExpiry(entryId, epoch);
+		return expiry !== undefined && this.#sessions.get(entryId)!.confirmedAt >= expiry;
 	}
 
 	/** Removes a session that does not exist any more and whose entry is gone. */
--- a/packages/core/src/ownership/owned-server.ts
+++ b/packages/core/src/ownership/owned-server.ts
@@ -6,8 +6,11 @@
 
 /** Former owners that may still issue permits. */
 export type Dispute = {
-	/** Time at which the session of the former owner was judged to have expired. */
-	judgedAt: number;
+	/**
+	 * Time since which no more than one entry of the region is lapsed, at the earliest when the session of the
+	 * former owner was judged to have expired; undefined while several are lapsed.
+	 */
+	singleSince: number | undefined;
 	/** Former owners, each with the time from which its permits are certain to have expired. */
 	clearFrom: Map<string, number>;
 };
@@ -40,6 +43,8 @@
 	coveredLapses = 0;
 	/** Latest lapse after which this owner stopped. */
 	stoppedLapse = 0;
+	/** Latest lapse after which this owner was restricted to half of each bound. */
+	halvedLapse = 0;
 	mode: OwnershipMode = 'stopped';
 	desiredOwner: string | undefined;
 	desiredVersion = -1;
@@ -56,6 +61,11 @@
 		return this.stoppedLapse > this.coveredLapses;
 	}
 
+	/** True from a restriction to half after a lapse until the record is rewritten; an unseen takeover may have happened since. */
+	get isHalvedByLapse(): boolean {
+		return this.halvedLapse > this.coveredLapses;
+	}
+
 	get isOwned(): boolean {
 		return this.phase !== 'notOwned';
 	}
--- a/packages/core/src/ownership/ownership-table.ts
+++ b/packages/core/src/ownership/ownership-table.ts
@@ -60,9 +60,7 @@
 			return 'all';
 		},
 		sessions: ({sessions, sentAt}, now) => {
-			// A list read during or right after an outage shows live entries as lapsed.
-			const isCurrent = now - this.#leaseValidSince >= sessionExpiryMs;
-			this.#peers.acceptSessions(sessions, sentAt, now, isCurrent);
+			this.#peers.acceptSessions(sessions, sentAt, now);
 			return undefined;
 		},
 		session: ({entryId, session, sentAt}, now) => {
@@ -311,7 +309,8 @@
 		}
 
 		const open = [...dispute.clearFrom].filter(([, clearFrom]) => now < clearFrom);
-		if (open.length === 0 || this.#isDisputeOver(dispute, now)) {
+		const isOver = this.#isDisputeOver(dispute, now);
+		if (open.length === 0 || isOver) {
 			server.dispute = undefined;
 			server.lifecycle.handle('resolve');
 		} else if (this.#isLeaseValid(now) && now >= server.retryAt) {
@@ -328,9 +327,13 @@
 	 * or hears of none and stops after one permit lifetime. Two lapsed entries could keep each other issuing.
 	 */
 	#isDisputeOver(dispute: Dispute, now: number): boolean {
-		return this.#isLeaseValid(now)
-			&& now >= dispute.judgedAt + (2 * permitLifetimeMs)
-			&& this.#peers.listLapsed(now).length <= 1;
+		if (!this.#isLeaseValid(now) || this.#peers.listLapsed(now).length > 1) {
+			dispute.singleSince = undefined;
+			return false;
+		}
+
+		dispute.singleSince ??= now;
+		return now >= dispute.singleSince + (2 * permitLifetimeMs);
 	}
 
 	#evaluateWanted(server: OwnedServer, now: number, commands: OwnershipCommand[]): void {
@@ -356,13 +359,13 @@
 	 */
 	#isTakeoverAllowed(server: OwnedServer, record: OwnerRecord, now: number, commands: OwnershipCommand[]): boolean {
 		const {sessions} = this.#peers;
-		const expiry = sessions.getExpiry(record.owner);
+		const expiry = sessions.getExpiry(record.owner, record.epoch);
 		if (now - this.#leaseValidSince < sessionExpiryMs || (expiry !== undefined && now < expiry)) {
 			return false;
 		}
 
 		const isConfirmed = (sessions.get(record.owner)?.confirmedAt ?? Number.NEGATIVE_INFINITY) >= server.recordSeenAt;
-		if (isConfirmed && sessions.isExpired(record.owner, record.epoch, now)) {
+		if (isConfirmed && sessions.isExpired(record.owner, record.epoch)) {
 			return true;
 		}
 
@@ -376,8 +379,12 @@
 
 	/** Other lapsed entries may be earlier owners whose dispute the former owner did not resolve. */
 	#createDispute(record: OwnerRecord, now: number): Dispute {
-		const suspects = new Set([record.owner, ...this.#peers.listLapsed(now)]);
-		return {judgedAt: now, clearFrom: new Map([...suspects].map(entryId => [entryId, Number.POSITIVE_INFINITY]))};
+		const lapsed = this.#peers.listLapsed(now);
+		const suspects = new Set([record.owner, ...lapsed]);
+		return {
+			singleSince: lapsed.length > 1 ? undefined : now,
+			clearFrom: new Map([...suspects].map(entryId => [entryId, Number.POSITIVE_INFINITY])),
+		};
 	}
 
 	#createRecord(server: OwnedServer): OwnerRecord {
@@ -488,7 +495,11 @@
 			return 'stopped';
 		}
 
-		return allowed === 'full' ? phaseModes[phase] : limitMode(phaseModes[phase]);
+		if (allowed === 'half') {
+			server.halvedLapse = this.#lapses;
+		}
+
+		return server.isHalvedByLapse ? limitMode(phaseModes[phase]) : phaseModes[phase];
 	}
 
 	/** What an owner with a lapsed lease may issue at most. */
--- a/packages/core/src/ownership/peer-view.ts
+++ b/packages/core/src/ownership/peer-view.ts
@@ -21,8 +21,8 @@
 export class PeerView {
 	readonly sessions = new SessionObserver();
 	readonly #heartbeats = new HeartbeatTable();
-	/** Entries that were live when the sessions were last read. */
-	#potentialOwners = new Set<string>();
+	/** Entries of the region that sent a heartbeat, with or without a known session. */
+	readonly #heard = new Set<string>();
 	readonly #listed = new Set<string>();
 	/** First list that lacked an entry it had never named. */
 	readonly #missingSince = new Map<string, number>();
@@ -35,23 +35,17 @@
 		private readonly candidates: OwnerCandidates,
 	) {}
 
-	/** Records all sessions; `isCurrent` states that entries which have not renewed are not potential owners any more. */
-	acceptSessions(records: readonly SessionRecord[], sentAt: number, now: number, isCurrent: boolean): void {
+	acceptSessions(records: readonly SessionRecord[], sentAt: number, now: number): void {
 		this.sessions.acceptList(records, sentAt, now);
 		for (const record of records) {
 			this.candidates.recordRegion(record.failureDomain, record.region);
 		}
-
-		const live = records.filter(record => this.isPeer(record) && this.sessions.isLive(record.entryId, now));
-		const kept = isCurrent ? [] : this.#potentialOwners;
-		this.#potentialOwners = new Set([...kept, ...live.map(record => record.entryId)]);
 	}
 
 	acceptSession(entryId: string, record: SessionRecord | undefined, sentAt: number, now: number): void {
 		this.sessions.accept(entryId, record, sentAt, now);
-		if (record !== undefined && this.isPeer(record)) {
+		if (record !== undefined) {
 			this.candidates.recordRegion(record.failureDomain, record.region);
-			this.#potentialOwners.add(entryId);
 		}
 	}
 
@@ -59,7 +53,7 @@
 	acceptHeartbeat(heartbeat: Heartbeat, sentAt: number): void {
 		this.#heartbeats.accept(heartbeat, sentAt);
 		if (heartbeat.entryId !== this.entryId && this.candidates.getRegion(heartbeat.failureDomain) === this.region) {
-			this.#potentialOwners.add(heartbeat.entryId);
+			this.#heard.add(heartbeat.entryId);
 			this.#goneSince.delete(heartbeat.entryId);
 		}
 	}
@@ -109,9 +103,13 @@
 		return lapsed.map(record => record.entryId);
 	}
 
-	/** Judges what the reachable entries say about the object API. */
+	/**
+	 * Judges what the reachable entries say about the object API. Entries with a lapsed session count as well,
+	 * because a paused one can return and take over.
+	 */
 	computeStanding(now: number): LapsedStanding {
-		const others = [...this.#potentialOwners].filter(entryId => !this.#goneSince.has(entryId));
+		const known = this.sessions.list().filter(record => this.isPeer(record)).map(record => record.entryId);
+		const others = [...new Set([...known, ...this.#heard])].filter(entryId => !this.#goneSince.has(entryId));
 		const heartbeats = others.map(entryId => this.#heartbeats.get(entryId, now));
 		if (others.some(entryId => this.#heartbeats.isReachingStore(entryId, now))) {
 			return 'superseded';
--- a/packages/core/src/quarantine/fingerprint-record.ts
+++ b/packages/core/src/quarantine/fingerprint-record.ts
@@ -2,6 +2,8 @@
 export type FingerprintCrash = {
 	attemptId: string;
 	serverId: string;
+	/** Boot of the server that ended; several attempts on one boot lose one server. */
+	bootId: string;
 	/** Fingerprints that ran on the server at the same time. */
 	companions: string[];
 };
@@ -27,10 +29,10 @@
 /** Number of servers lost to one content before it is no longer run. */
 export const crashLimit = 2;
 
-/** Adds a crash; a report that is repeated for the same attempt changes nothing. */
+/** Adds a crash; a second report of the same lost server changes nothing. */
 export const applyCrash = (record: FingerprintRecord | undefined, fingerprint: string, crash: FingerprintCrash): FingerprintRecord => {
 	const known = record?.crashes ?? [];
-	const isRepeated = known.some(other => other.attemptId === crash.attemptId);
+	const isRepeated = known.some(other => other.serverId === crash.serverId && other.bootId === crash.bootId);
 	const crashes = isRepeated ? known : [...known, crash];
 	const run = record?.run?.attemptId === crash.attemptId ? undefined : record?.run;
 	return {
--- /dev/null
+++ b/packages/core/src/quarantine/fingerprint-table.test.ts
@@ -0,0 +1,83 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {FingerprintTable} from './fingerprint-table.js';
+
+describe('FingerprintTable', () => {
+	// Guards against content that takes down more than two servers, also with copies sent at once and a change of owner.
+	it('loses at most two servers to one content', () => {
+		const action = fc.record({kind: fc.constantFrom('start', 'start', 'crash', 'takeover'), server: fc.nat(5)});
+		fc.assert(fc.property(fc.array(action, {maxLength: 40}), actions => {
+			let table = new FingerprintTable();
+			let attempts = 0;
+			const running = new Map<string, string[]>();
+			let lost = 0;
+			for (const {kind, server} of actions) {
+				const serverId = `s${server}`;
+				if (kind === 'start') {
+					const attemptId = `a${attempts++}`;
+					const verdict = table.startRun('bad', {attemptId, serverId}, 0);
+					if (verdict.type === 'run' || verdict.type === 'run_alone') {
+						running.set(serverId, [...running.get(serverId) ?? [], attemptId]);
+					}
+				} else if (kind === 'crash' && running.has(serverId)) {
+					lost += 1;
+					for (const attemptId of running.get(serverId)!) {
+						table.recordCrash('bad', {
+							attemptId, serverId, bootId: `${lost}`, companions: [],
+						});
+					}
+
+					running.delete(serverId);
+				} else if (kind === 'takeover' && table.getRecord('bad') !== undefined && running.size <= 1) {
+					const record = table.getRecord('bad')!;
+					table = new FingerprintTable();
+					table.load([record], 0);
+				}
+			}
+
+			expect(lost).to.be.at.most(2);
+		}), {seed: 16, numRuns: 3000});
+	});
+
+	// Guards against innocent requests that stay suspect because they ran beside the content that crashed the server.
+	it('clears what ran beside the culprit', () => {
+		const table = new FingerprintTable();
+		table.recordCrash('bad', {
+			attemptId: 'a1', serverId: 's1', bootId: 'b', companions: ['good', 'other'],
+		});
+		table.recordCrash('good', {
+			attemptId: 'a2', serverId: 's1', bootId: 'b', companions: ['bad', 'other'],
+		});
+		table.recordCrash('other', {
+			attemptId: 'a3', serverId: 's1', bootId: 'b', companions: ['bad', 'good'],
+		});
+		expect(table.startRun('good', {attemptId: 'a4', serverId: 's2'}, 0).type).to.equal('run_alone');
+		expect(table.startRun('good', {attemptId: 'a5', serverId: 's3'}, 0).type).to.equal('wait');
+		table.recordCompletion('good', 'a4');
+		expect(table.startRun('good', {attemptId: 'a6', serverId: 's2'}, 0).type).to.equal('run');
+
+		expect(table.startRun('bad', {attemptId: 'a7', serverId: 's2'}, 0).type).to.equal('run_alone');
+		const {exonerations} = table.recordCrash('bad', {
+			attemptId: 'a7', serverId: 's2', bootId: 'b', companions: [],
+		});
+		expect(table.startRun('bad', {attemptId: 'a8', serverId: 's3'}, 0).type).to.equal('quarantined');
+		for (const {fingerprint, serverId, culprit} of exonerations) {
+			table.recordExoneration(fingerprint, {serverId, culprit});
+		}
+
+		expect(table.getRecord('other')).to.equal(undefined);
+		expect(table.getRecord('bad')!.standing).to.equal('quarantined');
+	});
+
+	// Guards against one lost server that is counted twice because two attempts of the content ran on it.
+	it('counts a lost server once', () => {
+		const table = new FingerprintTable();
+		table.recordCrash('x', {
+			attemptId: 'a1', serverId: 's1', bootId: 'b', companions: [],
+		});
+		table.recordCrash('x', {
+			attemptId: 'a2', serverId: 's1', bootId: 'b', companions: [],
+		});
+		expect(table.getRecord('x')!.standing).to.equal('suspect');
+	});
+});
--- /dev/null
+++ b/packages/core/src/reporting/reporting.test.ts
@@ -0,0 +1,106 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import type {Plan} from '../types/configuration.js';
+import {outcomeKinds, refusalReasons} from '../types/reasons.js';
+import {buildDayReport, listCoverageGaps, mergeSummaries} from './day-report.js';
+import {
+	computeLengthClass, MinuteCollector, readFirstTokenHistogram, type MinuteSummary, type RequestFacts,
+} from './minute-summary.js';
+
+const minuteMs = 60_000;
+
+const facts: fc.Arbitrary<RequestFacts> = fc.record({
+	workspaceId: fc.constantFrom('w1', 'w2', '__proto__'),
+	promptTokens: fc.integer({min: 0, max: 1_000_000}),
+	outcome: fc.constantFrom(...Object.values(outcomeKinds)),
+	reason: fc.option(fc.constantFrom(...Object.values(refusalReasons)), {nil: undefined}),
+	firstTokenMs: fc.option(fc.double({min: 0, max: 4_000_000, noNaN: true}), {nil: undefined}),
+	firstTokenTargetMs: fc.option(fc.constant(500), {nil: undefined}),
+	isLate: fc.boolean(),
+});
+
+const collect = (requests: RequestFacts[], sequence: number, isLast = false): MinuteSummary => {
+	const collector = new MinuteCollector();
+	for (const request of requests) {
+		collector.record(request);
+	}
+
+	const text = JSON.stringify(collector.close({
+		entryId: 'e', epoch: '1', sequence, from: sequence * minuteMs, to: (sequence + 1) * minuteMs, isLast,
+	}));
+	return JSON.parse(text) as MinuteSummary;
+};
+
+describe('mergeSummaries', () => {
+	// Guards against requests that are counted twice, for example by a repeated write, or dropped by the merge.
+	it('counts every request once in any order, with repeated summaries', () => {
+		fc.assert(fc.property(fc.array(fc.array(facts, {maxLength: 15}), {maxLength: 6}), fc.infiniteStream(fc.nat(5)), (minutes, order) => {
+			const summaries = minutes.map((requests, sequence) => collect(requests, sequence));
+			const repeats = summaries.length === 0 ? [] : [...order.take(4)].map(index => summaries[index % summaries.length]!);
+			const merged = mergeSummaries([...repeats, ...summaries.toReversed()]);
+			const expected = mergeSummaries([collect(minutes.flat(), 0)]);
+			expect([...merged.keys()].sort()).to.deep.equal([...expected.keys()].sort());
+			for (const [workspaceId, counters] of expected) {
+				const {classes, ...counts} = merged.get(workspaceId)!;
+				const {classes: expectedClasses, ...expectedCounts} = counters;
+				expect(counts).to.deep.equal(expectedCounts);
+				expect(Object.keys(classes)).to.have.members(Object.keys(expectedClasses));
+				for (const [lengthClass, group] of Object.entries(expectedClasses)) {
+					const other = classes[lengthClass]!;
+					expect({...other, firstToken: undefined}).to.deep.equal({...group, firstToken: undefined});
+					const histogram = readFirstTokenHistogram(other);
+					expect(histogram?.totalCount).to.equal(readFirstTokenHistogram(group)?.totalCount);
+					expect(histogram?.getValueAtPercentile(50)).to.equal(readFirstTokenHistogram(group)?.getValueAtPercentile(50));
+				}
+			}
+		}), {seed: 20, numRuns: 300});
+	});
+});
+
+describe('buildDayReport', () => {
+	const plan = {id: 'p', firstTokenTargets: [{upToTokens: 4000, targetMs: 500}, {targetMs: 9000}]} as unknown as Plan;
+	const workspaces = [{
+		id: 'w1', plan: 'p', fleet: 'f', credentialDigests: [],
+	}];
+	const good: RequestFacts = {
+		workspaceId: 'w1', promptTokens: 2000, outcome: 'completed', firstTokenMs: 200, firstTokenTargetMs: 500, isLate: false,
+	};
+	const build = (summaries: MinuteSummary[]) => buildDayReport({
+		day: '2026-12-04', from: 0, to: 3 * minuteMs, summaries, workspaces, plans: [plan],
+	});
+
+	// Guards against a page that calls a day good although a customer was missed or a part of the day has no figures.
+	it('states first whether the day went well', () => {
+		const covered = [collect([good], 0), collect([good], 1), collect([good], 2)];
+		expect(build(covered).sentence).to.equal('2026-12-04 went well for all 1 workspaces.');
+		expect(build(covered).rows[0]!.classes[0]).to.include({requests: 3, inTimeShare: 1, targetMs: 500});
+		const missed = collect([{...good, outcome: 'failed', reason: 'backend_failed'}], 1);
+		expect(build([covered[0]!, missed, covered[2]!]).sentence).to.match(/did not go well for 1 of 1 workspaces \(w1\)/v);
+		const limited = collect([good, {...good, outcome: 'not_run', reason: 'request_rate_exceeded'}], 1);
+		expect(build([covered[0]!, limited, covered[2]!]).wentWell).to.equal(true);
+		expect(build([covered[0]!, covered[2]!])).to.deep.include({
+			wentWell: false, gaps: [{
+				entryId: 'e', epoch: '1', from: minuteMs, to: 2 * minuteMs,
+			}],
+		});
+		expect(build([]).sentence).to.match(/not certain/v);
+	});
+
+	// Guards against the end of an entry that is mistaken for a quiet period, and the reverse.
+	it('shows the time after an unplanned end as not covered', () => {
+		const input = {from: 0, to: 3 * minuteMs, summaries: [collect([good], 0)]};
+		expect(listCoverageGaps(input)).to.have.length(1);
+		expect(listCoverageGaps({...input, summaries: [collect([good], 0, true)]})).to.have.length(0);
+		expect(listCoverageGaps({...input, summaries: [], sessions: [{entryId: 'e', epoch: '1', from: minuteMs}]}))
+			.to.deep.equal([{
+				entryId: 'e', epoch: '1', from: minuteMs, to: 3 * minuteMs,
+			}]);
+	});
+});
+
+describe('computeLengthClass', () => {
+	// Guards against prompts that are counted in the class of longer ones.
+	it('puts the limits of a class into the next one', () => {
+		expect([1000, 3999, 4000, 15_999, 16_000, 1_000_000].map(tokens => computeLengthClass(tokens))).to.deep.equal([0, 0, 1, 1, 2, 4]);
+	});
+});
