--- a/packages/core/src/ownership/peer-view.ts
+++ b/packages/core/src/ownership/peer-view.ts
@@ -38,14 +38,14 @@
 	acceptSessions(records: readonly SessionRecord[], sentAt: number, now: number): void {
 		this.sessions.acceptList(records, sentAt, now);
 		for (const record of records) {
-			this.candidates.recordRegion(record.failureDomain, record.region);
+			this.#recordSession(record, now);
 		}
 	}
 
 	acceptSession(entryId: string, record: SessionRecord | undefined, sentAt: number, now: number): void {
 		this.sessions.accept(entryId, record, sentAt, now);
 		if (record !== undefined) {
-			this.candidates.recordRegion(record.failureDomain, record.region);
+			this.#recordSession(record, now);
 		}
 	}
 
@@ -127,6 +127,14 @@
 		return record.entryId !== this.entryId && record.region === this.region;
 	}
 
+	/** An entry that renews after it was gone has been restarted. */
+	#recordSession(record: SessionRecord, now: number): void {
+		this.candidates.recordRegion(record.failureDomain, record.region);
+		if (this.sessions.get(record.entryId)?.changedAt === now) {
+			this.#goneSince.delete(record.entryId);
+		}
+	}
+
 	#acceptMissing(entryId: string, now: number): void {
 		const missingSince = this.#missingSince.get(entryId) ?? now;
 		this.#missingSince.set(entryId, missingSince);
