Keep owners issuing through an outage of the object API

Three entries stopped issuing 4 s into an outage: the claim that an entry reaches the object API stayed true for 4 s after its last answer, which is as long as a session can remain valid, so that each owner saw a peer that could take over.

The claim now ends after 2.2 s, or 1 s after a failed call, and a change is told to the peers at once. Watches list again after a failure and periodically, because a watch can end without the changes it missed. A lapse of the lease is no longer counted as a gap of the clock.

--- a/packages/entry/src/membership/membership-task.ts
+++ b/packages/entry/src/membership/membership-task.ts
@@ -21,8 +21,11 @@
 const renewalTimeoutMs = 1500;
 const heartbeatTimeoutMs = 1500;
 const clockCheckMs = 250;
+/** Four checks that did not run. */
+const clockGapMs = 1000;
 /** An answer without a change confirms that a session was not renewed; it must not be older than about a second. */
 const sessionWatchMs = 1000;
+const sessionRelistMs = 10_000;
 const shortestListPeriodMs = 1000;
 const longestListPeriodMs = 10_000;
 /** The list is read less often in a large fleet, because its size grows with the fleet. */
@@ -62,6 +65,7 @@
 	/** Entries that were live when the object API last answered. */
 	#lastLive = new Set<string>();
 	#plan: HeartbeatPlan = {targets: [], periodMs: 0};
+	#sentReachesStore = false;
 	#heartbeatAt = Number.NEGATIVE_INFINITY;
 	#checkedAt: number;
 	#self: SessionRecord;
@@ -75,7 +79,7 @@
 		this.#checkedAt = options.timer.now();
 		const {store, timer, metrics} = options;
 		this.#watch = new ObjectWatch({
-			prefix: objectKeys.sessionPrefix, waitMs: sessionWatchMs, paceMs: sessionWatchMs, store, timer, metrics,
+			prefix: objectKeys.sessionPrefix, waitMs: sessionWatchMs, paceMs: sessionWatchMs, relistMs: sessionRelistMs, store, timer, metrics,
 			notify: state => {
 				this.#acceptSessions(state);
 			},
@@ -138,9 +142,9 @@
 		this.#updatePlan();
 	}
 
-	/** Sessions that exist, expired ones included. */
+	/** Sessions that exist, expired ones and the own one included. */
 	listSessions(): SessionRecord[] {
-		return this.#observer.list();
+		return [...this.#observer.list().filter(({entryId}) => entryId !== this.#self.entryId), this.#self];
 	}
 
 	getSession(entryId: string): SessionRecord | undefined {
@@ -208,12 +212,20 @@
 	}
 
 	#checkClock(now: number): void {
+		const {validUntil} = this.#lease;
+		const hasStoodStill = now - this.#checkedAt >= clockGapMs;
 		this.#checkedAt = now;
-		if (this.#lease.checkClock(now, Date.now())) {
-			this.#options.metrics.count(counterNames.clockGap);
-			debug('the clock shows a gap; the lease has ended');
+		const hasEnded = this.#lease.checkClock(now, Date.now());
+		// The ownership follows the validity by itself; it must hear of an end before that, which the wall clock shows.
+		const isEarly = hasEnded && now < validUntil;
+		if (isEarly) {
 			this.messages.send({type: 'lease', validUntil: this.#lease.validUntil});
 		}
+
+		if (isEarly || hasStoodStill) {
+			this.#options.metrics.count(counterNames.clockGap);
+			debug('the clock shows a gap');
+		}
 	}
 
 	#acceptSessions({objects, sentAt}: WatchedState): void {
@@ -239,11 +251,15 @@
 	}
 
 	#sendDueHeartbeats(now: number): void {
-		if (now - this.#heartbeatAt < this.#plan.periodMs - (clockCheckMs / 2)) {
+		const reachesStore = this.#options.store.isReachable();
+		const isDue = now - this.#heartbeatAt >= this.#plan.periodMs - (clockCheckMs / 2);
+		// An outage must be known to the peers before sessions expire.
+		if (!isDue && reachesStore === this.#sentReachesStore) {
 			return;
 		}
 
 		this.#heartbeatAt = now;
+		this.#sentReachesStore = reachesStore;
 		for (const {entryId, peerAddress} of this.#plan.targets.flatMap(target => this.getSession(target) ?? [])) {
 			void this.#exchangeHeartbeat(this.#options.peers.get(peerAddress), entryId);
 		}
--- a/packages/entry/src/ownership/ownership-task.ts
+++ b/packages/entry/src/ownership/ownership-task.ts
@@ -18,6 +18,7 @@
 const tickMs = 250;
 const watchMs = 10_000;
 const paceMs = 100;
+const relistMs = 30_000;
 const queryTimeoutMs = 1000;
 const writeTimeoutMs = 1500;
 
@@ -51,7 +52,7 @@
 		const {self, hash, store, timer, metrics} = options;
 		this.#table = new OwnershipTable({self, hash});
 		this.#watch = new ObjectWatch({
-			prefix: objectKeys.ownerPrefix, waitMs: watchMs, paceMs, store, timer, metrics,
+			prefix: objectKeys.ownerPrefix, waitMs: watchMs, paceMs, relistMs, store, timer, metrics,
 			notify: state => {
 				this.#acceptRecords(state);
 			},
--- a/packages/entry/src/quarantine/quarantine-task.ts
+++ b/packages/entry/src/quarantine/quarantine-task.ts
@@ -16,6 +16,7 @@
 
 const watchMs = 10_000;
 const paceMs = 200;
+const relistMs = 30_000;
 const peerTimeoutMs = 1000;
 const writeTimeoutMs = 2000;
 const retryAfterMs = 1000;
@@ -48,7 +49,7 @@
 		this.#options = options;
 		const {store, timer, metrics} = options;
 		this.#watch = new ObjectWatch({
-			prefix: objectKeys.quarantinePrefix, waitMs: watchMs, paceMs, store, timer, metrics,
+			prefix: objectKeys.quarantinePrefix, waitMs: watchMs, paceMs, relistMs, store, timer, metrics,
 			notify: state => {
 				this.#acceptRecords(state);
 			},
--- a/packages/entry/src/store/monitored-store.ts
+++ b/packages/entry/src/store/monitored-store.ts
@@ -2,8 +2,13 @@
 import type {ObjectStore, StoreFailure} from '@knapweedrack/platform-client';
 import type {TimerService} from '../contracts.js';
 
-/** Two renewal periods: one lost answer does not count as an outage. */
-const reachablePeriodMs = 4000;
+/**
+ * Other entries must hear of an outage before sessions expire, which can be 4 s after its start; an owner whose
+ * session expires while a peer claims to reach the object API stops.
+ */
+const reachablePeriodMs = 2200;
+/** After a failed call the last answer counts for this time only; one failure alone is not an outage. */
+const failingPeriodMs = 1000;
 
 /** Object store that remembers when it last answered. */
 export type MonitoredStore = ObjectStore & {
@@ -16,10 +21,14 @@
 /** Wraps an object store; a refusal that depends on the object itself counts as an answer. */
 export const createMonitoredStore = (store: ObjectStore, timer: TimerService): MonitoredStore => {
 	let answeredAt = Number.NEGATIVE_INFINITY;
+	let hasFailed = false;
 	const record = async <Value>(call: Promise<Result<Value, StoreFailure>>): Promise<Result<Value, StoreFailure>> => {
 		const result = await call;
 		if (result.ok || !outageKinds.has(result.error.kind)) {
 			answeredAt = timer.now();
+			hasFailed = false;
+		} else {
+			hasFailed = true;
 		}
 
 		return result;
@@ -31,6 +40,6 @@
 		put: async (...args) => record(store.put(...args)),
 		delete: async (...args) => record(store.delete(...args)),
 		watch: async (...args) => record(store.watch(...args)),
-		isReachable: () => timer.now() - answeredAt <= reachablePeriodMs,
+		isReachable: () => timer.now() - answeredAt <= (hasFailed ? failingPeriodMs : reachablePeriodMs),
 	};
 };
--- a/packages/entry/src/store/object-watch.ts
+++ b/packages/entry/src/store/object-watch.ts
@@ -28,6 +28,8 @@
 	waitMs: number;
 	/** Least time in ms between two calls, so that frequent changes are read together. */
 	paceMs: number;
+	/** Time in ms after which the objects are listed again, in case the watch missed a change. */
+	relistMs: number;
 	store: ObjectStore;
 	timer: TimerService;
 	metrics: Metrics;
@@ -40,6 +42,7 @@
 	readonly #objects = new Map<string, WatchedObject>();
 	readonly #controller = new AbortController();
 	#revision: number | undefined;
+	#listedAt = Number.NEGATIVE_INFINITY;
 	#failures = 0;
 
 	constructor(options: ObjectWatchOptions) {
@@ -65,7 +68,8 @@
 				return;
 			}
 
-			failure = this.#revision === undefined ? await this.#list() : await this.#watch(this.#revision);
+			const isListDue = this.#options.timer.now() - this.#listedAt >= this.#options.relistMs;
+			failure = this.#revision === undefined || isListDue ? await this.#list() : await this.#watch(this.#revision);
 		}
 	}
 
@@ -75,9 +79,10 @@
 			return this.#options.paceMs;
 		}
 
+		// A watch that was cut without notice would wait for ever; a list shows what it missed.
+		this.#revision = undefined;
+		this.#options.metrics.count(counterNames.watchRestarted);
 		if (failure.kind === 'compacted') {
-			this.#revision = undefined;
-			this.#options.metrics.count(counterNames.watchRestarted);
 			return this.#options.paceMs;
 		}
 
@@ -104,6 +109,7 @@
 		}
 
 		this.#revision = result.value.revision;
+		this.#listedAt = sentAt;
 		this.#notify([...changed], sentAt);
 		return undefined;
 	}
--- a/packages/entry/src/test-support/fleet.ts
+++ b/packages/entry/src/test-support/fleet.ts
@@ -50,6 +50,11 @@
 		await (isDown ? this.#post('faults', 'POST', {kind: 'down'}) : this.#post('faults', 'DELETE'));
 	}
 
+	/** Keeps watches of a prefix waiting without an answer. */
+	async setSilentWatch(prefix: string): Promise<void> {
+		await this.#post('faults', 'POST', {kind: 'watchCut', mode: 'silent', prefix});
+	}
+
 	async putConfiguration(change: Partial<Configuration> = {}): Promise<number> {
 		const configuration: Configuration = {
 			revision: 0,
