--- a/packages/entry/src/callers/completions.test.ts
+++ b/packages/entry/src/callers/completions.test.ts
@@ -291,6 +291,22 @@
 			expect(error).to.have.nested.property('error.outcome', 'failed');
 		});
 
+		it('release all memory when the caller leaves', async () => {
+			await open({engines: [{kvTokens: 5000, timeScale: 1, prefillTokensPerSecond: 1000}, {kvTokens: 5000}]});
+			const controller = new AbortController();
+			const leave = async () => {
+				await fixture.waitUntil(async () => {
+					const state = await fixture.fetchState<EngineState>(fixture.engines[0]!);
+					return state.running.length > 0 && state.reservations.length > 0;
+				}, 'segment running');
+				controller.abort();
+			};
+
+			const ask = async () => fixture.createClient().completions.create({model, prompt: text, max_tokens: 8}, {signal: controller.signal});
+			const [asked] = await Promise.allSettled([ask(), leave()]);
+			expect(asked.status).to.equal('rejected');
+		});
+
 		it('are refused when no group has room', async () => {
 			await open({engines: [{kvTokens: 5000}]});
 			const {error} = await readStream(text);
--- a/packages/entry/src/callers/service-calls.test.ts
+++ b/packages/entry/src/callers/service-calls.test.ts
@@ -123,6 +123,57 @@
 		expect(await countExecutions('left')).to.equal(1);
 	});
 
+	describe('with a claim left by another entry', () => {
+		const releaseAfter = async (changes: Partial<ClaimRecord>) => {
+			await open();
+			const key = buildClaimKey('depot', 'left-behind');
+			await release('left-behind');
+			await fixture.waitUntil(() => fixture.server.countOpenRequests() === 0, 'outcome stored');
+			const stored = await fixture.store.get(key);
+			const record = (stored.ok ? stored.value.value : undefined) as ClaimRecord;
+			await fixture.store.put(key, {
+				...record, outcome: undefined, nonce: 'other', entryId: 'gone-1', ...changes,
+			});
+			return release('left-behind');
+		};
+
+		it('runs the call when nothing was sent', async () => {
+			const {status} = await releaseAfter({state: 'claimed'});
+			expect(status).to.equal(200);
+			expect(await countExecutions('left-behind')).to.equal(2);
+		});
+
+		it('answers unknown when the call may have been sent', async () => {
+			const answer = await releaseAfter({state: 'dispatched'});
+			expect(answer.json()).to.include({outcome: 'unknown', reason: refusalReasons.claimOutcomeUnknown});
+			expect(await countExecutions('left-behind')).to.equal(1);
+		});
+
+		it('waits for an entry that is still listed', async () => {
+			const answer = await releaseAfter({state: 'claimed', entryId: 'saskatoon-1'});
+			expect(answer.json()).to.include({outcome: 'unknown', reason: refusalReasons.claimInProgress});
+			expect(await countExecutions('left-behind')).to.equal(1);
+		});
+
+		it('refuses a stored record that cannot be read', async () => {
+			const answer = await releaseAfter({state: 'other' as never});
+			expect(answer.json()).to.include({outcome: 'not_run', reason: refusalReasons.claimStoreUnavailable});
+		});
+	});
+
+	it('stores a late answer after the deadline', async () => {
+		await open();
+		await fixture.addFault(fixture.service!, {kind: 'slow', delayMs: 400, count: 1});
+		const first = await fixture.send('/v1/services/work-orders/release', {
+			method: 'POST', body: {order: 7}, headers: {'idempotency-key': 'late', 'x-request-deadline-ms': '100'},
+		});
+		expect(first.json()).to.include({outcome: 'unknown', reason: refusalReasons.deadlineExceeded});
+		await fixture.waitUntil(() => fixture.server.countOpenRequests() === 0, 'outcome stored');
+		const second = await release('late');
+		expect(second.status).to.equal(200);
+		expect(await countExecutions('late')).to.equal(1);
+	});
+
 	describe('with a failing object API', () => {
 		it('refuses at once while it is away', async () => {
 			await open();
--- a/packages/entry/src/callers/service-handler.ts
+++ b/packages/entry/src/callers/service-handler.ts
@@ -296,7 +296,8 @@
 	async #acceptReply(task: RequestTask, attempt: AttemptRecord, reply: BackendAnswer): Promise<AttemptEnd> {
 		if (reply.headers['x-request-id'] !== task.requestId || reply.headers['x-attempt-id'] !== attempt.attemptId) {
 			reply.body.on('error', () => undefined).destroy();
-			return {result: attemptResults.crashed, reason: refusalReasons.streamCorrupt};
+			// The call may have been run; the server itself is well, so its owner is not told of a crash.
+			return {result: attemptResults.cancelled, reason: refusalReasons.streamCorrupt};
 		}
 
 		if (reply.statusCode === 503 && reply.headers['x-started'] === 'false') {
@@ -307,7 +308,7 @@
 
 		const answer = await readAnswer(reply);
 		if (answer === undefined) {
-			return {result: attemptResults.crashed, reason: refusalReasons.streamIncomplete};
+			return {result: attemptResults.cancelled, reason: refusalReasons.streamIncomplete};
 		}
 
 		this.#answer = answer;
