Test the caller side with the real control tasks

Cause: the other tests of the caller side replace the control tasks by a fixture that grants everything, so permits, ownership and warm-up were untested together with it.

--- /dev/null
+++ b/packages/entry/src/callers/real-entries.test.ts
@@ -0,0 +1,96 @@
+import {expect} from 'chai';
+import {request as send} from 'undici';
+import {renderAnswer, startService} from '@knapweedrack/testkit';
+import {Fleet, waitUntil} from '../test-support/fleet.js';
+
+const model = 'truing-model';
+
+describe('caller server with real control tasks', function () {
+	this.timeout(60_000);
+	let fleet: Fleet;
+
+	beforeEach(async () => {
+		fleet = new Fleet();
+		await fleet.start();
+	});
+
+	afterEach(async () => {
+		await fleet.stop();
+	});
+
+	const complete = async (address: string, prompt: string) => {
+		const answer = await send(`http://${address}/v1/completions`, {
+			method: 'POST', headers: {authorization: 'Bearer credential', 'content-type': 'application/json'},
+			// eslint-disable-next-line @typescript-eslint/naming-convention
+			body: JSON.stringify({model, prompt, max_tokens: 4}),
+		});
+		return {status: answer.statusCode, body: await answer.body.json() as {choices?: Array<{text: string}>; reason?: string}};
+	};
+
+	const waitForAnswer = async (address: string, prompt: string) => waitUntil(`${address} answers`, async () => {
+		const {status, body} = await complete(address, prompt);
+		return status === 200 && body.choices?.[0]?.text === renderAnswer(prompt, 4);
+	});
+
+	// The control tasks of the other tests grant everything; here permits, ownership and warm-up are in force.
+	it('serves a burst on cold engines through two entries without a crash or a wrong answer', async () => {
+		await fleet.putConfiguration();
+		await fleet.startEngine('engine-1', 'regina', {timeScale: 5});
+		await fleet.startEngine('engine-2', 'saskatoon', {timeScale: 5});
+		const first = await fleet.startEntry('e1', 'regina');
+		const second = await fleet.startEntry('e2', 'saskatoon');
+		await waitForAnswer(first.callerAddress, 'warm one');
+		await waitForAnswer(second.callerAddress, 'warm two');
+		const prompts = Array.from({length: 40}, (_, index) => `prompt ${index}`);
+		const answers = await Promise.all(prompts.map(async (prompt, index) => complete((index % 2 === 0 ? first : second).callerAddress, prompt)));
+		for (const [index, {status, body}] of answers.entries()) {
+			expect(status, JSON.stringify(body)).to.equal(200);
+			expect(body.choices?.[0]?.text).to.equal(renderAnswer(prompts[index]!, 4));
+		}
+
+		for (const engine of fleet.engines.values()) {
+			const state = await send(`http://${engine.address}/testkit/state`);
+			expect(await state.body.json()).to.have.property('crashes', 0);
+		}
+	});
+
+	it('runs a prompt larger than one engine on a group', async () => {
+		await fleet.putConfiguration();
+		for (const id of ['engine-1', 'engine-2', 'engine-3']) {
+			await fleet.startEngine(id, 'regina', {kvTokens: 6000, timeScale: 5, warmAfterRequests: 0});
+		}
+
+		const entry = await fleet.startEntry('e1', 'regina');
+		await waitForAnswer(entry.callerAddress, 'short');
+		const long = 'x'.repeat(36_000);
+		await waitUntil('the long prompt is answered', async () => {
+			const {status} = await complete(entry.callerAddress, long);
+			return status === 200;
+		});
+	});
+
+	it('executes a call of a plain service once', async () => {
+		await fleet.putConfiguration({
+			services: [{name: 'work-orders', idempotentMethods: ['GET']}],
+			plans: [{
+				id: 'large', models: [], services: ['work-orders'], failureDomains: ['regina'], requestsPerSecond: 1000, tokensPerSecond: 1_000_000,
+				concurrency: 100, longestPromptTokens: 1000, firstTokenTargets: [{targetMs: 2000}], deadlineMs: 30_000, share: 1,
+			}],
+		});
+		const service = await startService();
+		await fleet.putInstance({
+			id: 'service-1', address: service.address, kind: 'service', failureDomain: 'regina', serves: 'work-orders', state: 'live',
+		});
+		const entry = await fleet.startEntry('e1', 'regina');
+		await waitUntil('the call is run', async () => {
+			const answer = await send(`http://${entry.callerAddress}/v1/services/work-orders/release`, {
+				method: 'POST', headers: {authorization: 'Bearer credential', 'idempotency-key': 'k1'}, body: '{}',
+			});
+			await answer.body.dump();
+			return answer.statusCode === 200;
+		});
+		const state = await send(`http://${service.address}/testkit/state`);
+		expect(await state.body.json()).to.have.nested.property('executions.k1', 1);
+		await service.close();
+	});
+});
