End commands at once when an entry stays silent

A listener that accepts a connection and never answers kept a command running without end: the library's close waits for a connection that is still being opened.

The wait for a rollout asks entries themselves only while 32 or fewer are missing, because their status answer carries all sessions and owners and so grows with the fleet. The table of status shows whether an entry reaches the platform and has a confirmed configuration.

--- a/packages/cli/src/availability/edit-availability.ts
+++ b/packages/cli/src/availability/update-availability.ts
@@ -34,7 +34,7 @@
  * Edits the availability by conditional update. After a lost race the edit is applied again to the new state,
  * so that the rules hold for the state that is replaced: the last serving failure domain stays in service.
  */
-export const editAvailability = async (access: PlatformAccess, change: AvailabilityChange, progress: Progress): Promise<Result<EditedAvailability, CommandFailure>> => {
+export const updateAvailability = async (access: PlatformAccess, change: AvailabilityChange, progress: Progress): Promise<Result<EditedAvailability, CommandFailure>> => {
 	for (let lostRaces = 0; lostRaces < raceLimit; lostRaces++) {
 		progress.update(lostRaces === 0 ? 'editing the availability' : `editing the availability, after ${lostRaces} lost races`);
 		const result = await tryEdit(access, change);
--- a/packages/cli/src/commands/availability-commands.ts
+++ b/packages/cli/src/commands/availability-commands.ts
@@ -1,5 +1,5 @@
 import {createOk, serviceStates, type ServiceState} from '@knapweedrack/core';
-import {editAvailability, describeChange, type AvailabilityChange} from '../availability/edit-availability.js';
+import {updateAvailability, describeChange, type AvailabilityChange} from '../availability/update-availability.js';
 import type {StoredAvailability} from '../availability/stored-availability.js';
 import {fetchFleet, type Fleet} from '../fleet/fetch-fleet.js';
 import {
@@ -24,7 +24,7 @@
 	const change: AvailabilityChange = {
 		target, state, name: input.args[0]!, author: context.settings.author.value,
 	};
-	const edited = await editAvailability(access.value, change, context.progress);
+	const edited = await updateAvailability(access.value, change, context.progress);
 	if (!edited.ok) {
 		return edited;
 	}
@@ -38,7 +38,7 @@
 		return createOk({text, data});
 	}
 
-	context.printLine(text);
+	context.writeLine(text);
 	const entries = await waitForRollout({field: 'availabilityRevision', revision: availability.revision, waitMs: getWaitMs(input)}, {...context, access: access.value});
 	return entries.ok ? createOk({text: renderCounts(entries.value), data: {...data, entries: entries.value}}) : entries;
 };
--- a/packages/cli/src/commands/config-commands.ts
+++ b/packages/cli/src/commands/config-commands.ts
@@ -75,7 +75,7 @@
 		return createOk({text: renderApplied(applied.value), data: {...applied.value}});
 	}
 
-	context.printLine(renderApplied(applied.value));
+	context.writeLine(renderApplied(applied.value));
 	const entries = await waitForRollout({field: 'configurationRevision', revision, waitMs: getWaitMs(input)}, {...context, access: access.value});
 	return entries.ok ? createOk({text: renderCounts(entries.value), data: {...applied.value, entries: entries.value}}) : entries;
 };
--- a/packages/cli/src/commands/explain-command.ts
+++ b/packages/cli/src/commands/explain-command.ts
@@ -24,7 +24,7 @@
 	};
 
 	context.progress.update('asking the entries');
-	const answers = await queryEntries(configured, getListed(), async address => context.entries.explain(address, requestId));
+	const answers = await queryEntries(configured, getListed(), async address => context.entries.queryExplanation(address, requestId));
 	const listed = await reading;
 	return listed.ok || configured.length > 0 ? describeAnswers(requestId, answers, listed) : listed;
 };
--- a/packages/cli/src/commands/status-command.ts
+++ b/packages/cli/src/commands/status-command.ts
@@ -21,7 +21,7 @@
 	}
 
 	const reading = fetchFleet(access.value);
-	const [fleet, manifest, answers] = await Promise.all([reading, fetchManifest(access.value, effects.readOnly), askEntries(context, reading)]);
+	const [fleet, manifest, answers] = await Promise.all([reading, fetchManifest(access.value, effects.readOnly), queryEntryStatuses(context, reading)]);
 	if (!fleet.ok || !manifest.ok) {
 		return describeOutage(fleet.ok ? (manifest as {error: CommandFailure}).error : fleet.error, answers);
 	}
@@ -46,7 +46,7 @@
 	return createFailure(failure.exitCode, `${failure.message}\n${entries}`, {...failure.data, answers});
 };
 
-const askEntries = async ({entries, settings}: CommandContext, reading: Promise<Result<Fleet, unknown>>): Promise<Answers> => {
+const queryEntryStatuses = async ({entries, settings}: CommandContext, reading: Promise<Result<Fleet, unknown>>): Promise<Answers> => {
 	if (settings.peerSecret.value === undefined) {
 		return {answered: [], failed: []};
 	}
@@ -73,9 +73,9 @@
 };
 
 const renderAnswers = ({answered, failed}: Answers): string => [
-	renderTable(['address', 'entry', 'configuration', 'availability'], answered.map(({address, value}) => [
-		address, value.entryId ?? '', String(value.configurationRevision ?? ''), String(value.availabilityRevision ?? ''),
-	])),
+	renderTable(['address', 'entry', 'state', 'configuration', 'availability', 'reaches platform', 'configuration confirmed'], answered.map(({address, value}) => [
+		address, value.entryId, value.state, value.configurationRevision, value.availabilityRevision, value.reachesStore, value.isConfigurationFresh,
+	].map(cell => String(cell ?? '')))),
 	...(failed.length > 0 ? [`${failed.length} entries do not answer:`, renderFailed(failed)] : []),
 ].join('\n');
 
--- a/packages/cli/src/entries/entry-client.ts
+++ b/packages/cli/src/entries/entry-client.ts
@@ -13,6 +13,11 @@
 	entryId: z.string().optional(),
 	configurationRevision: z.number().optional(),
 	availabilityRevision: z.number().optional(),
+	state: z.string().optional(),
+	/** False while the entry cannot reach the object API. */
+	reachesStore: z.boolean().optional(),
+	/** False when the entry stopped admitting because nobody confirmed its configuration. */
+	isConfigurationFresh: z.boolean().optional(),
 });
 /** Answer of `operations.status`, as far as the command line reads it. */
 export type EntryStatus = z.infer<typeof statusSchema>;
@@ -23,11 +28,14 @@
 
 const peerPath = '/peer';
 const reconnectMs = 200;
+/** Without it, a listener that accepts and stays silent would keep the connection opening without end. */
+const handshakeTimeoutMs = 1000;
 
 /** Connection to the peer listener of one entry, for the operations that the command line calls. */
 export class EntryClient {
 	readonly #socket: ReturnType<typeof createWSClient>;
 	readonly #caller: TRPCClient<PeerRouter>;
+	#latestSocket: WebSocket | undefined;
 	#connectError: Error | undefined;
 	#abortCalls = new AbortController();
 
@@ -39,10 +47,15 @@
 			this.#abortCalls = new AbortController();
 		};
 
+		const recordSocket = (socket: WebSocket): void => {
+			this.#latestSocket = socket;
+		};
+
 		const socketClass = class extends WebSocket {
 			constructor(url: string | URL) {
-				super(url, {perMessageDeflate: false});
+				super(url, {perMessageDeflate: false, handshakeTimeout: handshakeTimeoutMs});
 				this.on('error', recordError);
+				recordSocket(this);
 			}
 		};
 		this.#socket = createWSClient({
@@ -60,16 +73,14 @@
 	}
 
 	/** Steps of a request; undefined when the entry does not know it. */
-	async explain(requestId: string, timeoutMs: number): Promise<Result<ExplainSteps | undefined, EntryFailure>> {
+	async queryExplanation(requestId: string, timeoutMs: number): Promise<Result<ExplainSteps | undefined, EntryFailure>> {
 		return this.#run(timeoutMs, async signal => explainSchema.nullish().parse(await this.#caller.operations.explain.query(requestId, {signal})) ?? undefined);
 	}
 
-	async close(): Promise<void> {
-		try {
-			await this.#socket.close();
-		} catch {
-			// The connection ended while it was being opened.
-		}
+	/** Ends the connection at once; the library's own close waits for a connection that is still being opened. */
+	close(): void {
+		void closeQuietly(this.#socket);
+		this.#latestSocket?.terminate();
 	}
 
 	async #run<Value>(timeoutMs: number, call: (signal: AbortSignal) => Promise<Value>): Promise<Result<Value, EntryFailure>> {
@@ -86,3 +97,11 @@
 		}
 	}
 }
+
+const closeQuietly = async (client: ReturnType<typeof createWSClient>): Promise<void> => {
+	try {
+		await client.close();
+	} catch {
+		// The connection ended while it was being opened.
+	}
+};
--- a/packages/cli/src/entries/entry-pool.ts
+++ b/packages/cli/src/entries/entry-pool.ts
@@ -17,12 +17,14 @@
 		return this.#run(address, async (client, timeoutMs) => client.getStatus(timeoutMs));
 	}
 
-	async explain(address: string, requestId: string): Promise<Result<ExplainSteps | undefined, EntryFailure>> {
-		return this.#run(address, async (client, timeoutMs) => client.explain(requestId, timeoutMs));
+	async queryExplanation(address: string, requestId: string): Promise<Result<ExplainSteps | undefined, EntryFailure>> {
+		return this.#run(address, async (client, timeoutMs) => client.queryExplanation(requestId, timeoutMs));
 	}
 
-	async close(): Promise<void> {
-		await Promise.all([...this.#clients.values()].map(async client => client.close()));
+	close(): void {
+		for (const client of this.#clients.values()) {
+			client.close();
+		}
 	}
 
 	async #run<Value>(address: string, call: (client: EntryClient, timeoutMs: number) => Promise<Result<Value, EntryFailure>>): Promise<Result<Value, EntryFailure>> {
--- a/packages/cli/src/platform/run-limited.ts
+++ b/packages/cli/src/platform/run-limited.ts
@@ -7,7 +7,7 @@
 	const values = Array.from<Value>({length: items.length});
 	const queue = items.entries();
 	let failed: {ok: false; error: Failure} | undefined;
-	const work = async (): Promise<void> => {
+	const runQueued = async (): Promise<void> => {
 		for (const [index, item] of queue) {
 			const result = await run(item);
 			if (!result.ok) {
@@ -22,6 +22,6 @@
 		}
 	};
 
-	await Promise.all(Array.from({length: Math.min(limit, items.length)}, work));
+	await Promise.all(Array.from({length: Math.min(limit, items.length)}, runQueued));
 	return failed ?? createOk(values);
 };
--- a/packages/cli/src/program/command-context.ts
+++ b/packages/cli/src/program/command-context.ts
@@ -16,7 +16,7 @@
 	progress: Progress;
 	entries: EntryPool;
 	/** Prints one line while the command runs; nothing with `--json`. */
-	printLine: (line: string) => void;
+	writeLine: (line: string) => void;
 	/** Opens the platform connection; fails when no address is set. */
 	openPlatform: () => Result<PlatformAccess, CommandFailure>;
 	close: () => Promise<void>;
@@ -50,7 +50,7 @@
 		settings,
 		progress,
 		entries,
-		printLine(line) {
+		writeLine(line) {
 			if (options.json !== true) {
 				io.writeOut(`${line}\n`);
 			}
@@ -66,7 +66,8 @@
 		},
 		async close() {
 			progress.stop();
-			await Promise.all([access?.close(), entries.close()]);
+			entries.close();
+			await access?.close();
 		},
 	};
 };
--- a/packages/cli/src/rollout/wait-rollout.ts
+++ b/packages/cli/src/rollout/wait-rollout.ts
@@ -21,12 +21,15 @@
 	access: PlatformAccess;
 	entries: EntryPool;
 	progress: Progress;
-	printLine: (line: string) => void;
+	writeLine: (line: string) => void;
 };
 
 /** A list of 350 sessions is about 100 KB, so that this period costs one operator's command about 0.2 MB/s. */
 const pollPeriodMs = 500;
 
+/** More entries than this are followed by their session objects alone, which are renewed every 2 s: a status answer grows with the fleet. */
+const askedEntryLimit = 32;
+
 /** Waits until every live entry has a revision in force and prints each one as it comes into force. */
 export const waitForRollout = async (request: RolloutRequest, tools: RolloutTools): Promise<Result<RolloutEntry[], CommandFailure>> => {
 	const startedAt = performance.now();
@@ -38,8 +41,8 @@
 			return createFailure(sessions.error.exitCode, sessions.error.message, {effect: 'applied', revision: request.revision, entries: tracker.listEntries(performance.now())});
 		}
 
-		printArrivals(tracker.acceptSessions(sessions.value, performance.now()), tools);
-		await askEntries(tracker, request.field, tools);
+		writeArrivals(tracker.acceptSessions(sessions.value, performance.now()), tools);
+		await queryEntryStatuses(tracker, request.field, tools);
 		const entries = tracker.listEntries(performance.now());
 		if (tracker.isDone(performance.now())) {
 			return createOk(entries);
@@ -64,18 +67,22 @@
 
 const listWaiting = (entries: readonly RolloutEntry[]): string => entries.filter(({state}) => state === 'waiting').map(({entryId}) => entryId).join(', ');
 
-const printArrivals = (entries: readonly RolloutEntry[], {printLine}: RolloutTools): void => {
+const writeArrivals = (entries: readonly RolloutEntry[], {writeLine}: RolloutTools): void => {
 	for (const {entryId, failureDomain, revision, afterMs} of entries) {
-		printLine(`${entryId} (${failureDomain}): revision ${revision} in force after ${((afterMs ?? 0) / 1000).toFixed(1)} s`);
+		writeLine(`${entryId} (${failureDomain}): revision ${revision} in force after ${((afterMs ?? 0) / 1000).toFixed(1)} s`);
 	}
 };
 
-const askEntries = async (tracker: RolloutTracker, field: RevisionField, tools: RolloutTools): Promise<void> => {
+const queryEntryStatuses = async (tracker: RolloutTracker, field: RevisionField, tools: RolloutTools): Promise<void> => {
 	const waiting = tracker.listEntries(performance.now()).filter(({state}) => state === 'waiting');
+	if (waiting.length > askedEntryLimit) {
+		return;
+	}
+
 	await Promise.all(waiting.map(async ({entryId, peerAddress}) => {
 		const status = await tools.entries.getStatus(peerAddress);
 		if (status.ok) {
-			printArrivals(tracker.acceptStatus(entryId, status.value[field] ?? 0, performance.now()), tools);
+			writeArrivals(tracker.acceptStatus(entryId, status.value[field] ?? 0, performance.now()), tools);
 		}
 	}));
 };
--- a/packages/cli/src/settings/operator-settings.ts
+++ b/packages/cli/src/settings/operator-settings.ts
@@ -32,7 +32,7 @@
 };
 
 /** An unreachable platform is reported within 5 s; the rest is for the start of the process on a busy machine. */
-const defaultTimeoutMs = 2500;
+const defaultTimeoutMs = 2000;
 
 const address = z.string().refine(text => (parseAddress(text)?.port ?? 0) > 0, 'expected an IP address and port, for example 10.0.0.5:8400');
 const secret = z.string().min(16).max(500);
