--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -6,3 +6,4 @@
 export * from './platform/platform.js';
 export * from './service/service.js';
 export * from './process-group/process-group.js';
+export * from './caller/caller-client.js';
