--- a/packages/cli/src/commands/command-table.ts
+++ b/packages/cli/src/commands/command-table.ts
@@ -1,6 +1,7 @@
 import type {CommandSpec} from '../program/command-spec.js';
 import {configCommands} from './config-commands.js';
 import {domainCommands, instanceCommands} from './availability-commands.js';
+import {demoCommand} from './demo-command.js';
 import {explainCommand} from './explain-command.js';
 import {settingsCommand} from './settings-command.js';
 import {statusCommand} from './status-command.js';
@@ -13,4 +14,5 @@
 	statusCommand,
 	explainCommand,
 	settingsCommand,
+	demoCommand,
 ];
--- a/packages/cli/src/commands/demo-command.ts
+++ b/packages/cli/src/commands/demo-command.ts
@@ -14,7 +14,7 @@
 const runDemo = async (context: CommandContext, options: Record<string, unknown>): Promise<CommandResult> => {
 	const fleet = await startDemoFleet(context.progress);
 	try {
-		if (options['hold'] === true) {
+		if (options.hold === true) {
 			printAddresses(context, fleet.entries.map(({address}) => address), fleet.platformAddress);
 			await Promise.race([once(process, 'SIGINT'), once(process, 'SIGTERM')]);
 			return createOk({text: 'stopped', data: {ok: true}});
@@ -35,6 +35,7 @@
 const printAddresses = ({printLine, progress}: CommandContext, entries: readonly string[], platform: string): void => {
 	progress.stop();
 	const credential = buildDemoCredential(holdWorkspace);
+	// eslint-disable-next-line @typescript-eslint/naming-convention -- field of the completions protocol
 	const body = JSON.stringify({model: 'truing-model', max_tokens: 16, messages: [{role: 'user', content: 'Which wheelsets need truing?'}]});
 	printLine(`platform  http://${platform}`);
 	for (const entry of entries) {
--- a/packages/cli/src/demo/run-demo.ts
+++ b/packages/cli/src/demo/run-demo.ts
@@ -13,7 +13,9 @@
 import {
 	buildDemoCredential, buildDemoPrompt, createDemoDeployment, demoClasses, demoTimeScale, type DemoClass,
 } from './demo-plan.js';
-import {summarizeDemo, type ClassResults, type DemoSummary, type WorkOrderFacts} from './demo-summary.js';
+import {
+	summarizeDemo, type ClassResults, type DemoSummary, type WorkOrderFacts,
+} from './demo-summary.js';
 
 const examplesUrl = new URL('../../../../examples/prairie/', import.meta.url);
 const platformTimeoutMs = 5000;
--- a/packages/testkit/src/caller/caller-client.ts
+++ b/packages/testkit/src/caller/caller-client.ts
@@ -94,6 +94,7 @@
 					'x-request-deadline-ms': call.deadlineMs?.toString(), 'x-request-id': call.requestId,
 				}),
 				body: JSON.stringify({
+					// eslint-disable-next-line @typescript-eslint/naming-convention -- field of the completions protocol
 					model: call.model, stream: true, max_tokens: call.maxTokens, messages: [{role: 'user', content: call.prompt}],
 				}),
 			});
