--- a/packages/cli/src/demo/run-demo.ts
+++ b/packages/cli/src/demo/run-demo.ts
@@ -29,7 +29,7 @@
 		throw new VError('the example lists are invalid: %s', renderProblems(parsed.error));
 	}
 
-	const access = new PlatformAccess(`http://${platformAddress}`, platformTimeoutMs);
+	const access = new PlatformAccess(platformAddress, platformTimeoutMs);
 	try {
 		const applied = await applyConfiguration(access, {lists: parsed.value, author: 'demo', expectedRevision: undefined}, progress);
 		if (!applied.ok) {
--- a/packages/testkit/src/fleet/fleet.ts
+++ b/packages/testkit/src/fleet/fleet.ts
@@ -226,7 +226,7 @@
 			region: member.region,
 			callerListener: member.address,
 			peerListener: member.peerAddress,
-			platform: `http://${this.#platformAddress}`,
+			platform: this.#platformAddress,
 			seedPeers: members.filter(({id, kind}) => kind === 'entry' && id !== member.id).map(({peerAddress}) => peerAddress),
 			peerSecrets: {current: peerSecret, accepted: [peerSecret]},
 			...(this.options.metrics === undefined ? {} : {metrics: this.options.metrics}),
