--- a/packages/cli/src/demo/demo-plan.ts
+++ b/packages/cli/src/demo/demo-plan.ts
@@ -13,15 +13,24 @@
 /** Modelled time of the engines runs this many times as fast as real time. */
 export const demoTimeScale = 10;
 
-/** Instances of the example deployment `prairie`; the lists come from its folder. */
+/** Load that a cold engine takes; the default of the stand-in would need minutes of short prompts before a long one fits. */
+export const demoEngine = {timeScale: demoTimeScale, coldConcurrency: 4, coldPrefillTokens: 131_072};
+
+/** Short prompts sent for each engine before the measured load, so that its owner raises the warm-up level. */
+export const warmupRequestsPerEngine = 20;
+
+/** Workspaces whose plan has the models and the rate for the warm-up. */
+export const warmupWorkspaces: readonly string[] = ['great-plains-shortline', 'qu-appelle-valley-rail', 'carlton-trail-railway'];
+
+/** Instances of a small version of the example deployment `prairie`; the lists come from its folder. */
 export const createDemoDeployment = (lists: DeploymentInput['lists']): DeploymentInput => ({
 	failureDomains: {regina: 'prairie', saskatoon: 'prairie', 'moose-jaw': 'prairie'},
 	engines: {
-		'truing-model': {regina: 5, saskatoon: 5, 'moose-jaw': 5},
+		'truing-model': {regina: 2, saskatoon: 2, 'moose-jaw': 2},
 		'shop-desk': {regina: 1, saskatoon: 1, 'moose-jaw': 1},
 	},
 	services: {'work-orders': {regina: 1, saskatoon: 1}, bookings: {'moose-jaw': 1}},
-	entries: {regina: 3, saskatoon: 3, 'moose-jaw': 2},
+	entries: {regina: 2, saskatoon: 2, 'moose-jaw': 2},
 	lists,
 });
 
--- a/packages/cli/src/demo/run-demo.ts
+++ b/packages/cli/src/demo/run-demo.ts
@@ -11,7 +11,8 @@
 import {PlatformAccess} from '../platform/platform-access.js';
 import type {Progress} from '../program/progress.js';
 import {
-	buildDemoCredential, buildDemoPrompt, createDemoDeployment, demoClasses, demoTimeScale, type DemoClass,
+	buildDemoCredential, buildDemoPrompt, createDemoDeployment, demoClasses, demoEngine, warmupRequestsPerEngine, warmupWorkspaces,
+	type DemoClass,
 } from './demo-plan.js';
 import {
 	summarizeDemo, type ClassResults, type DemoSummary, type WorkOrderFacts,
@@ -21,6 +22,8 @@
 const platformTimeoutMs = 5000;
 /** Period over which the requests of each class are spread, in ms. */
 const loadPeriodMs = 6000;
+/** Time between two warm-up requests of one entry; two entries share the 40 requests/s of one plan. */
+const warmupPeriodMs = 60;
 const workOrderWorkspace = 'great-plains-shortline';
 
 const installLists = async (platformAddress: string, lists: {workspaces: string; plans: string}, progress: Progress): Promise<void> => {
@@ -46,7 +49,7 @@
 	const [workspaces, plans] = await Promise.all(['workspaces.yaml', 'plans.yaml'].map(async name => readFile(fileURLToPath(new URL(name, examplesUrl)), 'utf8')));
 	return startFleet({
 		deployment: createDemoDeployment({workspaces: workspaces!, plans: plans!}),
-		engine: {timeScale: demoTimeScale},
+		engine: demoEngine,
 		platform: {listLagMs: 200},
 		gracePeriodMs: 10_000,
 		installConfiguration: async ({platformAddress, lists}) => installLists(platformAddress, lists, progress),
@@ -57,6 +60,8 @@
 export const runDemoLoad = async (fleet: Fleet, progress: Progress): Promise<DemoSummary> => {
 	progress.update('waiting until the engines have owners');
 	await waitForService(fleet);
+	progress.update('warming up the engines');
+	await warmUp(fleet);
 	progress.update('sending requests');
 	const [workOrder, ...classes] = await Promise.all([
 		sendWorkOrderTwice(fleet),
@@ -88,6 +93,23 @@
 	}
 };
 
+/** Sends short prompts through every entry, at the rate of the plan. */
+const warmUp = async (fleet: Fleet): Promise<void> => {
+	const requests = (warmupRequestsPerEngine * fleet.engines.length) / fleet.entries.length;
+	await Promise.all(fleet.entries.map(async ({address}, entryIndex) => {
+		const workspaceId = warmupWorkspaces[entryIndex % warmupWorkspaces.length]!;
+		const caller = new CallerClient({entries: [address], credential: buildDemoCredential(workspaceId), isPinned: true});
+		try {
+			await Promise.all(Array.from({length: requests}, async (_, index) => {
+				await wait(index * warmupPeriodMs);
+				await caller.sendCompletion({model: index % 3 === 0 ? 'shop-desk' : 'truing-model', prompt: `warm-up ${address} ${index}`, maxTokens: 1});
+			}));
+		} finally {
+			await caller.close();
+		}
+	}));
+};
+
 const sendClass = async (fleet: Fleet, demoClass: DemoClass): Promise<ClassResults> => {
 	const caller = createCaller(fleet, demoClass.workspaceId);
 	try {
--- a/packages/entry/src/limits/limits-task.ts
+++ b/packages/entry/src/limits/limits-task.ts
@@ -14,6 +14,8 @@
 /** A slice is renewed well before its end, so that one lost answer does not stop a workspace. */
 const renewalMs = 500;
 const requestTimeoutMs = 400;
+/** Least time between two renewals that refused requests cause, so that an overload does not turn into peer traffic. */
+const refusalRenewalMs = 100;
 /** Workspaces without a request for this time are forgotten; 27,000 of them do not fit into memory with their histories. */
 const idleMs = 30_000;
 
@@ -28,7 +30,7 @@
 	findPlan: (workspaceId: string) => Plan | undefined;
 };
 
-type HeldSlice = {holder: SliceHolder; usedAt: number; pending: Promise<void> | undefined};
+type HeldSlice = {holder: SliceHolder; usedAt: number; renewedAt: number; pending: Promise<void> | undefined};
 type OwnedBudget = {budget: WorkspaceBudget; usedAt: number};
 
 const unavailableSlice: LimitSlice = {
@@ -80,18 +82,21 @@
 		const {timer, metrics} = this.#options;
 		const held = this.#openSlice(workspace.id, plan, timer.now());
 		if (!held.holder.hasSlice(timer.now())) {
-			held.pending ??= this.#renew([workspace.id]);
-			await held.pending;
-			held.pending = undefined;
+			await this.#renewOne(held, workspace.id);
+		}
+
+		let verdict = held.holder.tryConsume(cost, timer.now());
+		if (verdict.type === 'refused' && timer.now() - held.renewedAt >= refusalRenewalMs) {
+			// The slice follows the demand only at the next renewal, although the plan may have room for a burst now.
+			await this.#renewOne(held, workspace.id);
+			verdict = held.holder.tryConsume(cost, timer.now());
 		}
 
-		const now = timer.now();
-		const verdict = held.holder.tryConsume(cost, now);
 		if (verdict.type === 'refused') {
 			return verdict;
 		}
 
-		if (!held.holder.hasSlice(now)) {
+		if (!held.holder.hasSlice(timer.now())) {
 			metrics.count(counterNames.sliceFloor);
 		}
 
@@ -103,6 +108,13 @@
 		};
 	}
 
+	async #renewOne(held: HeldSlice, workspaceId: string): Promise<void> {
+		held.renewedAt = this.#options.timer.now();
+		held.pending ??= this.#renew([workspaceId]);
+		await held.pending;
+		held.pending = undefined;
+	}
+
 	#openSlice(workspaceId: string, plan: Plan, now: number): HeldSlice {
 		const known = this.#slices.get(workspaceId);
 		if (known) {
@@ -111,7 +123,9 @@
 		}
 
 		this.#updateEntries(now);
-		const held: HeldSlice = {holder: new SliceHolder(plan, {entries: this.#live.length}, now), usedAt: now, pending: undefined};
+		const held: HeldSlice = {
+			holder: new SliceHolder(plan, {entries: this.#live.length}, now), usedAt: now, renewedAt: Number.NEGATIVE_INFINITY, pending: undefined,
+		};
 		this.#slices.set(workspaceId, held);
 		return held;
 	}
--- a/packages/testkit/src/caller/caller-client.ts
+++ b/packages/testkit/src/caller/caller-client.ts
@@ -8,6 +8,8 @@
 	/** `host:port` of entries to ask first. */
 	entries: readonly string[];
 	credential: string;
+	/** Sends everything to the first of the entries instead of asking which one to use. */
+	isPinned?: boolean | undefined;
 };
 
 /** One completion to send. */
@@ -66,6 +68,10 @@
 
 	/** Addresses in order of preference for a model; asks another entry when one does not answer. */
 	async findEntries(model: string): Promise<string[]> {
+		if (this.options.isPinned) {
+			return [...this.options.entries];
+		}
+
 		const known = this.#known.get(model);
 		if (known !== undefined && known.expiresAt > performance.now()) {
 			return known.addresses;
