--- a/packages/core/src/admission/admission-point.ts
+++ b/packages/core/src/admission/admission-point.ts
@@ -52,6 +52,8 @@
 	#hasRestarted = false;
 	/** True until a report shows the state of the server, initially and after a crash. */
 	#needsReport: boolean;
+	/** Time of the last report, or of the first event. */
+	#reportedAt: number | undefined;
 	#sequence = 0;
 	#now = 0;
 	#scannedAt = 0;
@@ -141,6 +143,7 @@
 	/** Applies an event and returns the commands that follow from it. */
 	handle(event: AdmissionEvent, now: number): AdmissionCommand[] {
 		this.#now = now;
+		this.#reportedAt ??= now;
 		this.#credits.updateTime(this.#ledger.usage.lanePrefillTokens, now);
 		this.#estimator.updateTime(this.#queue.backlogs, now);
 		this.#updateExpired();
@@ -152,8 +155,13 @@
 		return commands;
 	}
 
+	/** True when the server has not reported for so long that a request is better tried elsewhere at once. */
+	get #isSilent(): boolean {
+		return this.#options.hasReports && this.#now - (this.#reportedAt ?? this.#now) >= this.#options.reportTimeoutMs;
+	}
+
 	get #isServing(): boolean {
-		return !this.#needsReport && !this.#isLeaving && this.#mode !== 'stopped';
+		return !this.#needsReport && !this.#isSilent && !this.#isLeaving && this.#mode !== 'stopped';
 	}
 
 	#apply<Type extends AdmissionEvent['type']>(event: AdmissionEvent & {type: Type}): void {
@@ -212,7 +220,7 @@
 			return {reason: refusalReasons.promptTooLong, retryAfterMs: 0};
 		}
 
-		if (this.#isLeaving) {
+		if (this.#isLeaving || this.#isSilent) {
 			return {reason: refusalReasons.noBackendServer, retryAfterMs: minRetryAfterMs};
 		}
 
@@ -238,13 +246,13 @@
 		}
 
 		const parsed = parsePermitId(permitId);
-		if (parsed !== undefined && this.#canAdopt(parsed)) {
+		if (parsed !== undefined && this.#isAdoptable(parsed)) {
 			this.#addAdopted(permitId, parsed.attemptId);
 		}
 	}
 
 	/** A late renewal of an own or a finished permit, or of one for a former boot, must not hold capacity again. */
-	#canAdopt({fencingNumber, attemptId}: {fencingNumber: number; attemptId: string}): boolean {
+	#isAdoptable({fencingNumber, attemptId}: {fencingNumber: number; attemptId: string}): boolean {
 		return fencingNumber < this.#options.fencingNumber
 			&& !this.#hasRestarted
 			&& this.#mode !== 'stopped'
@@ -303,7 +311,7 @@
 		if (endedResults.has(result) || !this.#options.hasReports) {
 			this.#ledger.remove(held, this.#now);
 		} else {
-			this.#ledger.recordAbandoned(held, this.#now);
+			this.#ledger.recordReleased(held, this.#now);
 		}
 	}
 
@@ -326,6 +334,7 @@
 		}
 
 		this.#needsReport = false;
+		this.#reportedAt = this.#now;
 		this.#isLeaving = report.state === 'leaving';
 		const orphans = this.#ledger.reconcileReport(report, this.#now);
 		// Only a sole owner knows that nobody else renews the permit.
@@ -360,7 +369,7 @@
 
 	/** Refuses queued requests that can no longer finish in time or no longer fit. */
 	#refuseUnreachable(): void {
-		if (this.#mode === 'stopped' || this.#isLeaving) {
+		if (this.#mode === 'stopped' || this.#isLeaving || this.#isSilent) {
 			this.#refuseAll();
 			return;
 		}
@@ -393,7 +402,7 @@
 	}
 
 	#refuseAll(): void {
-		const reason = this.#isLeaving ? refusalReasons.noBackendServer : refusalReasons.ownershipDisputed;
+		const reason = this.#mode === 'stopped' ? refusalReasons.ownershipDisputed : refusalReasons.noBackendServer;
 		for (const queued of this.#queue.list()) {
 			this.#queue.remove(queued.request.attemptId);
 			this.#refuse(queued, reason, minRetryAfterMs);
@@ -515,13 +524,13 @@
 		}
 
 		const {concurrencyShare, kvShare} = lanes[lane]!;
-		const concurrency = this.#sumFrom(usage.laneConcurrency, lane);
-		const kvTokens = this.#sumFrom(usage.laneKvTokens, lane);
+		const concurrency = this.#computeSumFrom(usage.laneConcurrency, lane);
+		const kvTokens = this.#computeSumFrom(usage.laneKvTokens, lane);
 		return concurrency + 1 <= Math.max(1, Math.floor(bounds.concurrency * concurrencyShare))
 			&& (kvTokens === 0 || kvTokens + request.kvTokens <= bounds.kvTokens * kvShare);
 	}
 
-	#sumFrom(values: readonly number[], lane: number): number {
+	#computeSumFrom(values: readonly number[], lane: number): number {
 		let sum = 0;
 		for (let index = lane; index < values.length; index++) {
 			sum += values[index]!;
@@ -536,7 +545,7 @@
 
 	#hasCredit(lane: number, claim: Claim | undefined): boolean {
 		const isLongerWaiting = (claim?.queued.lane ?? -1) > lane
-			|| this.#sumFrom(this.#ledger.usage.lanePrefillTokens, lane + 1) > 0;
+			|| this.#computeSumFrom(this.#ledger.usage.lanePrefillTokens, lane + 1) > 0;
 		return !isLongerWaiting || this.#credits.isAvailable(lane);
 	}
 
@@ -564,6 +573,7 @@
 			expectedFirstTokenMs: this.#estimateGranted(request, lane),
 			isSuspect: request.isSuspect,
 			abandonedAt: undefined,
+			isReleased: false,
 			isAdopted: false,
 		};
 		this.#ledger.add(held);
@@ -576,12 +586,12 @@
 
 	/** First-token time in ms of a request granted now. */
 	#estimateGranted(request: PermitRequest, lane: number): number {
-		const inFlight = this.#sumUpTo(this.#ledger.usage.lanePrefillTokens, lane);
+		const inFlight = this.#computeSumUpTo(this.#ledger.usage.lanePrefillTokens, lane);
 		const share = lane === 0 ? 1 : this.#options.longPrefillShare;
 		return this.#computePrefillMs((inFlight + request.prefillTokens) / share);
 	}
 
-	#sumUpTo(values: readonly number[], lane: number): number {
+	#computeSumUpTo(values: readonly number[], lane: number): number {
 		let sum = 0;
 		for (let index = 0; index <= lane; index++) {
 			sum += values[index]!;
