Divide spare workspace rates among the askers and wait for the next slice before a refusal

Cause: a workspace that used a second entry was refused with request_rate_exceeded although its plan had room. Slices followed the demand only at the next renewal, repeated tries counted as demand, and one long prompt looked like an overload.

Ruled out: larger bursts per entry, because their sum would exceed the plan. Handing out the whole plan, because a newcomer then gets nothing until the slices of the others end.

--- a/packages/core/src/limits/limits.test.ts
+++ b/packages/core/src/limits/limits.test.ts
@@ -150,7 +150,9 @@
 	// Guards against requests in progress beyond the plan.
 	it('refuses above the concurrency and admits again after a release', () => {
 		const holder = new SliceHolder(plan, {entries: 1}, 0);
-		const slice = {...plan, concurrency: 2, lifetimeMs: 2000};
+		const slice = {
+			...plan, concurrency: 2, lifetimeMs: 2000, isContended: false,
+		};
 		holder.handle({type: 'slice', slice, requestedAt: 0}, 0);
 		const verdicts = [0, 1, 2].map(() => holder.tryConsume({tokens: 10}, 1000));
 		expect(verdicts.map(verdict => verdict.type)).to.deep.equal(['admitted', 'admitted', 'refused']);
@@ -162,7 +164,7 @@
 	// Guards against an estimate that is charged instead of the measured use.
 	it('charges the measured tokens at the release', () => {
 		const holder = new SliceHolder(plan, {entries: 1}, 0);
-		holder.handle({type: 'slice', slice: {...plan, lifetimeMs: 20_000}, requestedAt: 0}, 0);
+		holder.handle({type: 'slice', slice: {...plan, lifetimeMs: 20_000, isContended: false}, requestedAt: 0}, 0);
 		expect(holder.tryConsume({tokens: 10}, 1000).type).to.equal('admitted');
 		holder.release({tokens: 10}, 1_000_000, 1000);
 		const verdict = holder.tryConsume({tokens: 10}, 1000);
--- a/packages/core/src/limits/plan-limits.ts
+++ b/packages/core/src/limits/plan-limits.ts
@@ -11,6 +11,8 @@
 export type LimitSlice = PlanLimits & {
 	/** Time in ms for which the slice is valid; 0 when the owner has nothing to hand out yet. */
 	lifetimeMs: number;
+	/** True when the demand of all entries exceeds the plan, so that no entry can be given more. */
+	isContended: boolean;
 };
 
 /** Computes the part of a plan that one entry uses while the owner is unreachable. */
--- a/packages/core/src/limits/slice-holder.ts
+++ b/packages/core/src/limits/slice-holder.ts
@@ -40,6 +40,7 @@
 	readonly #requests: TokenBucket;
 	readonly #tokens: TokenBucket;
 	#rates: PlanLimits = {requestsPerSecond: 0, tokensPerSecond: 0, concurrency: 0};
+	#isContended = false;
 	#expiresAt = -Infinity;
 	#unreachableSince: number | undefined;
 	#mode: 'none' | 'slice' | 'floor' = 'none';
@@ -65,6 +66,11 @@
 		return now < this.#expiresAt;
 	}
 
+	/** True while the plan has room that other entries hold; they give it up with their next slices. */
+	canGrow(now: number): boolean {
+		return this.hasSlice(now) && !this.#isContended;
+	}
+
 	/** Applies an event. */
 	handle(event: SliceHolderEvent, now: number): void {
 		this.#update(now);
@@ -94,11 +100,17 @@
 		this.#update(now);
 	}
 
-	/** Admits or refuses a request; an admitted one is ended by `release`. */
-	tryConsume(cost: LimitCost, now: number): LimitVerdict {
+	/**
+	 * Admits or refuses a request; an admitted one is ended by `release`.
+	 * A repeated try of the same request is not counted as demand again.
+	 */
+	tryConsume(cost: LimitCost, now: number, isRepeated = false): LimitVerdict {
 		this.#update(now);
-		this.#demand.requests++;
-		this.#demand.tokens += cost.tokens;
+		if (!isRepeated) {
+			this.#demand.requests++;
+			this.#demand.tokens += cost.tokens;
+		}
+
 		const requestWaitMs = this.#requests.computeWaitMs(1, now);
 		if (requestWaitMs > 0) {
 			return this.#refuse(refusalReasons.requestRateExceeded, requestWaitMs);
@@ -142,6 +154,7 @@
 		// An owner that has nothing to hand out yet leaves the former slice in force.
 		if (slice.lifetimeMs > 0) {
 			this.#rates = slice;
+			this.#isContended = slice.isContended;
 			// Counted from the sending time, so that the slice ends here before it ends at the owner.
 			this.#expiresAt = requestedAt + slice.lifetimeMs;
 		}
--- a/packages/core/src/limits/workspace-budget.ts
+++ b/packages/core/src/limits/workspace-budget.ts
@@ -23,6 +23,8 @@
 	/** Smoothed demand per second. */
 	requestsPerSecond: number;
 	tokensPerSecond: number;
+	/** Demand per second over a longer time, to tell an overload from a burst or a single long prompt. */
+	sustained: Pick<PlanLimits, RateName>;
 	concurrency: number;
 	askedAt: number;
 };
@@ -35,8 +37,15 @@
 const headroomShare = 0.5;
 /** Time constant in ms of the measured demand. */
 const demandMs = 250;
+/** Time constant of the sustained demand. */
+const sustainedMs = 3000;
 const minIntervalMs = 50;
 const defaultIntervalMs = 1000;
+/**
+ * Part of the plan that the entries asking so far may hold while there is no contention.
+ * The rest lets another entry admit its first burst before the slices of the others end.
+ */
+const spareShare = 0.8;
 /** Part of each floor handed out while slices of a former owner may still be valid. */
 const settlingShare = 0.5;
 
@@ -85,7 +94,7 @@
 		const slice = now < this.#settledAt ? this.#computeSettlingSlice() : this.#computeSlice(entryId, share, now);
 		share.slice = slice;
 		share.expiresAt = now + this.#lifetimeMs;
-		return {...slice, lifetimeMs: this.#lifetimeMs};
+		return {...slice, lifetimeMs: this.#lifetimeMs, isContended: this.#isContended()};
 	}
 
 	#updateShare(entryId: string, demand: LimitDemand, now: number): Share {
@@ -93,7 +102,13 @@
 		const intervalMs = known ? Math.max(minIntervalMs, now - known.askedAt) : defaultIntervalMs;
 		const smoothing = known ? 1 - Math.exp(-intervalMs / demandMs) : 1;
 		const merge = (former: number, amount: number) => (former * (1 - smoothing)) + ((smoothing * amount * 1000) / intervalMs);
+		const sustainedWeight = 1 - Math.exp(-intervalMs / sustainedMs);
+		const mergeSustained = (former: number, amount: number) => (former * (1 - sustainedWeight)) + ((sustainedWeight * amount * 1000) / intervalMs);
 		const share: Share = {
+			sustained: {
+				requestsPerSecond: mergeSustained(known?.sustained.requestsPerSecond ?? 0, demand.requests),
+				tokensPerSecond: mergeSustained(known?.sustained.tokensPerSecond ?? 0, demand.tokens),
+			},
 			slice: known?.slice ?? noRates,
 			expiresAt: known?.expiresAt ?? -Infinity,
 			requestsPerSecond: merge(known?.requestsPerSecond ?? 0, demand.requests),
@@ -105,6 +120,17 @@
 		return share;
 	}
 
+	#isContended(): boolean {
+		return rateNames.some(name => {
+			let demand = 0;
+			for (const share of this.#shares.values()) {
+				demand += share.sustained[name];
+			}
+
+			return demand > this.#plan[name];
+		});
+	}
+
 	#computeSettlingSlice(): PlanLimits {
 		const floor = computeStaticFloor(this.#plan, this.#entries);
 		return {
--- a/packages/entry/src/limits/limits-task.ts
+++ b/packages/entry/src/limits/limits-task.ts
@@ -1,6 +1,6 @@
 import {
 	SliceHolder, WorkspaceBudget,
-	type LimitSlice, type Plan, type TextHash32, type Workspace,
+	type LimitSlice, type LimitVerdict, type Plan, type TextHash32, type Workspace,
 } from '@knapweedrack/core';
 import {peerBatchLimit, type Slice, type SliceRequest} from '@knapweedrack/protocol';
 import type {
@@ -9,6 +9,7 @@
 import type {MembershipTask} from '../membership/membership-task.js';
 import {selectResourceOwner} from '../membership/resource-owner.js';
 import {counterNames} from '../metrics/metric-names.js';
+import {waitFor} from '../timer/timer-service.js';
 
 const sliceLifetimeMs = 2000;
 /** A slice is renewed well before its end, so that one lost answer does not stop a workspace. */
@@ -16,6 +17,8 @@
 const requestTimeoutMs = 400;
 /** Least time between two renewals that refused requests cause, so that an overload does not turn into peer traffic. */
 const refusalRenewalMs = 100;
+/** Within this time the other holders of a workspace renew a few times and give up what they do not use. */
+const shareWaitMs = 3 * renewalMs;
 /** Workspaces without a request for this time are forgotten; 27,000 of them do not fit into memory with their histories. */
 const idleMs = 30_000;
 
@@ -34,7 +37,7 @@
 type OwnedBudget = {budget: WorkspaceBudget; usedAt: number};
 
 const unavailableSlice: LimitSlice = {
-	requestsPerSecond: 0, tokensPerSecond: 0, concurrency: 0, lifetimeMs: 0,
+	requestsPerSecond: 0, tokensPerSecond: 0, concurrency: 0, lifetimeMs: 0, isContended: false,
 };
 
 /** Workspace limits: slices that this entry uses, and budgets of the workspaces that it owns. */
@@ -85,13 +88,7 @@
 			await this.#renewOne(held, workspace.id);
 		}
 
-		let verdict = held.holder.tryConsume(cost, timer.now());
-		if (verdict.type === 'refused' && timer.now() - held.renewedAt >= refusalRenewalMs) {
-			// The slice follows the demand only at the next renewal, although the plan may have room for a burst now.
-			await this.#renewOne(held, workspace.id);
-			verdict = held.holder.tryConsume(cost, timer.now());
-		}
-
+		const verdict = await this.#tryConsume(held, workspace.id, cost);
 		if (verdict.type === 'refused') {
 			return verdict;
 		}
@@ -108,6 +105,25 @@
 		};
 	}
 
+	/** Asks for a larger slice before a refusal, because a slice follows the demand only at its next renewal. */
+	async #tryConsume(held: HeldSlice, workspaceId: string, cost: RequestCost): Promise<LimitVerdict> {
+		const {timer} = this.#options;
+		const endsAt = timer.now() + shareWaitMs;
+		for (let isRepeated = false; ; isRepeated = true) {
+			const verdict = held.holder.tryConsume(cost, timer.now(), isRepeated);
+			const isRenewable = timer.now() - held.renewedAt >= refusalRenewalMs;
+			if (verdict.type === 'admitted' || timer.now() >= endsAt || !(isRenewable || held.holder.canGrow(timer.now()))) {
+				return verdict;
+			}
+
+			if (!isRenewable) {
+				await waitFor(timer, refusalRenewalMs);
+			}
+
+			await this.#renewOne(held, workspaceId);
+		}
+	}
+
 	async #renewOne(held: HeldSlice, workspaceId: string): Promise<void> {
 		held.renewedAt = this.#options.timer.now();
 		held.pending ??= this.#renew([workspaceId]);
--- a/packages/protocol/src/peer/peer-records.ts
+++ b/packages/protocol/src/peer/peer-records.ts
@@ -114,6 +114,7 @@
 	tokensPerSecond: z.number().nonnegative(),
 	concurrency: count,
 	lifetimeMs: durationMs,
+	isContended: z.boolean(),
 });
 /** A slice of a workspace's rates. */
 export type Slice = z.infer<typeof sliceSchema>;
