--- a/packages/cli/src/commands/demo-command.ts
+++ b/packages/cli/src/commands/demo-command.ts
@@ -21,7 +21,7 @@
 		}
 
 		const summary = await runDemoLoad(fleet, context.progress);
-		context.printLine(renderDemoSummary(summary));
+		context.writeLine(renderDemoSummary(summary));
 		// The last line of standard output is JSON, so that scripts can read the result.
 		return summary.ok
 			? createOk({text: JSON.stringify(summary), data: summary})
@@ -32,19 +32,19 @@
 	}
 };
 
-const printAddresses = ({printLine, progress}: CommandContext, entries: readonly string[], platform: string): void => {
+const printAddresses = ({writeLine, progress}: CommandContext, entries: readonly string[], platform: string): void => {
 	progress.stop();
 	const credential = buildDemoCredential(holdWorkspace);
 	// eslint-disable-next-line @typescript-eslint/naming-convention -- field of the completions protocol
 	const body = JSON.stringify({model: 'truing-model', max_tokens: 16, messages: [{role: 'user', content: 'Which wheelsets need truing?'}]});
-	printLine(`platform  http://${platform}`);
+	writeLine(`platform  http://${platform}`);
 	for (const entry of entries) {
-		printLine(`entry     http://${entry}`);
+		writeLine(`entry     http://${entry}`);
 	}
 
-	printLine(`workspace ${holdWorkspace}, credential ${credential}`);
-	printLine(`curl -s http://${entries[0]!}/v1/chat/completions -H 'authorization: Bearer ${credential}' -H 'content-type: application/json' -d '${body}'`);
-	printLine('press Ctrl+C to stop');
+	writeLine(`workspace ${holdWorkspace}, credential ${credential}`);
+	writeLine(`curl -s http://${entries[0]!}/v1/chat/completions -H 'authorization: Bearer ${credential}' -H 'content-type: application/json' -d '${body}'`);
+	writeLine('press Ctrl+C to stop');
 };
 
 /** Runs the example deployment with stand-ins on this machine. */
--- a/packages/cli/src/demo/run-demo.ts
+++ b/packages/cli/src/demo/run-demo.ts
@@ -6,8 +6,10 @@
 	CallerClient, startFleet, type Fleet, type ServiceCall,
 } from '@knapweedrack/testkit';
 import VError from 'verror';
+import {z} from 'zod';
 import {applyConfiguration} from '../configuration/apply-configuration.js';
 import {renderProblems} from '../configuration/read-lists.js';
+import {EntryPool} from '../entries/entry-pool.js';
 import {PlatformAccess} from '../platform/platform-access.js';
 import type {Progress} from '../program/progress.js';
 import {
@@ -21,7 +23,8 @@
 const examplesUrl = new URL('../../../../examples/prairie/', import.meta.url);
 const platformTimeoutMs = 5000;
 /** Period over which the requests of each class are spread, in ms. */
-const loadPeriodMs = 6000;
+const loadPeriodMs = 5000;
+const ownerPollMs = 250;
 /** Time between two warm-up requests of one entry; two entries share the 40 requests/s of one plan. */
 const warmupPeriodMs = 60;
 const workOrderWorkspace = 'great-plains-shortline';
@@ -58,7 +61,8 @@
 
 /** Sends the requests of the demo and summarizes them. */
 export const runDemoLoad = async (fleet: Fleet, progress: Progress): Promise<DemoSummary> => {
-	progress.update('waiting until the engines have owners');
+	progress.update('waiting until every engine has an owner that issues permits');
+	await waitForOwners(fleet);
 	await waitForService(fleet);
 	progress.update('warming up the engines');
 	await warmUp(fleet);
@@ -74,6 +78,27 @@
 	entries: fleet.entries.map(({address}) => address), credential: buildDemoCredential(workspaceId),
 });
 
+const backendServersSchema = z.array(z.object({serverId: z.string(), mode: z.string()}));
+
+/** While entries join, ownership moves, and a new owner issues only what a cold engine takes until it knows all open permits. */
+const waitForOwners = async (fleet: Fleet): Promise<void> => {
+	const pool = new EntryPool(fleet.peerSecret, platformTimeoutMs);
+	try {
+		while (await countFullOwners(fleet, pool) < fleet.engines.length) {
+			await wait(ownerPollMs);
+		}
+	} finally {
+		pool.close();
+	}
+};
+
+const countFullOwners = async (fleet: Fleet, pool: EntryPool): Promise<number> => {
+	const engines = new Set(fleet.engines.map(({id}) => id));
+	const answers = await Promise.all(fleet.entries.map(async ({peerAddress}) => pool.getStatus(peerAddress)));
+	const servers = answers.flatMap(answer => answer.ok ? backendServersSchema.parse(answer.value.backendServers ?? []) : []);
+	return servers.filter(({serverId, mode}) => engines.has(serverId) && mode === 'full').length;
+};
+
 /** Sends one short prompt per model until it completes. */
 const waitForService = async (fleet: Fleet): Promise<void> => {
 	const caller = createCaller(fleet, workOrderWorkspace);
--- a/packages/entry/src/callers/engine-attempt.ts
+++ b/packages/entry/src/callers/engine-attempt.ts
@@ -260,7 +260,12 @@
 		}
 
 		await context.services.quarantine.report({
-			fingerprint: generation.fingerprint, attemptId: this.#attempt.attemptId, serverId: this.#server.id, result: 'crashed', runningFingerprints,
+			fingerprint: generation.fingerprint,
+			attemptId: this.#attempt.attemptId,
+			serverId: this.#server.id,
+			bootId: permitted.permit.bootId || undefined,
+			result: 'crashed',
+			runningFingerprints,
 		});
 		return true;
 	}
--- a/packages/entry/src/quarantine/quarantine-task.ts
+++ b/packages/entry/src/quarantine/quarantine-task.ts
@@ -89,10 +89,13 @@
 
 	/** Records a report as the owner of the fingerprint. */
 	async reportOwned(report: FingerprintReport): Promise<FingerprintStanding> {
-		const {fingerprint, attemptId, serverId, result, runningFingerprints} = report;
+		const {fingerprint, attemptId, serverId, bootId, result, runningFingerprints} = report;
+		const companions = runningFingerprints.filter(other => other !== fingerprint);
 		this.#table.recordRunEnd(fingerprint, checkedRun.attemptId);
 		const effect = result === 'crashed'
-			? this.#table.recordCrash(fingerprint, {attemptId, serverId, companions: runningFingerprints.filter(other => other !== fingerprint)})
+			? this.#table.recordCrash(fingerprint, {
+				attemptId, serverId, bootId, companions,
+			})
 			: this.#table.recordCompletion(fingerprint, attemptId);
 		await this.#apply(fingerprint, effect);
 		return {standing: effect.record?.standing ?? 'clear'};
--- a/packages/protocol/src/peer/peer-records.ts
+++ b/packages/protocol/src/peer/peer-records.ts
@@ -135,6 +135,8 @@
 	fingerprint: identifier,
 	attemptId: identifier,
 	serverId: identifier,
+	/** Boot that ran the content; several attempts lost with one boot lose one server. */
+	bootId: identifier.optional(),
 	/** `crashed` when the server died while it ran the content. */
 	result: z.enum(['crashed', 'completed']),
 	/** Fingerprints that were running on the same server at the time. */
--- a/packages/testkit/src/fleet/fleet.ts
+++ b/packages/testkit/src/fleet/fleet.ts
@@ -72,6 +72,8 @@
 /** Processes of one deployment on this machine. */
 export class Fleet {
 	readonly group = new ProcessGroup();
+	/** Secret with which the entries accept each other and operators. */
+	readonly peerSecret = peerSecret;
 	readonly deployment: Deployment;
 	readonly #plans = new Map<string, StartPlan>();
 	#platformAddress = '';
