--- a/packages/entry/src/admission/admission-task.ts
+++ b/packages/entry/src/admission/admission-task.ts
@@ -49,6 +49,11 @@
 				}
 			}),
 			timer.subscribe(pollMs, () => {
+				// The confirmation of a release changes no mode, so it arrives without a message.
+				for (const serverId of this.#servers.keys()) {
+					this.#updateServer(serverId);
+				}
+
 				for (const server of this.#servers.values()) {
 					void server.poll();
 				}
--- a/packages/entry/src/metrics/metric-names.ts
+++ b/packages/entry/src/metrics/metric-names.ts
@@ -4,6 +4,8 @@
 export const counterNames = {
 	requestAccepted: 'request.accepted',
 	requestCompleted: 'request.completed',
+	frameDiscarded: 'stream.frame_discarded',
+	backgroundFailed: 'background.failed',
 	permitGranted: 'permit.granted',
 	permitRefused: 'permit.refused',
 	permitUnknown: 'permit.unknown',
