Keep owners at full in an outage of the object API

In an outage the first owners whose leases lapsed saw other entries that still held theirs, took them for entries that could take over and stopped for the whole outage. Heartbeats now report contact, an answer to a call sent at most 3 s ago, which ends at all entries before the first lease lapses. A takeover without release needs 7 s of contact without a gap, and a dispute ends by time only while all other entries of the region report contact.

An owner also gave its servers away after an outage, because it counted itself as new for 3 s after each renewal of its lease; it now does so only at its start.

Ruled out: counting ended entries as possible owners, which restricts a region to half for the rest of an outage after each death.

Crashes carry the boot id, so that two attempts on one lost server count once.

--- a/packages/core/src/ownership/owned-server.ts
+++ b/packages/core/src/ownership/owned-server.ts
@@ -6,10 +6,7 @@
 
 /** Former owners that may still issue permits. */
 export type Dispute = {
-	/**
-	 * Time since which no more than one entry of the region is lapsed, at the earliest when the session of the
-	 * former owner was judged to have expired; undefined while several are lapsed.
-	 */
+	/** Time since which at most one entry of the region, the former owner, may be without the object API; undefined while there are more. */
 	singleSince: number | undefined;
 	/** Former owners, each with the time from which its permits are certain to have expired. */
 	clearFrom: Map<string, number>;
--- a/packages/core/src/ownership/ownership-table.ts
+++ b/packages/core/src/ownership/ownership-table.ts
@@ -50,6 +50,11 @@
 	#isStopping = false;
 	#leaseValidUntil = Number.NEGATIVE_INFINITY;
 	#leaseValidSince = Number.POSITIVE_INFINITY;
+	/** Start of the first valid lease; an owner stays a candidate after an outage, so that nothing changes hands. */
+	#startedAt = Number.POSITIVE_INFINITY;
+	/** Sending time of the latest call that the object API answered, and the start of the time without a gap before it. */
+	#contactAt = Number.NEGATIVE_INFINITY;
+	#contactSince = Number.POSITIVE_INFINITY;
 	/** Number of lapses of the own lease. */
 	#lapses = 0;
 	#lapsedAt = Number.NEGATIVE_INFINITY;
@@ -57,9 +62,11 @@
 	readonly #handlers: EventHandlers = {
 		lease: ({validUntil}, now) => {
 			this.#setLease(validUntil, now);
+			this.#recordContact(validUntil - sessionTtlMs);
 			return 'all';
 		},
 		sessions: ({sessions, sentAt}, now) => {
+			this.#recordContact(sentAt);
 			this.#peers.acceptSessions(sessions, sentAt, now);
 			return undefined;
 		},
@@ -158,6 +165,14 @@
 		return {isIssuing: this.getMode(serverId, now) !== 'stopped', fencingNumber};
 	}
 
+	/**
+	 * Whether the object API answered recently; this is what heartbeats report as `reachesStore`. All entries stop
+	 * reporting it before the first lease lapses in an outage.
+	 */
+	hasStoreContact(now: number): boolean {
+		return now - this.#contactAt <= storeContactMs;
+	}
+
 	/** Fencing number for permits and orders; undefined when this entry does not own the backend server. */
 	getFencingNumber(serverId: string): number | undefined {
 		const server = this.#servers.get(serverId);
@@ -200,11 +215,20 @@
 		this.#leaseValidUntil = validUntil;
 		if (now < validUntil && this.#leaseValidSince === Number.POSITIVE_INFINITY) {
 			this.#leaseValidSince = now;
+			this.#startedAt = Math.min(this.#startedAt, now);
 		}
 
 		this.#checkLease(now);
 	}
 
+	#recordContact(sentAt: number): void {
+		if (sentAt - this.#contactAt > storeContactMs) {
+			this.#contactSince = sentAt;
+		}
+
+		this.#contactAt = Math.max(this.#contactAt, sentAt);
+	}
+
 	#isLeaseValid(now: number): boolean {
 		return now < this.#leaseValidUntil;
 	}
@@ -232,7 +256,7 @@
 
 	#updateCandidates(now: number): void {
 		const others = this.#peers.listLive(now, this.#settleMs);
-		const isCandidate = !this.#isStopping && now - this.#leaseValidSince >= this.#settleMs;
+		const isCandidate = !this.#isStopping && this.#isLeaseValid(now) && now - this.#startedAt >= this.#settleMs;
 		this.#candidates.update(isCandidate ? [...others, this.options.self] : others, this.#availability);
 	}
 
@@ -323,11 +347,12 @@
 	}
 
 	/**
-	 * A former owner without any lapsed companion either hears of an entry that reaches the object API and stops,
-	 * or hears of none and stops after one permit lifetime. Two lapsed entries could keep each other issuing.
+	 * When all other entries are in reach and reach the object API, the former owner either hears of one of them and
+	 * stops, or hears of none and stops after one permit lifetime. Two entries without the object API could keep
+	 * each other issuing.
 	 */
 	#isDisputeOver(dispute: Dispute, now: number): boolean {
-		if (!this.#isLeaseValid(now) || this.#peers.listLapsed(now).length > 1) {
+		if (!this.#isLeaseValid(now) || this.#peers.countUncertain(now) > 1) {
 			dispute.singleSince = undefined;
 			return false;
 		}
@@ -354,13 +379,14 @@
 	}
 
 	/**
-	 * The own lease must have been valid for the expiry time, so that owners that continue during an outage
-	 * of the object API have heard that this entry reaches it again.
+	 * The object API must have answered without a gap for the expiry time, so that owners that continue during
+	 * an outage have heard that this entry reaches it again.
 	 */
 	#isTakeoverAllowed(server: OwnedServer, record: OwnerRecord, now: number, commands: OwnershipCommand[]): boolean {
 		const {sessions} = this.#peers;
 		const expiry = sessions.getExpiry(record.owner, record.epoch);
-		if (now - this.#leaseValidSince < sessionExpiryMs || (expiry !== undefined && now < expiry)) {
+		const hasContact = this.hasStoreContact(now) && now - this.#contactSince >= sessionExpiryMs;
+		if (!hasContact || (expiry !== undefined && now < expiry)) {
 			return false;
 		}
 
@@ -379,10 +405,9 @@
 
 	/** Other lapsed entries may be earlier owners whose dispute the former owner did not resolve. */
 	#createDispute(record: OwnerRecord, now: number): Dispute {
-		const lapsed = this.#peers.listLapsed(now);
-		const suspects = new Set([record.owner, ...lapsed]);
+		const suspects = new Set([record.owner, ...this.#peers.listLapsed(now)]);
 		return {
-			singleSince: lapsed.length > 1 ? undefined : now,
+			singleSince: undefined,
 			clearFrom: new Map([...suspects].map(entryId => [entryId, Number.POSITIVE_INFINITY])),
 		};
 	}
@@ -499,11 +524,11 @@
 			server.halvedLapse = this.#lapses;
 		}
 
-		return server.isHalvedByLapse ? limitMode(phaseModes[phase]) : phaseModes[phase];
+		return allowed === 'grace' || server.isHalvedByLapse ? limitMode(phaseModes[phase]) : phaseModes[phase];
 	}
 
 	/** What an owner with a lapsed lease may issue at most. */
-	#computeLapsedMode(server: OwnedServer, now: number): 'full' | 'half' | 'stopped' {
+	#computeLapsedMode(server: OwnedServer, now: number): 'full' | 'half' | 'grace' | 'stopped' {
 		// A takeover may have taken effect unseen between two lapses, or while the own lease is valid again.
 		const isSecondLapse = this.#lapses - server.coveredLapses > 1;
 		if (isSecondLapse || now - this.#leaseValidSince >= reclaimGraceMs) {
@@ -515,10 +540,14 @@
 			return 'full';
 		}
 
-		if (server.dispute !== undefined || standing === 'superseded') {
+		if (server.dispute !== undefined) {
 			return 'stopped';
 		}
 
+		if (standing === 'superseded') {
+			return now < this.#lapsedAt + lapseGraceMs ? 'grace' : 'stopped';
+		}
+
 		return standing === 'partlyFrozen' || now < this.#lapsedAt + permitLifetimeMs ? 'half' : 'stopped';
 	}
 }
@@ -526,6 +555,16 @@
 /** Number of lost answers remembered for one backend server. */
 const unresolvedLimit = 16;
 
+/** Age in ms up to which an answer of the object API counts as contact; more than the time between renewals. */
+const storeContactMs = 3000;
+
+/**
+ * Time in ms after a lapse in which an entry that still reports the object API restricts an owner to half instead of
+ * stopping it. An entry that stops reporting within this time had no contact later than the margin after the lapse,
+ * so it has not taken over.
+ */
+const lapseGraceMs = storeContactMs + sessionMarginMs;
+
 /** Time in ms within which the record is to be rewritten after the own lease is valid again. */
 const reclaimGraceMs = 3000;
 
--- a/packages/core/src/ownership/peer-view.ts
+++ b/packages/core/src/ownership/peer-view.ts
@@ -103,13 +103,17 @@
 		return lapsed.map(record => record.entryId);
 	}
 
+	/** Number of entries of the region that are not gone and not known to reach the object API at present. */
+	countUncertain(now: number): number {
+		return this.#listOthers().filter(entryId => !this.#heartbeats.get(entryId, now)?.reachesStore).length;
+	}
+
 	/**
 	 * Judges what the reachable entries say about the object API. Entries with a lapsed session count as well,
 	 * because a paused one can return and take over.
 	 */
 	computeStanding(now: number): LapsedStanding {
-		const known = this.sessions.list().filter(record => this.isPeer(record)).map(record => record.entryId);
-		const others = [...new Set([...known, ...this.#heard])].filter(entryId => !this.#goneSince.has(entryId));
+		const others = this.#listOthers();
 		const heartbeats = others.map(entryId => this.#heartbeats.get(entryId, now));
 		if (others.some(entryId => this.#heartbeats.isReachingStore(entryId, now))) {
 			return 'superseded';
@@ -127,6 +131,11 @@
 		return record.entryId !== this.entryId && record.region === this.region;
 	}
 
+	#listOthers(): string[] {
+		const known = this.sessions.list().filter(record => this.isPeer(record)).map(record => record.entryId);
+		return [...new Set([...known, ...this.#heard])].filter(entryId => !this.#goneSince.has(entryId));
+	}
+
 	/** An entry that renews after it was gone has been restarted. */
 	#recordSession(record: SessionRecord, now: number): void {
 		this.candidates.recordRegion(record.failureDomain, record.region);
--- a/packages/core/src/quarantine/fingerprint-record.ts
+++ b/packages/core/src/quarantine/fingerprint-record.ts
@@ -2,8 +2,8 @@
 export type FingerprintCrash = {
 	attemptId: string;
 	serverId: string;
-	/** Boot of the server that ended; several attempts on one boot lose one server. */
-	bootId: string;
+	/** Boot of the server that ended; several attempts on one boot lose one server. Without it, each attempt counts. */
+	bootId?: string | undefined;
 	/** Fingerprints that ran on the server at the same time. */
 	companions: string[];
 };
@@ -32,7 +32,7 @@
 /** Adds a crash; a second report of the same lost server changes nothing. */
 export const applyCrash = (record: FingerprintRecord | undefined, fingerprint: string, crash: FingerprintCrash): FingerprintRecord => {
 	const known = record?.crashes ?? [];
-	const isRepeated = known.some(other => other.serverId === crash.serverId && other.bootId === crash.bootId);
+	const isRepeated = known.some(other => isSameCrash(other, crash));
 	const crashes = isRepeated ? known : [...known, crash];
 	const run = record?.run?.attemptId === crash.attemptId ? undefined : record?.run;
 	return {
@@ -75,3 +75,8 @@
 	return record.crashes.flatMap(({serverId, companions}) =>
 		companions.map(fingerprint => ({fingerprint, serverId, culprit: record.fingerprint})));
 };
+
+const isSameCrash = (a: FingerprintCrash, b: FingerprintCrash): boolean => {
+	const isSameBoot = a.bootId !== undefined && a.bootId === b.bootId;
+	return a.attemptId === b.attemptId || (a.serverId === b.serverId && isSameBoot);
+};
--- a/packages/core/src/types/session.ts
+++ b/packages/core/src/types/session.ts
@@ -33,7 +33,7 @@
 	epoch: string;
 	failureDomain: string;
 	state: 'serving' | 'stopping';
-	/** True when the entry's last call to the object API succeeded recently. */
+	/** True when the object API answered a call that was sent at most 3 s ago, as `OwnershipTable.hasStoreContact` tells; ownership relies on it. */
 	reachesStore: boolean;
 	configurationRevision: number;
 	availabilityRevision: number;
--- a/packages/protocol/src/state/state-records.ts
+++ b/packages/protocol/src/state/state-records.ts
@@ -45,7 +45,9 @@
 export const fingerprintRecordSchema: z.ZodType<FingerprintRecord> = z.object({
 	fingerprint: identifier,
 	standing: z.enum(['suspect', 'quarantined']),
-	crashes: z.array(z.object({attemptId: identifier, serverId: identifier, companions: z.array(identifier)})),
+	crashes: z.array(z.object({
+		attemptId: identifier, serverId: identifier, bootId: identifier.optional(), companions: z.array(identifier),
+	})),
 	run: run.optional(),
 });
 
