Weight the demand of a workspace by time and renew a slice once for all waiting requests

Cause: several waiting requests renewed the same slice every few ms.

Ruled out: contention (the owner reported none) and lost heartbeats (the set of live entries did not change during the run).

--- a/packages/cli/src/demo/demo-plan.ts
+++ b/packages/cli/src/demo/demo-plan.ts
@@ -26,7 +26,7 @@
 export const createDemoDeployment = (lists: DeploymentInput['lists']): DeploymentInput => ({
 	failureDomains: {regina: 'prairie', saskatoon: 'prairie', 'moose-jaw': 'prairie'},
 	engines: {
-		'truing-model': {regina: 2, saskatoon: 2, 'moose-jaw': 2},
+		'truing-model': {regina: 3, saskatoon: 3, 'moose-jaw': 3},
 		'shop-desk': {regina: 1, saskatoon: 1, 'moose-jaw': 1},
 	},
 	services: {'work-orders': {regina: 1, saskatoon: 1}, bookings: {'moose-jaw': 1}},
--- a/packages/core/src/limits/workspace-budget.ts
+++ b/packages/core/src/limits/workspace-budget.ts
@@ -39,7 +39,6 @@
 const demandMs = 250;
 /** Time constant of the sustained demand. */
 const sustainedMs = 3000;
-const minIntervalMs = 50;
 const defaultIntervalMs = 1000;
 /**
  * Part of the plan that the entries asking so far may hold while there is no contention.
@@ -99,20 +98,16 @@
 
 	#updateShare(entryId: string, demand: LimitDemand, now: number): Share {
 		const known = this.#shares.get(entryId);
-		const intervalMs = known ? Math.max(minIntervalMs, now - known.askedAt) : defaultIntervalMs;
-		const smoothing = known ? 1 - Math.exp(-intervalMs / demandMs) : 1;
-		const merge = (former: number, amount: number) => (former * (1 - smoothing)) + ((smoothing * amount * 1000) / intervalMs);
-		const sustainedWeight = 1 - Math.exp(-intervalMs / sustainedMs);
-		const mergeSustained = (former: number, amount: number) => (former * (1 - sustainedWeight)) + ((sustainedWeight * amount * 1000) / intervalMs);
+		const intervalMs = known ? now - known.askedAt : defaultIntervalMs;
 		const share: Share = {
-			sustained: {
-				requestsPerSecond: mergeSustained(known?.sustained.requestsPerSecond ?? 0, demand.requests),
-				tokensPerSecond: mergeSustained(known?.sustained.tokensPerSecond ?? 0, demand.tokens),
-			},
 			slice: known?.slice ?? noRates,
 			expiresAt: known?.expiresAt ?? -Infinity,
-			requestsPerSecond: merge(known?.requestsPerSecond ?? 0, demand.requests),
-			tokensPerSecond: merge(known?.tokensPerSecond ?? 0, demand.tokens),
+			requestsPerSecond: mergeDemand(known?.requestsPerSecond, demand.requests, intervalMs, demandMs),
+			tokensPerSecond: mergeDemand(known?.tokensPerSecond, demand.tokens, intervalMs, demandMs),
+			sustained: {
+				requestsPerSecond: mergeDemand(known?.sustained.requestsPerSecond, demand.requests, intervalMs, sustainedMs),
+				tokensPerSecond: mergeDemand(known?.sustained.tokensPerSecond, demand.tokens, intervalMs, sustainedMs),
+			},
 			concurrency: demand.concurrency,
 			askedAt: now,
 		};
@@ -222,3 +217,11 @@
 		}
 	}
 }
+
+/** Exponential average weighted by time, so that the result does not depend on how often an entry asks. */
+const mergeDemand = (former: number | undefined, amount: number, intervalMs: number, timeConstantMs: number): number => {
+	const weight = 1 - Math.exp(-intervalMs / timeConstantMs);
+	// For intervals near 0 the quotient approaches the reciprocal of the time constant.
+	const perMs = intervalMs < 1 ? 1 / timeConstantMs : weight / intervalMs;
+	return ((former ?? 0) * (1 - weight)) + (amount * perMs * 1000);
+};
--- a/packages/entry/src/limits/limits-task.ts
+++ b/packages/entry/src/limits/limits-task.ts
@@ -116,11 +116,7 @@
 				return verdict;
 			}
 
-			if (!isRenewable) {
-				await waitFor(timer, refusalRenewalMs);
-			}
-
-			await this.#renewOne(held, workspaceId);
+			await (isRenewable ? this.#renewOne(held, workspaceId) : waitFor(timer, refusalRenewalMs));
 		}
 	}
 
