Learn the KV memory of a model, so that a long prompt finds its group

Cause: an entry knew the KV memory only of engines it had asked. A prompt of 1 M tokens was offered to an engine nobody had asked, was refused with prompt_too_long and given up as final.

Now the memory of one engine stands for its model until a load tells otherwise, and prompt_too_long of one engine no longer ends the request.

--- a/packages/entry/src/callers/attempt-loop.ts
+++ b/packages/entry/src/callers/attempt-loop.ts
@@ -91,8 +91,11 @@
 				},
 			});
 		const tried = target.type === 'single' ? [serverId] : target.plan.members.map(member => member.serverId);
-		for (const id of tried) {
-			this.#tried.add(id);
+		// An engine that is too small for the whole prompt can still be a member of a group.
+		if (end.reason !== refusalReasons.promptTooLong) {
+			for (const id of tried) {
+				this.#tried.add(id);
+			}
 		}
 
 		Object.assign(attempt, {result: end.result, reason: end.reason});
--- a/packages/entry/src/callers/caller-context.ts
+++ b/packages/entry/src/callers/caller-context.ts
@@ -22,6 +22,8 @@
 	/** Nonces of claims that requests of this process hold. */
 	readonly openClaims = new Set<string>();
 	#prefillTokensPerSecond = initialPrefillTokensPerSecond;
+	/** KV memory in tokens of one engine, by model; engines of one model are alike until a load tells otherwise. */
+	readonly #kvTokens = new Map<string, number>();
 	readonly #decodeTokens = new Map<string, number>();
 	/** Number of running attempts by fingerprint, by backend server. */
 	readonly #running = new Map<string, Map<string, number>>();
@@ -54,6 +56,15 @@
 		this.#prefillTokensPerSecond += learningShare * (rate - this.#prefillTokensPerSecond);
 	}
 
+	/** Learns the KV memory of an engine, so that a long prompt is not offered to engines that nobody asked yet. */
+	recordKvTokens(model: string, kvTokens: number): void {
+		this.#kvTokens.set(model, kvTokens);
+	}
+
+	getKvTokens(model: string): number | undefined {
+		return this.#kvTokens.get(model);
+	}
+
 	/** Expected number of generated tokens of a model, at most the limit of the request. */
 	estimateDecodeTokens(model: string, maxTokens: number): number {
 		return Math.max(1, Math.min(maxTokens, Math.ceil(this.#decodeTokens.get(model) ?? maxTokens)));
--- a/packages/entry/src/callers/candidates.ts
+++ b/packages/entry/src/callers/candidates.ts
@@ -28,13 +28,17 @@
 const toRoutingServer = (context: CallerContext, work: RequestWork, server: BackendServerDescription): RoutingServer => {
 	const {permits, timer} = context.services;
 	const load = permits.getLoad(server.id);
+	if (load !== undefined && load.kvTokens > 0) {
+		context.recordKvTokens(work.serves, load.kvTokens);
+	}
+
 	const cachedBlocks = context.prefixes.countMatching(server.id, work.cost.blocks, timer.now());
 	return {
 		id: server.id,
 		isOwned: permits.isOwned(server.id),
 		load,
 		cachedTokens: cachedBlocks * blockTokens,
-		kvTokens: load !== undefined && load.kvTokens > 0 ? load.kvTokens : undefined,
+		kvTokens: load !== undefined && load.kvTokens > 0 ? load.kvTokens : context.getKvTokens(work.serves),
 	};
 };
 
