Renew the session on its own version, so that two processes never share one id

Cause: renewals were unconditional, so an old process and its successor with the same entry id overwrote each other's session in turn and both could own the same servers.

Ruled out: a check of the epoch before each write, which is not atomic and costs one more read per renewal. The condition costs nothing; only a mismatch costs one read.

Also: calls to the platform carry x-instance-id, and prompts below one prefix block have no affinity key any more, because the workspace's id sent all short prompts of a workspace to two servers.

Test: 'lets its lease lapse when another process starts with the same id' passes (12.1 s). It was not run against the former code, which has no counter of this name.

--- a/packages/entry/src/callers/candidates.ts
+++ b/packages/entry/src/callers/candidates.ts
@@ -76,7 +76,8 @@
 	const routing = servers.map(server => toRoutingServer(context, work, server));
 	const candidates = selectCandidates({
 		subsetKey: context.services.entryId,
-		affinityKey: cost.blocks[0] ?? task.facts.workspace.id,
+		// Short prompts have no block to share; a key per workspace would send all of them to two servers.
+		affinityKey: cost.blocks[0],
 		choiceKey: attemptId,
 		promptTokens: cost.promptTokens,
 		kvTokens: cost.promptTokens + cost.maxTokens,
--- a/packages/entry/src/entry.test.ts
+++ b/packages/entry/src/entry.test.ts
@@ -1,4 +1,5 @@
 import {expect} from 'chai';
+import type {Entry} from './entry.js';
 import {Fleet, tryPermit, waitUntil} from './test-support/fleet.js';
 
 describe('createEntry', function () {
@@ -27,4 +28,21 @@
 		expect(entry.services.membership.listEntries('truing-model', 'w1').entries).to.have.length(1);
 		expect(entry.services.membership.listBackendServers('truing-model')).to.have.length(1);
 	});
+
+	// Guards against an old process that overwrites the session of its successor, so that both believe they own the same servers.
+	it('lets its lease lapse when another process starts with the same id', async () => {
+		await fleet.startEngine('engine-1', 'regina');
+		const former = await fleet.startEntry('e1', 'regina');
+		const hasOwner = (entry: Entry) => entry.services.permits.isOwned('engine-1');
+		await waitUntil('the first process owns the engine', async () => hasOwner(former));
+		const successor = await fleet.startEntry('e1', 'regina');
+		await waitUntil('the first process noticed its successor', async () => (former.getStatus().totals as Record<string, number>)['session.replaced']! > 0);
+		await waitUntil('the successor issues permits', async () => {
+			const {type} = await tryPermit(successor, 'engine-1');
+			return type === 'granted';
+		});
+		const reply = await tryPermit(former, 'engine-1');
+		expect(reply.type).to.equal('refused');
+		await former.stop(AbortSignal.abort());
+	});
 });
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -76,7 +76,7 @@
 	constructor(private readonly settings: ProcessSettings, hash: TaskContext['hash']) {
 		const timer = this.#timer;
 		this.#metrics = createMetrics(settings.metrics, settings.entryId);
-		this.#platform = new PlatformHttp({address: settings.platform});
+		this.#platform = new PlatformHttp({address: settings.platform, instanceId: settings.entryId});
 		this.#secrets = new PeerSecrets(settings.peerSecrets);
 		const metrics = this.#metrics;
 		const store = createMonitoredStore(createObjectStore(this.#platform), timer);
--- a/packages/entry/src/membership/membership-task.ts
+++ b/packages/entry/src/membership/membership-task.ts
@@ -72,6 +72,8 @@
 	#servers: readonly BackendServerDescription[] = [];
 	#entryIds: readonly string[] = [];
 	#isStopped = false;
+	/** Version of the own session object; undefined before the first write, which replaces the session of a former process. */
+	#version: number | undefined;
 
 	constructor(options: MembershipOptions) {
 		this.#options = options;
@@ -187,7 +189,7 @@
 			unsubscribe();
 		}
 
-		await this.#options.store.delete(this.#sessionKey, undefined, {timeoutMs: renewalTimeoutMs});
+		await this.#options.store.delete(this.#sessionKey, this.#version === undefined ? undefined : {version: this.#version}, {timeoutMs: renewalTimeoutMs});
 	}
 
 	get #sessionKey(): string {
@@ -198,19 +200,43 @@
 		const {store, timer, metrics, getRevisions} = this.#options;
 		this.#self = {...this.#self, ...getRevisions(), renewal: this.#self.renewal + 1};
 		const sentAt = timer.now();
-		const result = await store.put(this.#sessionKey, this.#self, undefined, {timeoutMs: renewalTimeoutMs});
+		const condition = this.#version === undefined ? undefined : {version: this.#version};
+		const result = await store.put(this.#sessionKey, this.#self, condition, {timeoutMs: renewalTimeoutMs});
 		if (!result.ok) {
 			metrics.count(counterNames.sessionRenewalFailed);
 			debug('the session was not renewed: %o', result.error);
+			if (result.error.kind === 'version_mismatch' || result.error.kind === 'not_found') {
+				await this.#readVersion();
+			}
+
 			return;
 		}
 
+		this.#version = result.value.version;
 		metrics.count(counterNames.sessionRenewed);
 		this.checkClock();
 		this.#lease.recordRenewal(sentAt, timer.now());
 		this.messages.send({type: 'lease', validUntil: this.#lease.validUntil});
 	}
 
+	/**
+	 * A mismatch follows a renewal whose answer was lost, or another process that started with the same id.
+	 * In the second case this process lets its lease lapse, so that the two never own the same servers.
+	 */
+	async #readVersion(): Promise<void> {
+		const {store, metrics} = this.#options;
+		const result = await store.get(this.#sessionKey, {timeoutMs: renewalTimeoutMs});
+		const session = result.ok ? sessionRecordSchema.safeParse(result.value.value).data : undefined;
+		if (result.ok && session?.epoch === this.#self.epoch) {
+			this.#version = result.value.version;
+		} else if (!result.ok && result.error.kind === 'not_found') {
+			this.#version = undefined;
+		} else if (session !== undefined) {
+			metrics.count(counterNames.sessionReplaced);
+			debug('another process uses the session of %s', this.#self.entryId);
+		}
+	}
+
 	#checkClock(now: number): void {
 		const {validUntil} = this.#lease;
 		const hasStoodStill = now - this.#checkedAt >= clockGapMs;
--- a/packages/entry/src/metrics/metric-names.ts
+++ b/packages/entry/src/metrics/metric-names.ts
@@ -12,6 +12,7 @@
 	releaseDropped: 'permit.release_dropped',
 	sessionRenewed: 'session.renewed',
 	sessionRenewalFailed: 'session.renewal_failed',
+	sessionReplaced: 'session.replaced',
 	clockGap: 'session.clock_gap',
 	heartbeatSent: 'heartbeat.sent',
 	heartbeatFailed: 'heartbeat.failed',
--- a/packages/platform-client/src/platform-http.ts
+++ b/packages/platform-client/src/platform-http.ts
@@ -25,6 +25,8 @@
 	/** `host:port` of the platform. */
 	address: string;
 	counters?: CallCounters | undefined;
+	/** Id of the calling instance, sent as `x-instance-id`, so that the platform can count calls by caller. */
+	instanceId?: string | undefined;
 	/** Longest wait for the answer to one call, in ms; 2000 unless given. */
 	timeoutMs?: number | undefined;
 };
@@ -66,10 +68,12 @@
 	readonly counters: CallCounters;
 	readonly #pool: Pool;
 	readonly #timeoutMs: number;
+	readonly #headers: Record<string, string>;
 
 	constructor(options: PlatformOptions) {
 		this.counters = options.counters ?? new CallCounters();
 		this.#timeoutMs = options.timeoutMs ?? defaultTimeoutMs;
+		this.#headers = {'content-type': 'application/json', ...(options.instanceId === undefined ? {} : {'x-instance-id': options.instanceId})};
 		this.#pool = new Pool(`http://${options.address}`, {connections, connect: {timeout: connectTimeoutMs}});
 	}
 
@@ -128,7 +132,7 @@
 		const signal = call.options?.signal ? AbortSignal.any([timeout, call.options.signal]) : timeout;
 		try {
 			const response = await this.#pool.request({
-				method: call.method, path: call.path, headers: {'content-type': 'application/json', ...call.headers}, body: call.body ?? null,
+				method: call.method, path: call.path, headers: {...this.#headers, ...call.headers}, body: call.body ?? null,
 				signal, headersTimeout: 0, bodyTimeout: 0,
 			});
 			return {...decodeAnswer(call, response.statusCode, await response.body.text()), wasSent: true};
