--- a/packages/cli/src/commands/demo-command.ts
+++ b/packages/cli/src/commands/demo-command.ts
@@ -3,7 +3,7 @@
 import {createOk} from '@knapweedrack/core';
 import {buildDemoCredential} from '../demo/demo-plan.js';
 import {renderDemoSummary} from '../demo/demo-summary.js';
-import {runDemoLoad, startDemoFleet} from '../demo/run-demo.js';
+import {runDemoLoad, startDemoFleet, waitUntilServing} from '../demo/run-demo.js';
 import type {CommandContext} from '../program/command-context.js';
 import {createFailure, type CommandResult} from '../program/command-result.js';
 import type {CommandSpec} from '../program/command-spec.js';
--- a/packages/cli/src/demo/run-demo.ts
+++ b/packages/cli/src/demo/run-demo.ts
@@ -52,15 +52,16 @@
 		engine: demoEngine,
 		platform: {listLagMs: 200},
 		gracePeriodMs: 10_000,
-		installConfiguration: async ({platformAddress, lists}) => installLists(platformAddress, lists, progress),
+		async installConfiguration({platformAddress, lists}) {
+			await installLists(platformAddress, lists, progress);
+			progress.update('starting engines, services and entries');
+		},
 	});
 };
 
 /** Sends the requests of the demo and summarizes them. */
 export const runDemoLoad = async (fleet: Fleet, progress: Progress): Promise<DemoSummary> => {
-	progress.update('waiting until every engine has an owner that issues permits');
-	await waitForOwners(fleet);
-	await waitForService(fleet);
+	await waitUntilServing(fleet, progress);
 	progress.update('sending requests');
 	const [workOrder, ...classes] = await Promise.all([
 		sendWorkOrderTwice(fleet),
@@ -69,6 +70,13 @@
 	return summarizeDemo(classes, workOrder);
 };
 
+/** Waits until every engine has an owner and both models answer. */
+export const waitUntilServing = async (fleet: Fleet, progress: Progress): Promise<void> => {
+	progress.update('waiting until every engine has an owner that issues permits');
+	await waitForOwners(fleet);
+	await waitForService(fleet);
+};
+
 const createCaller = (fleet: Fleet, workspaceId: string): CallerClient => new CallerClient({
 	entries: fleet.entries.map(({address}) => address), credential: buildDemoCredential(workspaceId),
 });
