--- a/packages/cli/src/commands/command-table.ts
+++ b/packages/cli/src/commands/command-table.ts
@@ -1,4 +1,5 @@
 import type {CommandSpec} from '../program/command-spec.js';
+import {reportCommand} from '../report/report-command.js';
 import {configCommands} from './config-commands.js';
 import {domainCommands, instanceCommands} from './availability-commands.js';
 import {demoCommand} from './demo-command.js';
@@ -13,6 +14,7 @@
 	...instanceCommands,
 	statusCommand,
 	explainCommand,
+	reportCommand,
 	settingsCommand,
 	demoCommand,
 ];
--- a/packages/cli/src/program/exit-codes.ts
+++ b/packages/cli/src/program/exit-codes.ts
@@ -9,6 +9,7 @@
 	refused: 6,
 	notFound: 7,
 	unknown: 8,
+	incomplete: 9,
 } as const;
 
 /** One of the exit codes. */
@@ -24,6 +25,7 @@
 	refused: 'refused by a rule; nothing was changed',
 	notFound: 'the named object does not exist',
 	unknown: 'the outcome is unknown; the edit may have taken effect',
+	incomplete: 'the report lacks figures of a part of the day and says of which',
 };
 
 /** Renders the exit codes for `--help`. */
--- a/packages/cli/src/program/run-cli.ts
+++ b/packages/cli/src/program/run-cli.ts
@@ -89,10 +89,10 @@
 };
 
 const renderResult = (result: CommandResult, isJson: boolean, io: CliIo): ExitCode => {
-	const exitCode = result.ok ? exitCodes.success : result.error.exitCode;
+	const exitCode = result.ok ? result.value.exitCode ?? exitCodes.success : result.error.exitCode;
 	if (isJson) {
 		const body = result.ok ? result.value.data : {error: {message: result.error.message, ...result.error.data}};
-		io.writeOut(`${JSON.stringify({ok: result.ok, exitCode, ...body})}\n`);
+		io.writeOut(`${JSON.stringify({ok: exitCode === exitCodes.success, exitCode, ...body})}\n`);
 	} else if (result.ok) {
 		io.writeOut(result.value.text === '' ? '' : `${result.value.text}\n`);
 	} else {
--- a/packages/core/src/reporting/day-report.ts
+++ b/packages/core/src/reporting/day-report.ts
@@ -16,6 +16,8 @@
 	inTimeShare: number | undefined;
 	/** Time to first token in ms that 95% of requests stayed within. */
 	firstTokenP95Ms: number | undefined;
+	/** Median time to first token in ms. */
+	firstTokenP50Ms: number | undefined;
 	targetMs: number | undefined;
 };
 
@@ -24,7 +26,10 @@
 	workspaceId: string;
 	planId: string | undefined;
 	requests: number;
+	/** Requests that were not refused. */
+	admitted: number;
 	completed: number;
+	failed: number;
 	/** Refused because the workspace asked for more than its plan permits. */
 	outsidePlan: number;
 	/** Refused or failed for a reason that is the system's. */
@@ -41,9 +46,15 @@
 export type DayReport = {
 	day: string;
 	wentWell: boolean;
+	/** True when there are figures and no part of them is known to be missing. */
+	isCovered: boolean;
 	/** First sentence of the page. */
 	sentence: string;
 	rows: ReportRow[];
+	/** Prompt-length classes over all workspaces; without targets, which differ by plan. */
+	classes: ReportClass[];
+	/** What could not be read, in words; a day with such an entry is not reported as one that went well. */
+	missing: string[];
 	/** Periods without figures; a day with such a period is not reported as one that went well. */
 	gaps: CoverageGap[];
 };
@@ -59,6 +70,8 @@
 	sessions?: ReadonlyArray<{entryId: string; epoch: string; from: number}> | undefined;
 	workspaces: readonly Workspace[];
 	plans: readonly Plan[];
+	/** What could not be read, in words. */
+	missing?: readonly string[] | undefined;
 };
 
 /** Share of first tokens in time from which a workspace counts as well served. */
@@ -86,9 +99,12 @@
 	refusalReasons.callerGone,
 ]);
 
+/** True for a reason that is the caller's or the plan's, not the system's. */
+export const isCallerReason = (reason: string): boolean => callerReasons.has(reason);
+
 /** Selects each summary once, so that a summary that was written or read twice is counted once. */
 export const selectDistinctSummaries = (summaries: readonly MinuteSummary[]): MinuteSummary[] => {
-	const distinct = new Map(summaries.map(summary => [JSON.stringify([summary.entryId, summary.epoch, summary.sequence]), summary]));
+	const distinct = new Map(summaries.map(summary => [JSON.stringify([summary.entryId, summary.epoch, summary.sequence, summary.part]), summary]));
 	return [...distinct.values()];
 };
 
@@ -124,7 +140,11 @@
 		byEpoch.set(key, group);
 	}
 
-	return [...byEpoch.values()].flatMap(group => listGapsOfEpoch(group, input.from, input.to));
+	const groups = [...byEpoch.values()];
+	return groups.flatMap(group => {
+		const nextStart = Math.min(input.to, ...groups.filter(({entryId, from}) => entryId === group.entryId && from > group.from).map(({from}) => from));
+		return listGapsOfEpoch(group, input.from, nextStart);
+	});
 };
 
 /** Builds the report of one day. */
@@ -134,12 +154,18 @@
 	const rows = [...workspaceIds].sort().map(workspaceId => buildRow(workspaceId, totals.get(workspaceId) ?? createCounters(), input));
 	const gaps = listCoverageGaps(input);
 	const failed = rows.filter(row => !row.wentWell);
-	const isCovered = gaps.length === 0 && input.summaries.length > 0;
+	const missing = [...input.missing ?? []];
+	const isCovered = gaps.length === 0 && missing.length === 0 && input.summaries.length > 0;
 	return {
 		day: input.day,
 		wentWell: failed.length === 0 && isCovered,
-		sentence: describeDay(input.day, rows.length, failed.map(row => row.workspaceId), isCovered),
+		isCovered,
+		sentence: input.summaries.length === 0
+			? `Whether ${input.day} went well is not certain: there are no figures of this day.`
+			: describeDay(input.day, rows.length, failed.map(row => row.workspaceId), isCovered),
 		rows,
+		classes: buildClasses(addAll(totals.values()), undefined),
+		missing,
 		gaps,
 	};
 };
@@ -158,13 +184,16 @@
 type EpochCoverage = {entryId: string; epoch: string; from: number; summaries: MinuteSummary[]};
 
 /**
- * Without a last summary the entry ended without a planned stop at an unknown time, so the rest of the day is shown
- * as not covered, at most until the next epoch of the entry could have been seen.
+ * Without a last summary the entry ended without a planned stop at an unknown time, so the time after it is shown
+ * as not covered, at most until the next epoch of the entry: an entry id names one process at a time.
  */
 const listGapsOfEpoch = ({entryId, epoch, from, summaries}: EpochCoverage, dayFrom: number, dayTo: number): CoverageGap[] => {
-	const ordered = summaries.toSorted((a, b) => a.sequence - b.sequence);
+	const ordered = selectComplete(summaries).toSorted((a, b) => a.sequence - b.sequence);
 	const gaps: CoverageGap[] = [];
-	let coveredTo = Math.max(from, dayFrom);
+	const first = ordered[0];
+	// Earlier summaries of the process exist, and one that ends this late would have been written on this day.
+	const isStartMissing = first !== undefined && first.sequence > 0 && first.from - dayFrom > longestPeriodMs;
+	let coveredTo = isStartMissing ? dayFrom : Math.max(from, dayFrom);
 	for (const summary of ordered) {
 		if (summary.from > coveredTo) {
 			gaps.push({
@@ -184,10 +213,22 @@
 	return gaps;
 };
 
+/** Entries count in periods of one minute; timers can be late. */
+const longestPeriodMs = 120_000;
+
+/** A period of which a part is missing is not covered. */
+const selectComplete = (summaries: readonly MinuteSummary[]): MinuteSummary[] => {
+	const counts = new Map<number, number>();
+	for (const {sequence} of summaries) {
+		counts.set(sequence, (counts.get(sequence) ?? 0) + 1);
+	}
+
+	return summaries.filter(({sequence, parts}) => counts.get(sequence) === parts);
+};
+
 const buildRow = (workspaceId: string, counters: WorkspaceCounters, input: DayReportInput): ReportRow => {
 	const planId = input.workspaces.find(workspace => workspace.id === workspaceId)?.plan;
 	const plan = input.plans.find(({id}) => id === planId);
-	const classes = Object.entries(counters.classes).map(([lengthClass, group]) => buildClass(Number(lengthClass), group, plan));
 	const requests = sum(Object.values(counters.outcomes));
 	const outsidePlan = sum(Object.entries(counters.reasons).filter(([reason]) => callerReasons.has(reason)).map(([, count]) => count));
 	const completed = counters.outcomes[outcomeKinds.completed] ?? 0;
@@ -199,23 +240,38 @@
 		workspaceId,
 		planId,
 		requests,
+		admitted: requests - (counters.outcomes[outcomeKinds.notRun] ?? 0),
 		completed,
+		failed: counters.outcomes[outcomeKinds.failed] ?? 0,
 		outsidePlan,
 		missed,
 		unknown: counters.outcomes[outcomeKinds.unknown] ?? 0,
 		late: counters.late,
 		inTimeShare,
-		classes,
+		classes: buildClasses(counters, plan),
 		reasons: counters.reasons,
 		wentWell: missed === 0 && counters.late === 0 && (inTimeShare ?? 1) >= inTimeGoal,
 	};
 };
 
+const addAll = (all: Iterable<WorkspaceCounters>): WorkspaceCounters => {
+	let total = createCounters();
+	for (const counters of all) {
+		total = mergeCounters(total, counters);
+	}
+
+	return total;
+};
+
+const buildClasses = (counters: WorkspaceCounters, plan: Plan | undefined): ReportClass[] =>
+	Object.entries(counters.classes).map(([lengthClass, group]) => buildClass(Number(lengthClass), group, plan));
+
 const buildClass = (lengthClass: number, group: WorkspaceCounters['classes'][string], plan: Plan | undefined): ReportClass => ({
 	lengthClass,
 	requests: group.requests,
 	inTimeShare: group.targeted === 0 ? undefined : group.inTime / group.targeted,
 	firstTokenP95Ms: readFirstTokenHistogram(group)?.getValueAtPercentile(95),
+	firstTokenP50Ms: readFirstTokenHistogram(group)?.getValueAtPercentile(50),
 	targetMs: plan && findTarget(plan, lengthClass),
 });
 
--- a/packages/core/src/reporting/minute-summary.ts
+++ b/packages/core/src/reporting/minute-summary.ts
@@ -38,8 +38,12 @@
 	firstToken?: string | undefined;
 };
 
+/** Version of the format of summaries; a summary of another version is not counted. */
+export const summaryVersion = 1;
+
 /** What one entry counted in one period; `sequence` starts at 0 for each epoch and rises by 1. */
 export type MinuteSummary = {
+	version: typeof summaryVersion;
 	entryId: string;
 	epoch: string;
 	sequence: number;
@@ -48,9 +52,41 @@
 	to: number;
 	/** True for the last summary of a planned stop. */
 	isLast: boolean;
+	/** A period with many workspaces is written in several parts, each with other workspaces; numbers start at 0. */
+	part: number;
+	parts: number;
 	workspaces: Record<string, WorkspaceCounters>;
 };
 
+/** Identifies the period of a summary. */
+export type SummaryPeriod = Pick<MinuteSummary, 'entryId' | 'epoch' | 'sequence' | 'from' | 'to' | 'isLast'>;
+
+/** Splits a summary into parts whose JSON has at most `limitBytes`; a part holds at least one workspace. */
+export const splitSummary = (summary: MinuteSummary, limitBytes: number): MinuteSummary[] => {
+	const available = limitBytes - countBytes({...summary, workspaces: {}}) - partNumberBytes;
+	const groups: Array<Array<[string, WorkspaceCounters]>> = [[]];
+	let used = 0;
+	for (const entry of Object.entries(summary.workspaces)) {
+		const size = countBytes(Object.fromEntries([entry])) + 1;
+		if (used + size > available && used > 0) {
+			groups.push([]);
+			used = 0;
+		}
+
+		groups.at(-1)!.push(entry);
+		used += size;
+	}
+
+	return groups.map((group, part) => ({
+		...summary, part, parts: groups.length, workspaces: Object.fromEntries(group),
+	}));
+};
+
+/** Room for the digits of `part` and `parts`. */
+const partNumberBytes = 20;
+
+const countBytes = (value: unknown): number => new TextEncoder().encode(JSON.stringify(value)).length;
+
 /** Prompt-length classes in tokens are powers of four: class n holds prompts below 4 ** (n + 1) thousand. */
 export const computeLengthClass = (promptTokens: number): number =>
 	promptTokens < 4000 ? 0 : Math.floor((Math.log2(promptTokens / 1000) / 2) + 1e-9);
@@ -72,7 +108,7 @@
 	}
 
 	/** Builds the summary of the period and starts the next one. */
-	close(period: Omit<MinuteSummary, 'workspaces'>): MinuteSummary {
+	close(period: SummaryPeriod): MinuteSummary {
 		const workspaces = [...this.#workspaces].map(([workspaceId, {counters, histograms}]) => {
 			for (const [lengthClass, histogram] of histograms) {
 				counters.classes[lengthClass]!.firstToken = encodeIntoCompressedBase64(histogram);
@@ -81,7 +117,9 @@
 			return [workspaceId, counters] as const;
 		});
 		this.#workspaces.clear();
-		return {...period, workspaces: Object.fromEntries(workspaces)};
+		return {
+			version: summaryVersion, ...period, part: 0, parts: 1, workspaces: Object.fromEntries(workspaces),
+		};
 	}
 
 	#getWorkspace(workspaceId: string) {
--- a/packages/core/src/reporting/reporting.test.ts
+++ b/packages/core/src/reporting/reporting.test.ts
@@ -4,7 +4,7 @@
 import {outcomeKinds, refusalReasons} from '../types/reasons.js';
 import {buildDayReport, listCoverageGaps, mergeSummaries} from './day-report.js';
 import {
-	computeLengthClass, MinuteCollector, readFirstTokenHistogram, type MinuteSummary, type RequestFacts,
+	computeLengthClass, MinuteCollector, readFirstTokenHistogram, splitSummary, type MinuteSummary, type RequestFacts,
 } from './minute-summary.js';
 
 const minuteMs = 60_000;
@@ -98,6 +98,42 @@
 	});
 });
 
+describe('listCoverageGaps', () => {
+	const input = {from: 0, to: 10 * minuteMs};
+	const empty = (sequence: number, isLast = false) => collect([], sequence, isLast);
+
+	// Guards against a restarted entry that is shown as not covered for the rest of the day.
+	it('ends the gap of a process that died at the start of the next one', () => {
+		const restarted = {
+			...empty(4), epoch: '2', sequence: 0, to: input.to,
+		};
+		expect(listCoverageGaps({...input, summaries: [empty(0), restarted]})).to.deep.equal([{
+			entryId: 'e', epoch: '1', from: minuteMs, to: 4 * minuteMs,
+		}]);
+	});
+
+	// Guards against a period that counts as covered although the workspaces of one part are unknown.
+	it('does not count a period as covered of which a part is missing', () => {
+		const parts = splitSummary({
+			...collect(['w1', 'w2', 'w3'].map(workspaceId => ({
+				workspaceId, promptTokens: 1, outcome: 'completed', isLate: false,
+			})), 0), isLast: true, to: input.to,
+		}, 400);
+		expect(parts).to.have.length(3);
+		expect(listCoverageGaps({...input, summaries: [...parts, parts[0]!]})).to.have.length(0);
+		expect(listCoverageGaps({...input, summaries: parts.slice(1)})).to.deep.equal([{
+			entryId: 'e', epoch: '1', from: 0, to: input.to,
+		}]);
+	});
+
+	// Guards against lost first summaries that look like a later start of the entry.
+	it('shows the time before the first summary when earlier ones were written', () => {
+		expect(listCoverageGaps({...input, summaries: [empty(5, true)]})).to.deep.equal([{
+			entryId: 'e', epoch: '1', from: 0, to: 5 * minuteMs,
+		}]);
+	});
+});
+
 describe('computeLengthClass', () => {
 	// Guards against prompts that are counted in the class of longer ones.
 	it('puts the limits of a class into the next one', () => {
--- a/packages/entry/src/summary/summary-task.ts
+++ b/packages/entry/src/summary/summary-task.ts
@@ -1,11 +1,13 @@
-import {MinuteCollector, type MinuteSummary, type OutcomeKind} from '@knapweedrack/core';
-import {objectKeys} from '@knapweedrack/protocol';
+import {
+	MinuteCollector, splitSummary, type MinuteSummary, type OutcomeKind,
+} from '@knapweedrack/core';
+import {buildSummaryKey, objectValueLimitBytes} from '@knapweedrack/protocol';
 import type {EntryServices, Metrics, TimerService} from '../contracts.js';
 import {counterNames} from '../metrics/metric-names.js';
 import type {MonitoredStore} from '../store/monitored-store.js';
 
 const periodMs = 60_000;
-/** A day of summaries: an outage of the object API for longer than this loses the oldest ones. */
+/** A day of summaries of one part each: an outage of the object API for longer than this loses the oldest ones. */
 const waitingLimit = 1440;
 
 /** What the summary task needs. */
@@ -55,11 +57,12 @@
 	async #closePeriod(isLast: boolean): Promise<void> {
 		const {entryId, epoch} = this.#options;
 		const to = Date.now();
-		this.#waiting.push(this.#collector.close({
+		const summary = this.#collector.close({
 			entryId, epoch, sequence: this.#sequence++, from: this.#from, to, isLast,
-		}));
+		});
+		this.#waiting.push(...splitSummary(summary, objectValueLimitBytes));
 		this.#from = to;
-		this.#waiting.splice(0, this.#waiting.length - waitingLimit);
+		this.#waiting.splice(0, Math.max(this.#waiting.length - waitingLimit, 0));
 		const former = this.#writing;
 		this.#writing = this.#writeWaiting(former);
 		await this.#writing;
@@ -69,17 +72,17 @@
 	async #writeWaiting(former: Promise<void>): Promise<void> {
 		await former;
 		for (let summary = this.#waiting[0]; summary; summary = this.#waiting[0]) {
-			const result = await this.#options.store.put(buildKey(summary), summary);
+			const result = await this.#options.store.put(buildSummaryKey(summary), summary);
 			// A lost answer is repeated under the same key, so that the summary is counted once.
 			this.#options.metrics.count(result.ok ? counterNames.summaryWritten : counterNames.summaryWriteFailed);
 			if (!result.ok) {
 				return;
 			}
 
-			this.#waiting.shift();
+			// The limit may have removed the summary while it was being written.
+			if (this.#waiting[0] === summary) {
+				this.#waiting.shift();
+			}
 		}
 	}
 }
-
-const buildKey = ({entryId, epoch, sequence, from}: MinuteSummary): string =>
-	`${objectKeys.summaryPrefix}${new Date(from).toISOString().slice(0, 10)}/${entryId}/${epoch}-${sequence}`;
--- a/packages/protocol/src/state/state-records.ts
+++ b/packages/protocol/src/state/state-records.ts
@@ -1,6 +1,7 @@
 import {z} from 'zod';
 import {
-	serviceStates, type Availability, type FingerprintRecord, type OwnerRecord, type SessionRecord,
+	outcomeKinds, serviceStates, summaryVersion,
+	type Availability, type FingerprintRecord, type MinuteSummary, type OwnerRecord, type SessionRecord,
 } from '@knapweedrack/core';
 
 const identifier = z.string().min(1).max(200);
@@ -51,6 +52,31 @@
 	run: run.optional(),
 });
 
+const counts = z.record(z.string(), count);
+const wallClock = z.number().int().nonnegative().max(8.64e15);
+
+/** Counters of one period, `summaries/DAY/ENTRY_ID/EPOCH-SEQUENCE`. */
+export const minuteSummarySchema: z.ZodType<MinuteSummary> = z.object({
+	version: z.literal(summaryVersion),
+	entryId: identifier,
+	epoch: identifier,
+	sequence: count,
+	from: wallClock,
+	to: wallClock,
+	isLast: z.boolean(),
+	part: count,
+	parts: z.number().int().positive(),
+	workspaces: z.record(z.string(), z.object({
+		outcomes: z.partialRecord(z.enum(outcomeKinds), count),
+		reasons: counts,
+		late: count,
+		promptTokens: z.number().nonnegative(),
+		classes: z.record(z.string().regex(/^\d{1,2}$/v), z.object({
+			requests: count, targeted: count, inTime: count, firstToken: z.string().optional(),
+		})),
+	})),
+}).refine(({from, to, part, parts}) => from <= to && part < parts);
+
 /** State that a peer hands to an entry that starts while the object API is down. */
 export const sharedStateSchema = z.object({
 	sessions: z.array(sessionRecordSchema),
