Compare each prompt-length class with its own targets in the report

Cause: on the rendered page the class from 4,000 to 15,999 tokens was shown with the target for prompts up to 4,000 tokens, since a prompt of exactly 4,000 tokens belongs to both. All targets that apply within a class are now shown, without the one that applies to its lowest length only. The figures per class moved from the rows of the workspaces to a table of their own.

Ruled out: other class limits, since stored summaries depend on them.

Conclusion: time in target and target of a class now agree.

--- a/packages/cli/src/report/describe-row.ts
+++ b/packages/cli/src/report/describe-row.ts
@@ -11,13 +11,13 @@
 		return '-';
 	}
 
-	return ms < 1000 ? `${Math.round(ms)} ms` : `${(ms / 1000).toFixed(1)} s`;
+	return ms < 1000 ? `${Math.round(ms)} ms` : `${Math.round(ms / 100) / 10} s`;
 };
 
 /** Names a prompt-length class by its limit in tokens. */
 export const formatClass = (lengthClass: number): string => {
 	const limit = 4 ** (lengthClass + 1);
-	return limit < 1000 ? `below ${limit} thousand tokens` : `below ${(limit / 1000).toFixed(1)} million tokens`;
+	return limit < 1000 ? `below ${limit} thousand tokens` : `below ${Math.round(limit / 100) / 10} million tokens`;
 };
 
 /** States in words whether a workspace went well, or what did not and why. */
@@ -41,9 +41,18 @@
 export const formatReasons = (reasons: ReadonlyArray<[string, number]>): string =>
 	[...reasons].sort(([, a], [, b]) => b - a).map(([reason, count]) => `${reason} ${count}`).join(', ');
 
-/** Formats the first tokens in time of one class against the target of the plan. */
-export const formatClassInTime = ({lengthClass, inTimeShare, requests, firstTokenP95Ms, targetMs}: ReportClass): string =>
-	`${formatClass(lengthClass)}: ${formatShare(inTimeShare)} of ${requests} in time, 95% within ${formatDuration(firstTokenP95Ms)}, target ${formatDuration(targetMs)}`;
+/** Targets of a class; the shortest prompts come first. */
+const formatTargets = ({targetsMs}: ReportClass): string =>
+	targetsMs.length === 0 ? '-' : targetsMs.map(targetMs => formatDuration(targetMs)).join(', ');
+
+/** Formats one class: prompts, requests, share in time, time of 95% of the requests, target. */
+export const formatClassCells = (group: ReportClass): string[] => [
+	formatClass(group.lengthClass),
+	String(group.requests),
+	formatShare(group.inTimeShare),
+	formatDuration(group.firstTokenP95Ms),
+	formatTargets(group),
+];
 
 const describeFailures = ({missed, late, inTimeShare, reasons}: ReportRow): string => {
 	const causes = Object.entries(reasons).filter(([reason]) => !isCallerReason(reason));
--- a/packages/cli/src/report/report-period.ts
+++ b/packages/cli/src/report/report-period.ts
@@ -34,3 +34,8 @@
 
 /** Formats the end of a period; the end of the day is 24:00. */
 export const formatEnd = (time: number, {from}: ReportPeriod): string => time === from + dayMs ? '24:00' : formatTime(time);
+
+/** States in words what the report covers. */
+export const describePeriod = (period: ReportPeriod): string => period.isInProgress
+	? `Times are UTC. The day is not over; figures are complete up to ${formatEnd(period.to, period)} except where stated.`
+	: 'Times are UTC. Figures of the whole day except where stated.';
--- a/packages/core/src/reporting/day-report.ts
+++ b/packages/core/src/reporting/day-report.ts
@@ -1,7 +1,7 @@
 import type {Plan, Workspace} from '../types/configuration.js';
 import {outcomeKinds, refusalReasons} from '../types/reasons.js';
 import {
-	computeLengthClass, createCounters, mergeCounters, readFirstTokenHistogram,
+	createCounters, mergeCounters, readFirstTokenHistogram,
 	type MinuteSummary, type WorkspaceCounters,
 } from './minute-summary.js';
 
@@ -18,7 +18,8 @@
 	firstTokenP95Ms: number | undefined;
 	/** Median time to first token in ms. */
 	firstTokenP50Ms: number | undefined;
-	targetMs: number | undefined;
+	/** Targets in ms that the plan has for prompts of this class, in order of prompt length. */
+	targetsMs: number[];
 };
 
 /** One workspace against its plan. */
@@ -272,12 +273,18 @@
 	inTimeShare: group.targeted === 0 ? undefined : group.inTime / group.targeted,
 	firstTokenP95Ms: readFirstTokenHistogram(group)?.getValueAtPercentile(95),
 	firstTokenP50Ms: readFirstTokenHistogram(group)?.getValueAtPercentile(50),
-	targetMs: plan && findTarget(plan, lengthClass),
+	targetsMs: plan ? listTargets(plan, lengthClass) : [],
 });
 
-/** Target of the shortest prompts of a class. */
-const findTarget = (plan: Plan, lengthClass: number): number | undefined =>
-	plan.firstTokenTargets.find(({upToTokens}) => upToTokens === undefined || computeLengthClass(upToTokens) >= lengthClass)?.targetMs;
+/** Targets that apply within a class, in order of prompt length. */
+const listTargets = ({firstTokenTargets}: Plan, lengthClass: number): number[] => {
+	// A prompt of exactly the lower limit of a class can have the target of the class below; it is left out here.
+	const lower = lengthClass === 0 ? 0 : 1000 * (4 ** lengthClass);
+	const upper = 1000 * (4 ** (lengthClass + 1));
+	const first = firstTokenTargets.findIndex(({upToTokens}) => upToTokens === undefined || upToTokens > lower);
+	const last = firstTokenTargets.findIndex(({upToTokens}) => upToTokens === undefined || upToTokens >= upper - 1);
+	return first === -1 ? [] : firstTokenTargets.slice(first, last === -1 ? undefined : last + 1).map(({targetMs}) => targetMs);
+};
 
 const sum = (values: Iterable<number>): number => {
 	let total = 0;
--- a/packages/core/src/reporting/reporting.test.ts
+++ b/packages/core/src/reporting/reporting.test.ts
@@ -73,7 +73,9 @@
 	it('states first whether the day went well', () => {
 		const covered = [collect([good], 0), collect([good], 1), collect([good], 2)];
 		expect(build(covered).sentence).to.equal('2026-12-04 went well for all 1 workspaces.');
-		expect(build(covered).rows[0]!.classes[0]).to.include({requests: 3, inTimeShare: 1, targetMs: 500});
+		expect(build(covered).rows[0]!.classes[0]).to.deep.include({requests: 3, inTimeShare: 1, targetsMs: [500]});
+		const longer = build([collect([{...good, promptTokens: 5000}], 0)]);
+		expect(longer.rows[0]!.classes[0]).to.deep.include({lengthClass: 1, targetsMs: [9000]});
 		const missed = collect([{...good, outcome: 'failed', reason: 'backend_failed'}], 1);
 		expect(build([covered[0]!, missed, covered[2]!]).sentence).to.match(/did not go well for 1 of 1 workspaces \(w1\)/v);
 		const limited = collect([good, {...good, outcome: 'not_run', reason: 'request_rate_exceeded'}], 1);
