Verify that the test of lost answers loses answers

Cause: the test would also pass if the fault did not apply. Ruled out: reading the failure counter, since a repetition inside the client does not count there. Conclusion: the test detects a request that is counted twice.

--- a/packages/entry/src/summary/summary-task.test.ts
+++ b/packages/entry/src/summary/summary-task.test.ts
@@ -90,6 +90,10 @@
 		await task.stop();
 		const summaries = await fetchSummaries();
 		expect(countCompleted(summaries)).to.equal(3);
+		const state = await fetch(`http://${platform.address}/testkit/state`);
+		const {calls} = await state.json() as {calls: {put: number}};
+		// Otherwise no answer was lost.
+		expect(calls.put).to.be.greaterThan(summaries.length);
 		expect(new Set(summaries.map(({sequence}) => sequence)).size).to.equal(summaries.length);
 	});
 
