Keep headings of the report with what follows on paper

Cause: a heading could be the last line of a printed page. The 8 tests of the folder pass. Conclusion: the print style sheet alone decides on page breaks.

--- a/packages/cli/src/report/render-html.ts
+++ b/packages/cli/src/report/render-html.ts
@@ -18,7 +18,7 @@
 svg{width:100%;max-width:820px;font:12px system-ui,sans-serif}.grid{stroke:#ddd}.tick{fill:#666}.bar{fill:#7a9cc6}.median{stroke:#123;stroke-width:2}
 .gap{fill:url(#hatch);stroke:#a33}.now{stroke:#333;stroke-dasharray:3 3}.out{fill:#a33}
 @media print{@page{size:A4 landscape;margin:12mm}
-body{margin:0;max-width:none;font-size:10pt}table{font-size:8.5pt}thead{display:table-header-group}tr,svg{break-inside:avoid}*{print-color-adjust:exact}}
+body{margin:0;max-width:none;font-size:10pt}table{font-size:8.5pt}thead{display:table-header-group}h2,h2+p{break-after:avoid}tr,svg{break-inside:avoid}*{print-color-adjust:exact}}
 `;
 
 /** Renders the report as one page without scripts and without references to other files. */
