Measure the slopes behind the capacity page

Cause: the control work at the design size was computed from two runs with 3 and 8 entries and from single figures in the decisions.

Ruled out: a cluster simulator. The core is measured in process up to 350 entries, 660 backend servers and 27,000 workspaces; fleets of real processes are measured up to the size that starts within the time bound.

--- /dev/null
+++ b/scripts/measure-capacity.ts
@@ -0,0 +1,56 @@
+#!/usr/bin/env node
+/** Measures the slopes behind docs/CAPACITY.md: `measure-capacity.ts [FILE]` writes JSON to the file or to standard output. */
+import {readFile, writeFile} from 'node:fs/promises';
+import {cpus, loadavg} from 'node:os';
+import process from 'node:process';
+import xxhash from 'xxhash-wasm';
+import {
+	measureConfiguration, measureLimits, measureOwnership, measurePermits, measureRouting, measureSessionRecords, measureSummary,
+} from './capacity/core-slopes.js';
+import {measureFleet} from './capacity/fleet-slopes.js';
+
+/** No further fleet is started after this time, so that the run ends within about 2 minutes. */
+const lastStartMs = 75_000;
+const fleetSizes = [2, 4, 8, 16, 32] as const;
+const loadedSize = 4;
+/** Set to 0 to measure the core only. */
+const largestFleet = Number(process.env.CAPACITY_LARGEST_FLEET ?? 32);
+
+const startedAt = performance.now();
+const {h32} = await xxhash();
+const hash = (text: string): number => h32(text);
+const loadAverageBefore = loadavg();
+const core = {
+	ownership: measureOwnership(hash),
+	sessionRecords: measureSessionRecords(hash),
+	permits: measurePermits(),
+	routing: measureRouting(),
+	limits: measureLimits(hash),
+	configuration: measureConfiguration(),
+	summary: measureSummary(),
+};
+const loadAverageAfterCore = loadavg();
+const examples = new URL('../examples/prairie/', import.meta.url);
+const [workspaces, plans] = await Promise.all(['workspaces.yaml', 'plans.yaml'].map(async name => readFile(new URL(name, examples), 'utf8')));
+const fleets: unknown[] = [];
+const notStarted: number[] = [];
+for (const size of fleetSizes) {
+	if (size > largestFleet || performance.now() - startedAt > lastStartMs) {
+		notStarted.push(size);
+		continue;
+	}
+
+	fleets.push(await measureFleet(size, {workspaces: workspaces!, plans: plans!}, size === loadedSize));
+}
+
+const report = JSON.stringify({
+	cores: cpus().length, loadAverageBefore, loadAverageAfterCore, loadAverageAfter: loadavg(), seconds: Math.round((performance.now() - startedAt) / 1000), core, fleets, notStarted,
+}, undefined, '\t');
+const file = process.argv[2];
+if (file === undefined) {
+	console.log(report);
+} else {
+	await writeFile(file, `${report}\n`);
+}
+
+process.exit();
