--- a/packages/entry/src/limits/limits-task.ts
+++ b/packages/entry/src/limits/limits-task.ts
@@ -1,13 +1,13 @@
 import {
-	SliceHolder, WorkspaceBudget,
-	type LimitSlice, type LimitVerdict, type Plan, type TextHash32, type Workspace,
+	selectRendezvous, SliceHolder, WorkspaceBudget,
+	type LimitSlice, type LimitVerdict, type Plan, type RendezvousCandidate, type TextHash32, type Workspace,
 } from '@knapweedrack/core';
 import {peerBatchLimit, type Slice, type SliceRequest} from '@knapweedrack/protocol';
 import type {
 	EntryServices, LimitAnswer, Metrics, RequestCost, TimerService,
 } from '../contracts.js';
 import type {MembershipTask} from '../membership/membership-task.js';
-import {selectResourceOwner} from '../membership/resource-owner.js';
+import {listOwnerCandidates} from '../membership/resource-owner.js';
 import {counterNames} from '../metrics/metric-names.js';
 import {waitFor} from '../timer/timer-service.js';
 
@@ -75,8 +75,9 @@
 	handOut(requests: readonly SliceRequest[]): Slice[] {
 		const now = this.#options.timer.now();
 		this.#updateEntries(now);
+		const candidates = this.#listCandidates();
 		return requests.map(({entryId, workspaceId, ...demand}) => {
-			const budget = this.#findOwner(workspaceId) === this.#options.entryId ? this.#openBudget(workspaceId, now) : undefined;
+			const budget = this.#findOwner(workspaceId, candidates) === this.#options.entryId ? this.#openBudget(workspaceId, now) : undefined;
 			return {workspaceId, ...budget?.handle({type: 'demand', entryId, demand}, now) ?? unavailableSlice};
 		});
 	}
@@ -163,8 +164,9 @@
 
 	async #renew(workspaceIds: readonly string[]): Promise<void> {
 		const byOwner = new Map<string, string[]>();
+		const candidates = this.#listCandidates();
 		for (const workspaceId of workspaceIds) {
-			const owner = this.#findOwner(workspaceId);
+			const owner = this.#findOwner(workspaceId, candidates);
 			if (owner !== undefined) {
 				byOwner.set(owner, [...byOwner.get(owner) ?? [], workspaceId]);
 			}
@@ -236,8 +238,13 @@
 		}
 	}
 
-	#findOwner(workspaceId: string): string | undefined {
-		return selectResourceOwner(`workspace ${workspaceId}`, this.#options.membership.listLiveSessions(), this.#options.hash);
+	/** Hashed once for a round of workspaces: at 350 entries the hashes take most of the time of a choice. */
+	#listCandidates(): RendezvousCandidate[] {
+		return listOwnerCandidates(this.#options.membership.listLiveSessions(), this.#options.hash);
+	}
+
+	#findOwner(workspaceId: string, candidates: readonly RendezvousCandidate[]): string | undefined {
+		return selectRendezvous(this.#options.hash(`workspace ${workspaceId}`), candidates)?.id;
 	}
 
 	#removeIdle(now: number): void {
--- a/scripts/capacity/core-slopes.ts
+++ b/scripts/capacity/core-slopes.ts
@@ -126,12 +126,16 @@
 		exchange(call, 3500);
 	});
 	const sessions = Array.from({length: 350}, (_, index) => createSession(index));
-	// The same steps as `selectResourceOwner` of the entry.
+	// The steps of `listOwnerCandidates` of the entry, once for a round, and of the choice for each workspace.
+	const candidates = sessions.map(({entryId}) => ({id: entryId, hash: hash(entryId)}));
+	const candidatesMicros = measureMicros(10, 20, () => {
+		sessions.map(({entryId}) => ({id: entryId, hash: hash(entryId)}));
+	});
 	const ownerMicros = measureMicros(10, 20, call => {
-		selectRendezvous(hash(`workspace ${call}`), sessions.map(({entryId}) => ({id: entryId, hash: hash(entryId)})));
+		selectRendezvous(hash(`workspace ${call}`), candidates);
 	});
 	return {
-		workspaces, exchangeMicros, ownerAmong350Micros: ownerMicros, heapBytesPerWorkspace,
+		workspaces, exchangeMicros, candidatesOf350Micros: candidatesMicros, ownerAmong350Micros: ownerMicros, heapBytesPerWorkspace,
 	};
 });
 
--- a/scripts/capacity/fleet-slopes.ts
+++ b/scripts/capacity/fleet-slopes.ts
@@ -108,17 +108,19 @@
 	return Object.fromEntries([...new Set(results)].map(outcome => [outcome, results.filter(other => other === outcome).length]));
 };
 
-const measureLoad = async (fleet: Fleet, pool: EntryPool, idleCpuPercent: number) => {
+const measureLoad = async (fleet: Fleet, pool: EntryPool, idle: {cpuPercent: number; peerBytesPerSecond: number}) => {
+	const first = await takeSamples(fleet, pool);
 	const before = await takeSamples(fleet, pool);
+	const probe = before.map(({bytes}, index) => bytes - first[index]!.bytes);
 	const outcomes = await sendLoad(fleet);
 	const after = await takeSamples(fleet, pool);
 	const requests = Object.values(outcomes).reduce((sum, count) => sum + count, 0);
-	const cpuSeconds = before.reduce((sum, from, index) => sum + after[index]!.cpuSeconds - from.cpuSeconds - ((idleCpuPercent / 100) * ((after[index]!.at - from.at) / 1000)), 0);
+	const cpuSeconds = before.reduce((sum, from, index) => sum + after[index]!.cpuSeconds - from.cpuSeconds - ((idle.cpuPercent / 100) * ((after[index]!.at - from.at) / 1000)), 0);
 	return {
 		requests, outcomes,
 		cpuMsPerRequest: Number(((cpuSeconds * 1000) / requests).toFixed(2)),
 		permitsGranted: sumTotals(after, 'permit.granted') - sumTotals(before, 'permit.granted'),
-		peerBytes: after.reduce((sum, {bytes}, index) => sum + bytes - before[index]!.bytes, 0),
+		peerBytesAboveIdle: Math.round(after.reduce((sum, to, index) => sum + to.bytes - before[index]!.bytes - probe[index]! - (idle.peerBytesPerSecond * ((to.at - before[index]!.at) / 1000)), 0)),
 		seconds: Number(((after[0]!.at - before[0]!.at) / 1000).toFixed(2)),
 	};
 };
@@ -136,7 +138,7 @@
 		const probe = before.map(({bytes}, index) => bytes - first[index]!.bytes);
 		await wait(idleMs);
 		const idle = summarizePeriod(before, await takeSamples(fleet, pool), probe);
-		const load = hasLoad ? await measureLoad(fleet, pool, idle.cpuPercent) : undefined;
+		const load = hasLoad ? await measureLoad(fleet, pool, idle) : undefined;
 		return {
 			entries: fleet.entries.length, engines: fleet.engines.length, startMs, loadAverage: loadavg(), idle, load,
 		};
