--- /dev/null
+++ b/packages/testkit/src/fault-matrix/scripted-request.ts
@@ -0,0 +1,802 @@
+import {
+	applyDomainEdit, decideClaim, decideRetry, FingerprintTable, FrameValidator, GroupReservation, initialAvailability, isInService,
+	RequestLifecycle, selectAdvertisedEntries, SliceHolder,
+	type AttemptRecord, type AttemptResult, type Availability, type ClaimOutcome, type ClaimPhase, type Frame, type Outcome, type Permit,
+	type RefusalReason, type RequestCommand, type RequestEvent, type SessionRecord, type TextHash,
+} from '@knapweedrack/core';
+import type {Fault, RequestKind, Step} from './fault-cells.js';
+import {PausedOwner} from './paused-owner.js';
+import {ScriptedServer, ScriptedStore} from './scripted-fleet.js';
+
+/** Hash functions over text. */
+export type ScriptHashes = {create: () => TextHash; hashText: (text: string) => string; hash32: (text: string) => number};
+
+/** One request through the real decisions, with one fault at one step. */
+export type RequestScript = {fault: Fault | undefined; step: Step; kind: RequestKind; seed: number; hashes: ScriptHashes};
+
+/** Ends the script where the process of the entry ends. */
+class EntryKilled extends Error {}
+
+/** What ended one attempt. */
+type AttemptEnd = {result: AttemptResult; reason?: RefusalReason | undefined};
+
+type ClaimEnd = 'owned' | 'unavailable' | 'done' | Outcome;
+
+const deadlineMs = 30_000;
+/** Shorter than the lease, and longer than the lifetime of a permit. */
+const freezeTimesMs = [4000, 12_000];
+const pauseMs = 8000;
+const slowMs = 60_000;
+const storeTimeoutMs = 2000;
+const answerParts = ['Profile ', 'of ', 'wheelset ', '47 ', 'is ', 'within ', 'limits.'];
+const answerText = answerParts.join('');
+
+/** Runs one scripted request in virtual time and checks the guarantees of the design page. */
+export class ScriptedRequest {
+	readonly violations: string[] = [];
+	readonly outcomes: Outcome[] = [];
+	isInjected = false;
+	#now = 0;
+	#faultPending: Fault | undefined;
+	#isEntryAlive = true;
+	#deadlineAt = Number.POSITIVE_INFINITY;
+	#isDeadlineOpen = false;
+	#attempts = 0;
+	#crashes = 0;
+	#delayMs = 0;
+	#passedOn = '';
+	#isPoisonous = false;
+	#isCallerGone = false;
+	#isPeerCut = false;
+	#backendCut = false;
+	#losesReply = false;
+	#frameFault: Fault | undefined;
+	#availability: Availability = initialAvailability;
+	#claimNonce = '';
+	readonly #store = new ScriptedStore();
+	readonly #servers: ScriptedServer[];
+	readonly #permits = new Map<string, {permit: Permit; server: ScriptedServer}>();
+	readonly #fingerprints = new FingerprintTable();
+	readonly #lifecycle: RequestLifecycle;
+	readonly #slice: SliceHolder;
+	readonly #owner: PausedOwner;
+	#group: GroupReservation | undefined;
+
+	readonly #inject: Record<Fault, (step: Step) => void> = {
+		'entry killed'() {
+			throw new EntryKilled();
+		},
+		'entry frozen': () => {
+			this.#freeze(freezeTimesMs[this.script.seed % freezeTimesMs.length]!);
+		},
+		'connection cut': step => {
+			this.#isPeerCut = step === 'permit' || step === 'limit slice';
+			this.#backendCut = step === 'dispatch' || step === 'prefill' || step === 'first token' || step === 'stream';
+			this.#store.losesAnswer = step === 'claim' || step === 'outcome write';
+			this.#isCallerGone = step === 'connect' || step === 'finish';
+		},
+		'slow answer': () => {
+			this.#delayMs = slowMs;
+		},
+		'object API down': () => {
+			this.#store.isDown = true;
+		},
+		'answer lost after write': step => {
+			this.#store.losesAnswer = step === 'claim' || step === 'outcome write' || (step === 'dispatch' && this.#kind === 'service call');
+			this.#losesReply = step === 'permit' || step === 'release' || step === 'limit slice';
+			this.#backendCut = step === 'finish' || (step === 'dispatch' && this.#kind !== 'service call');
+		},
+		'lease lapsed while paused': () => {
+			this.#freeze(pauseMs);
+			this.#owner.resume(this.#now, this.violations);
+			for (const server of this.#servers) {
+				server.point = server.createPoint(2);
+				// The new owner learns the permits of the former one from the entries that hold them.
+				server.report(this.#now);
+				server.point.handle({type: 'renew', permitIds: [...this.#permits.keys()]}, this.#now);
+			}
+		},
+		'instance list lagging': () => {
+			this.#servers[0]!.isDown = true;
+			this.#servers[0]!.restart();
+		},
+		'engine cold without warning': () => {
+			this.#servers[0]!.restart();
+			this.#backendCut = this.script.step !== 'permit' && this.#permits.size > 0;
+		},
+		'content crashes engine': () => {
+			this.#isPoisonous = true;
+		},
+		'crossed frames': () => {
+			this.#frameFault = 'crossed frames';
+		},
+		'late frames': () => {
+			this.#frameFault = 'late frames';
+		},
+		'truncated frames': () => {
+			this.#frameFault = 'truncated frames';
+		},
+		'duplicated frames': () => {
+			this.#frameFault = 'duplicated frames';
+		},
+		'operators racing': () => {
+			this.#raceOperators();
+		},
+	};
+
+	readonly #commandHandlers: {[Type in RequestCommand['type']]: (command: Extract<RequestCommand, {type: Type}>) => void} = {
+		startDeadline: ({at}) => {
+			this.#deadlineAt = at;
+			this.#isDeadlineOpen = true;
+		},
+		cancelDeadline: () => {
+			this.#isDeadlineOpen = false;
+		},
+		cancelAttempt: ({attemptId}) => {
+			for (const server of this.#servers) {
+				server.running.delete(attemptId);
+			}
+		},
+		finish: ({outcome}) => {
+			this.outcomes.push(outcome);
+			if (this.#now > this.#deadlineAt) {
+				this.#fail('the outcome came after the deadline');
+			}
+
+			if (outcome.kind === 'not_run' && this.#countExecutions() > 0) {
+				this.#fail('not_run although the request ran');
+			}
+		},
+	};
+
+	constructor(private readonly script: RequestScript) {
+		const isEngine = script.kind !== 'service call';
+		this.#servers = ['s1', 's2', 's3'].map((id, index) => new ScriptedServer(id, index === 0 ? 'north' : 'south', isEngine));
+		this.#lifecycle = new RequestLifecycle({isIdempotent: isEngine});
+		this.#slice = new SliceHolder(plan, {entries: 2}, 0);
+		this.#owner = new PausedOwner(script.hashes.hash32);
+		this.#faultPending = script.fault;
+		for (const server of this.#servers) {
+			server.report(0);
+		}
+	}
+
+	/** Runs the request, then the recovery, and returns the violated guarantees. */
+	run(): string[] {
+		try {
+			this.#runSteps();
+		} catch (error) {
+			if (!(error instanceof EntryKilled)) {
+				throw error;
+			}
+
+			this.#isEntryAlive = false;
+		}
+
+		this.#checkOutcome();
+		this.#recover();
+		this.#checkReleased();
+		return this.violations;
+	}
+
+	get #kind(): RequestKind {
+		return this.script.kind;
+	}
+
+	#runSteps(): void {
+		if (!this.#resolveEntry()) {
+			return;
+		}
+
+		this.#enter('connect');
+		// Nothing has reached the entry; the caller connects again.
+		this.#isCallerGone = false;
+
+		this.#enter('admit');
+		this.#apply({type: 'admitted', deadlineInMs: deadlineMs});
+		if (!this.#admitBySlice()) {
+			return;
+		}
+
+		if (this.#kind === 'service call') {
+			this.#apply({type: 'claimRequired'});
+			this.#enter('claim');
+			if (!this.#claim()) {
+				this.#finishClaim();
+				return;
+			}
+		} else {
+			this.#apply({type: 'claimSkipped'});
+		}
+
+		this.#runAttempts();
+		this.#finishClaim();
+	}
+
+	/** Injects the fault when the script is at its step. */
+	#enter(step: Step): void {
+		const fault = this.#faultPending;
+		if (step !== this.script.step || fault === undefined || (this.#lifecycle.isFinal && !afterAnswer.has(step))) {
+			return;
+		}
+
+		this.#faultPending = undefined;
+		this.isInjected = true;
+		this.#inject[fault](step);
+	}
+
+	/** A frozen entry renews nothing, while the owners and engines go on. */
+	#freeze(durationMs: number): void {
+		this.#advance(durationMs, false);
+	}
+
+	/** Moves the clock; the deadline of the request ends it on the way. */
+	#advance(durationMs: number, renews = true): void {
+		const end = this.#now + durationMs;
+		while (this.#now < end) {
+			const isDeadlineNext = this.#isDeadlineOpen && this.#isEntryAlive && this.#deadlineAt > this.#now && this.#deadlineAt <= this.#now + 500;
+			this.#now = Math.min(end, isDeadlineNext ? this.#deadlineAt : this.#now + 500);
+			if (this.#isDeadlineOpen && this.#isEntryAlive && this.#now >= this.#deadlineAt) {
+				this.#apply({type: 'deadline'});
+			}
+
+			for (const server of this.#servers) {
+				if (server.isDown) {
+					continue;
+				}
+
+				if (renews && this.#isEntryAlive) {
+					server.point.handle({type: 'renew', permitIds: this.#listPermits(server)}, this.#now);
+				}
+
+				server.report(this.#now);
+			}
+
+			this.#runGroupCommands(this.#isEntryAlive && renews ? this.#group?.handle({type: 'tick'}, this.#now) ?? [] : []);
+		}
+	}
+
+	#listPermits(server: ScriptedServer): string[] {
+		return [...this.#permits.values()].filter(held => held.server === server).map(held => held.permit.permitId);
+	}
+
+	/** Consumes the injected delay; true when the answer came in time. */
+	#waitForAnswer(limitMs = Number.POSITIVE_INFINITY): boolean {
+		const delayMs = this.#delayMs;
+		this.#delayMs = 0;
+		this.#advance(Math.min(delayMs, limitMs));
+		return delayMs <= limitMs;
+	}
+
+	#apply(event: RequestEvent): void {
+		for (const command of this.#lifecycle.handle(event, this.#now)) {
+			this.#commandHandlers[command.type](command as never);
+		}
+	}
+
+	#resolveEntry(): boolean {
+		this.#enter('resolve entry');
+		const entries = ['a', 'b'].map((entryId): SessionRecord => ({
+			entryId, epoch: '1', callerAddress: '', peerAddress: '', failureDomain: entryId === 'a' ? 'north' : 'south', region: 'r',
+			state: 'serving', configurationRevision: 1, availabilityRevision: 1, renewal: 1,
+		}));
+		const selected = selectAdvertisedEntries({
+			sessions: entries, availability: this.#availability, ownedServers: new Map(), spreadKey: 'depot', hash: this.script.hashes.hash32,
+		});
+		if (selected.some(entry => !isInService(this.#availability, {id: entry.entryId, failureDomain: entry.failureDomain}))) {
+			this.#fail('an entry out of service is advertised');
+		}
+
+		return selected.length > 0;
+	}
+
+	#admitBySlice(): boolean {
+		this.#enter('limit slice');
+		const isAnswered = this.#waitForAnswer(storeTimeoutMs) && !this.#isPeerCut && !this.#losesReply;
+		this.#losesReply = false;
+		this.#isPeerCut = false;
+		if (isAnswered) {
+			this.#slice.handle({type: 'slice', slice: {...plan, lifetimeMs: 2000, isContended: false}, requestedAt: this.#now}, this.#now);
+		} else {
+			// The static floor applies after the owner was out of reach for its delay.
+			this.#slice.handle({type: 'unreachable'}, this.#now);
+			this.#advance(2000);
+		}
+
+		// The buckets of a new slice start empty, so the request waits for their refill.
+		let verdict = this.#slice.tryConsume({tokens: 1100}, this.#now);
+		for (let round = 0; round < 3 && verdict.type === 'refused'; round++) {
+			this.#advance(verdict.retryAfterMs);
+			verdict = this.#slice.tryConsume({tokens: 1100}, this.#now, true);
+		}
+
+		if (verdict.type === 'refused') {
+			this.#apply({type: 'refused', reason: verdict.reason, retryAfterMs: verdict.retryAfterMs});
+		}
+
+		return !this.#lifecycle.isFinal;
+	}
+
+	#claim(): boolean {
+		this.#claimNonce = 'nonce-a';
+		const end = this.#runClaim('claiming', 'a');
+		if (end === 'owned') {
+			this.#apply({type: 'claimed'});
+		} else {
+			this.#apply({type: 'refused', reason: end === 'unavailable' ? 'claim_store_unavailable' : 'claim_in_progress'});
+		}
+
+		return !this.#lifecycle.isFinal;
+	}
+
+	/** The rounds of reading, deciding and conditional writing, as the entry runs them. */
+	#runClaim(phase: ClaimPhase, entryId: 'a' | 'b', outcome?: ClaimOutcome): ClaimEnd {
+		const attempt = {
+			workspaceId: 'depot', bodyDigest: 'd', nonce: entryId === 'a' ? this.#claimNonce : 'nonce-b', entryId, epoch: '1', phase, outcome,
+			wallNow: this.#now, isHolderGone: entryId === 'b' && !this.#isEntryAlive,
+		};
+		for (let round = 0; round < 6; round++) {
+			if (this.#store.isDown) {
+				return 'unavailable';
+			}
+
+			const {version} = this.#store;
+			const decision = decideClaim(this.#store.record, attempt);
+			if (decision.type === 'answer') {
+				return decision.outcome as Outcome;
+			}
+
+			if (decision.type === 'refuse') {
+				return {kind: decision.outcome, reason: decision.reason};
+			}
+
+			if (decision.type === 'dispatch' || (decision.type === 'mark' && phase === 'claiming')) {
+				return 'owned';
+			}
+
+			if (decision.type === 'done') {
+				return 'done';
+			}
+
+			this.#store.losesAnswer ||= !this.#waitForAnswer(storeTimeoutMs);
+			const result = this.#store.put(decision.record, version);
+			if (result === 'down') {
+				return 'unavailable';
+			}
+
+			if (result === 'written') {
+				return decision.type === 'finish' ? 'done' : 'owned';
+			}
+		}
+
+		return 'unavailable';
+	}
+
+	#runAttempts(): void {
+		const excluded = new Set<ScriptedServer>();
+		while (!this.#lifecycle.isFinal) {
+			const candidates = this.#listCandidates(excluded);
+			const server = candidates[0];
+			if (server === undefined) {
+				this.#apply({type: 'giveUp', reason: 'no_backend_server'});
+				return;
+			}
+
+			this.#apply({type: 'candidate'});
+			const attempt: AttemptRecord = {
+				attemptId: `attempt-${++this.#attempts}`, serverId: server.id, sentBytes: false, refusedByServer: false, passedOn: false, completed: false,
+			};
+			this.#lifecycle.recordAttempt(attempt);
+			const isGranted = this.#runAttempt(server, attempt);
+			excluded.add(server);
+			this.#decideNext(attempt, isGranted, excluded);
+		}
+	}
+
+	#listCandidates(excluded: ReadonlySet<ScriptedServer>): ScriptedServer[] {
+		return this.#servers.filter(server => !excluded.has(server)
+			&& isInService(this.#availability, {id: server.id, failureDomain: server.failureDomain}));
+	}
+
+	#decideNext(attempt: AttemptRecord, isGranted: boolean, excluded: ReadonlySet<ScriptedServer>): void {
+		if (attempt.completed) {
+			this.#apply({type: 'attemptCompleted', attempt});
+		}
+
+		if (this.#lifecycle.isFinal) {
+			return;
+		}
+
+		this.#apply({type: isGranted ? 'attemptFailed' : 'permitRefused', attempt});
+		const decision = decideRetry({
+			attempts: this.#lifecycle.attempts, isIdempotent: this.#kind !== 'service call', isCallerGone: this.#isCallerGone, now: this.#now,
+			deadlineAt: this.#deadlineAt, expectedAttemptMs: 25, hasBudget: true, candidatesLeft: this.#listCandidates(excluded).length,
+		});
+		if (decision.type === 'retry') {
+			this.#apply({type: 'retry'});
+		} else {
+			this.#apply({type: 'giveUp', reason: decision.type === 'give_up' ? decision.reason : 'internal', retryAfterMs: 1000});
+		}
+	}
+
+	/** Runs one attempt; returns whether it held a permit. */
+	#runAttempt(server: ScriptedServer, attempt: AttemptRecord): boolean {
+		if (this.#kind === 'group prompt' && !this.#reserveGroup()) {
+			Object.assign(attempt, {reason: 'group_unavailable', result: 'not_started'});
+			return false;
+		}
+
+		const permit = this.#requestPermit(server, attempt);
+		let end: AttemptEnd = {result: 'not_started', reason: 'owner_unreachable'};
+		if (permit !== undefined) {
+			this.#permits.set(permit.permitId, {permit, server});
+			this.#apply({type: 'granted', attempt});
+			end = this.#dispatch(server, attempt, permit);
+			Object.assign(attempt, end);
+			this.#deliver(attempt);
+			this.#release(server, permit, this.#lifecycle.isFinal && !attempt.completed ? 'cancelled' : end.result);
+		}
+
+		Object.assign(attempt, end);
+		this.#runGroupCommands(this.#group?.handle({type: 'finish'}, this.#now) ?? []);
+		return permit !== undefined;
+	}
+
+	/** The answer ends for the caller before the permit is returned. */
+	#deliver(attempt: AttemptRecord): void {
+		if (attempt.completed) {
+			this.#apply({type: 'attemptCompleted', attempt});
+		}
+	}
+
+	#reserveGroup(): boolean {
+		this.#group = new GroupReservation(this.#servers.slice(0, 2).map(({id}, index) => ({
+			serverId: id, index, startToken: index * 500, tokens: 500, kvTokens: 500,
+		})));
+		this.#runGroupCommands(this.#group.handle({type: 'start'}, this.#now));
+		return this.#group.state === 'reserved';
+	}
+
+	#runGroupCommands(commands: ReturnType<GroupReservation['handle']>): void {
+		for (const command of commands) {
+			const server = this.#servers.find(({id}) => id === command.serverId)!;
+			if (server.isDown) {
+				this.#runGroupCommands(this.#group!.handle({type: 'refused', serverId: server.id}, this.#now));
+			} else if (command.type === 'reserve') {
+				server.reservations.add('request');
+				this.#runGroupCommands(this.#group!.handle({type: 'reserved', serverId: server.id}, this.#now));
+			} else {
+				server.reservations.delete('request');
+				this.#runGroupCommands(this.#group!.handle({type: 'released', serverId: server.id}, this.#now));
+			}
+		}
+	}
+
+	#requestPermit(server: ScriptedServer, attempt: AttemptRecord): Permit | undefined {
+		this.#enter('permit');
+		if (this.#isPeerCut) {
+			this.#isPeerCut = false;
+			return undefined;
+		}
+
+		const request = {
+			requestId: 'request', attemptId: attempt.attemptId, entryId: 'a', serverId: server.id, workspaceId: 'depot', weight: 1, priority: 1 as const,
+			prefillTokens: 1000, decodeTokens: 100, kvTokens: 1100, deadlineInMs: this.#deadlineAt - this.#now, firstTokenInMs: 1000,
+			isSuspect: this.#fingerprints.getRecord('content') !== undefined,
+		};
+		const send = () => server.point.handle({type: 'request', request}, this.#now).find(command => command.type === 'grant');
+		let grant = send();
+		if (!this.#waitForAnswer()) {
+			return undefined;
+		}
+
+		if (this.#losesReply) {
+			this.#losesReply = false;
+			grant = send();
+		}
+
+		if (grant === undefined || this.#lifecycle.isFinal) {
+			server.point.handle({type: 'withdraw', requestId: 'request', attemptId: attempt.attemptId}, this.#now);
+			return undefined;
+		}
+
+		return grant.permit;
+	}
+
+	#dispatch(server: ScriptedServer, attempt: AttemptRecord, permit: Permit): AttemptEnd {
+		this.#enter('dispatch');
+		if (this.#kind === 'service call') {
+			const marked = this.#runClaim('marking', 'a');
+			if (marked !== 'owned') {
+				this.#apply({type: 'refused', reason: marked === 'unavailable' ? 'claim_store_unavailable' : 'claim_in_progress'});
+			}
+		}
+
+		if (this.#lifecycle.isFinal) {
+			return {result: 'not_started'};
+		}
+
+		if (server.isDown) {
+			return {result: 'not_started', reason: 'backend_failed'};
+		}
+
+		attempt.sentBytes = true;
+		if (this.#kind !== 'service call' && permit.bootId !== `boot-${server.boot}`) {
+			attempt.refusedByServer = true;
+			return {result: 'not_started', reason: 'backend_refused'};
+		}
+
+		if (this.#fingerprints.startRun('content', {attemptId: attempt.attemptId, serverId: server.id}, this.#now).type === 'quarantined') {
+			return {result: 'not_started', reason: 'quarantined'};
+		}
+
+		server.executions++;
+		server.running.set(attempt.attemptId, 'request');
+		const end = this.#readAnswer(server, attempt);
+		if (end.result !== 'crashed') {
+			this.#fingerprints.recordRunEnd('content', attempt.attemptId);
+		}
+
+		return end;
+	}
+
+	/** Reads the answer step by step; each step first asks whether the connection and the engine are still there. */
+	#readAnswer(server: ScriptedServer, attempt: AttemptRecord): AttemptEnd {
+		const validator = new FrameValidator('request', attempt.attemptId, this.script.hashes.create());
+		for (const step of ['prefill', 'first token', 'stream', 'finish'] as const) {
+			if (step !== 'prefill' || this.#kind !== 'service call') {
+				this.#enter(step);
+			}
+
+			this.#waitForAnswer();
+			const end = this.#findBreak(server, attempt);
+			if (end !== undefined) {
+				return end;
+			}
+
+			for (const frame of this.#alterFrames(this.#buildFrames(attempt, step))) {
+				this.#acceptFrame(frame, validator, attempt);
+			}
+		}
+
+		const isWhole = validator.close() === undefined && validator.isComplete;
+		server.running.delete(attempt.attemptId);
+		attempt.completed = isWhole && !this.#lifecycle.isFinal;
+		return isWhole ? {result: 'completed'} : {result: 'failed', reason: 'stream_corrupt'};
+	}
+
+	#findBreak(server: ScriptedServer, attempt: AttemptRecord): AttemptEnd | undefined {
+		if (this.#isPoisonous) {
+			this.#crashes++;
+			server.restart();
+			this.#fingerprints.recordCrash('content', {
+				attemptId: attempt.attemptId, serverId: server.id, bootId: `boot-${server.boot}`, companions: [],
+			});
+			return {result: 'crashed', reason: 'backend_failed'};
+		}
+
+		if (this.#isCallerGone) {
+			this.#apply({type: 'callerGone'});
+		}
+
+		if (this.#backendCut) {
+			this.#backendCut = false;
+			return {result: 'cancelled', reason: 'backend_failed'};
+		}
+
+		if (this.#lifecycle.isFinal) {
+			return {result: 'cancelled'};
+		}
+
+		// The owner cancelled work whose permit was not renewed.
+		return server.running.has(attempt.attemptId) ? undefined : {result: 'cancelled', reason: 'backend_failed'};
+	}
+
+	#buildFrames({attemptId}: AttemptRecord, step: Step): Frame[] {
+		const all = answerParts.map((text, seq): Frame => ({
+			requestId: 'request', attemptId, seq, text,
+			last: seq === answerParts.length - 1
+				? {
+					frames: answerParts.length, promptTokens: 1000, completionTokens: 7, checksum: this.script.hashes.hashText(answerText),
+				}
+				: undefined,
+		}));
+		if (this.#kind === 'service call') {
+			// A service sends one answer; its length and its end are checked as those of a stream of frames.
+			return step === 'finish' ? all : [];
+		}
+
+		const ranges: Partial<Record<Step, [number, number]>> = {'first token': [0, 1], stream: [1, 5], finish: [5, 7]};
+		const [start, end] = ranges[step] ?? [0, 0];
+		return all.slice(start, end);
+	}
+
+	/** Applies a frame fault at a place chosen by the seed. */
+	#alterFrames(frames: Frame[]): Frame[] {
+		const fault = this.#frameFault;
+		if (fault === undefined || frames.length === 0) {
+			return frames;
+		}
+
+		this.#frameFault = undefined;
+		const at = this.script.seed % frames.length;
+		const frame = frames[at]!;
+		const altered: Partial<Record<Fault, Frame[]>> = {
+			'crossed frames': [{...frame, requestId: 'other', text: 'foreign '}, ...frames.slice(0, at), ...frames.slice(at + 1)],
+			'late frames': [{...frame, attemptId: 'attempt-0', text: 'late '}, ...frames],
+			'truncated frames': frames.slice(0, at),
+			'duplicated frames': [...frames.slice(0, at + 1), ...frames.slice(at)],
+		};
+		return altered[fault] ?? frames;
+	}
+
+	#acceptFrame(frame: Frame, validator: FrameValidator, attempt: AttemptRecord): void {
+		const verdict = validator.accept(frame);
+		if ((verdict.type !== 'next' && verdict.type !== 'complete') || this.#lifecycle.isFinal) {
+			return;
+		}
+
+		if (!attempt.passedOn) {
+			attempt.passedOn = true;
+			this.#apply({type: 'firstFrame', attempt});
+		}
+
+		this.#passedOn += verdict.text;
+	}
+
+	#release(server: ScriptedServer, permit: Permit, result: AttemptResult): void {
+		this.#enter('release');
+		this.#waitForAnswer();
+		this.#permits.delete(permit.permitId);
+		const isLost = this.#losesReply;
+		this.#losesReply = false;
+		for (let copy = 0; copy < (isLost ? 2 : 1); copy++) {
+			server.point.handle({type: 'release', permitId: permit.permitId, result}, this.#now);
+		}
+	}
+
+	#finishClaim(): void {
+		if (this.#claimNonce === '') {
+			return;
+		}
+
+		this.#enter('outcome write');
+		const [outcome] = this.outcomes;
+		let end = this.#runClaim('finishing', 'a', outcome);
+		if (end === 'unavailable') {
+			// The entry repeats the write until the object API answers.
+			this.#advance(10_000);
+			this.#store.isDown = false;
+			end = this.#runClaim('finishing', 'a', outcome);
+		}
+
+		const {record} = this.#store;
+		if (end === 'unavailable' || (record !== undefined && record.state !== 'finished')) {
+			this.#fail('the claim stays without an outcome');
+		}
+	}
+
+	#raceOperators(): void {
+		const instances = ['north', 'south'].map(failureDomain => ({
+			id: `entry-${failureDomain}`, failureDomain, isEntry: true, isLive: true,
+		}));
+		const before = this.#availability;
+		const edit = (current: Availability, failureDomain: string) => applyDomainEdit(current, {
+			editId: failureDomain, failureDomain, state: 'out_of_service', instances,
+		});
+		// Both operators read the same revision; each write is conditional on it.
+		const writes = [edit(before, 'north'), edit(before, 'south')];
+		const conflicts = writes.filter(write => !write.ok || !this.#writeAvailability(before, write.value));
+		if (conflicts.length !== 1) {
+			this.#fail('both operators were told that their edit is in force');
+		}
+
+		if (edit(this.#availability, 'south').ok) {
+			this.#fail('the last failure domain was taken out of service');
+		}
+	}
+
+	#writeAvailability(read: Availability, written: Availability): boolean {
+		const isCurrent = read.revision === this.#availability.revision;
+		this.#availability = isCurrent ? written : this.#availability;
+		return isCurrent;
+	}
+
+	#countExecutions(): number {
+		return this.#servers.reduce((sum, server) => sum + server.executions, 0);
+	}
+
+	#checkOutcome(): void {
+		const expected = this.#isEntryAlive && this.#lifecycle.state !== 'received' ? 1 : 0;
+		if (this.outcomes.length > 1 || this.outcomes.length < expected) {
+			this.#fail(`${this.outcomes.length} final outcomes`);
+		}
+
+		const {fault} = this.script;
+		if ((fault === undefined || harmlessFaults.has(fault)) && this.outcomes[0]?.kind !== 'completed') {
+			this.#fail('the fault interrupted the request');
+		}
+
+		if (this.outcomes[0]?.kind === 'completed' && this.#passedOn !== answerText) {
+			this.#fail('a completed answer differs from what the engine sent');
+		}
+
+		if (!answerText.startsWith(this.#passedOn)) {
+			this.#fail('foreign or repeated text was passed on');
+		}
+	}
+
+	/** Time passes without faults, and the caller repeats an unfinished request at another entry. */
+	#recover(): void {
+		this.#store.isDown = false;
+		this.#store.losesAnswer = false;
+		if (!this.#isEntryAlive) {
+			// The memory of the entry is gone; nobody renews its permits.
+			this.#permits.clear();
+			this.#group = undefined;
+		}
+
+		this.#advance(60_000);
+		if (this.#kind === 'service call' && this.outcomes[0]?.kind !== 'completed') {
+			this.#repeat();
+		}
+
+		if (this.#kind === 'service call' && this.outcomes[0]?.kind === 'not_run' && this.#countExecutions() === 0) {
+			this.#fail('a call that was not run cannot be repeated');
+		}
+
+		if (this.#kind === 'service call' && this.#countExecutions() > 1) {
+			this.#fail('a non-idempotent call was executed twice');
+		}
+
+		if (this.#crashes > 2) {
+			this.#fail(`${this.#crashes} servers lost to one content`);
+		}
+	}
+
+	#repeat(): void {
+		if (this.#runClaim('claiming', 'b') !== 'owned') {
+			return;
+		}
+
+		if (this.#runClaim('marking', 'b') === 'owned') {
+			this.#servers[2]!.executions++;
+			this.#runClaim('finishing', 'b', {kind: 'completed'});
+		}
+	}
+
+	#checkReleased(): void {
+		for (const server of this.#servers) {
+			if (server.isDown) {
+				continue;
+			}
+
+			if (server.point.load.running > 0 || server.point.load.kvTokensUsed > 0) {
+				this.#fail(`a permit on ${server.id} is not released`);
+			}
+
+			if (server.running.size > 0 && this.#kind !== 'service call') {
+				this.#fail(`${server.id} still runs the request`);
+			}
+
+			if (server.reservations.size > 0 && this.#group !== undefined) {
+				this.#fail(`${server.id} still holds a reservation`);
+			}
+		}
+
+		const state = this.#store.record?.state;
+		if (state === 'claimed' && this.#isEntryAlive) {
+			this.#fail('the claim blocks later attempts');
+		}
+	}
+
+	#fail(violation: string): void {
+		this.violations.push(violation);
+	}
+}
+
+/** Faults that may not end a request. */
+const harmlessFaults: ReadonlySet<Fault> = new Set(['late frames', 'duplicated frames', 'operators racing']);
+/** Steps that follow the answer to the caller. */
+const afterAnswer: ReadonlySet<Step> = new Set(['outcome write', 'release']);
+const plan = {requestsPerSecond: 100, tokensPerSecond: 1_000_000, concurrency: 10};
