Send nothing to a backend server under an expired permit

Cause: an entry that was paused for longer than the lifetime of its permit between the grant and the dispatch sent the request although the owner had given the capacity to others. On a cold server this exceeds its bound, until the owner cancels the foreign work.

The entry now keeps the time until which each permit is valid and checks it before a single attempt and after the reservations of a group. An attempt without a valid permit is not started and is retried.

Ruled out: a renewal on return from the pause, because the owner ignores renewals of expired permits. Not covered: a pause while the grant is on its way, because the lifetime counts from receipt.

--- /dev/null
+++ b/packages/core/src/admission/permit-validity.test.ts
@@ -0,0 +1,29 @@
+import {expect} from 'chai';
+import type {Permit} from '../types/index.js';
+import {PermitValidity} from './permit-validity.js';
+
+const permit: Permit = {
+	permitId: 'p', requestId: 'r', attemptId: 'a', serverId: 's', bootId: 'b', lifetimeMs: 10_000, fencingNumber: 1, enginePriority: 1,
+};
+
+describe('PermitValidity', () => {
+	// Guards against work sent under a permit whose capacity the owner gave away while the holder was paused.
+	it('ends with the lifetime and is not restored by a late renewal', () => {
+		const validity = new PermitValidity();
+		validity.add(permit, 0);
+		validity.renew(['p'], 10_000, 3000);
+		expect(validity.isValid('p', 12_999)).to.be.true;
+		expect(validity.isValid('p', 13_000)).to.be.false;
+		validity.renew(['p'], 10_000, 13_000);
+		expect(validity.isValid('p', 13_001)).to.be.false;
+	});
+
+	// Guards against work sent under a permit that was returned or that the owner does not know.
+	it('ends when the permit is removed', () => {
+		const validity = new PermitValidity();
+		validity.add(permit, 0);
+		validity.remove('p');
+		validity.renew(['p'], 10_000, 1);
+		expect(validity.isValid('p', 1)).to.be.false;
+	});
+});
--- a/packages/entry/src/callers/attempt-loop.ts
+++ b/packages/entry/src/callers/attempt-loop.ts
@@ -151,6 +151,11 @@
 			return {result: attemptResults.notStarted, reason: refused?.reason};
 		}
 
+		// After a pause of the process the owner may have given the capacity to another request.
+		if (!this.context.services.permits.isValid(permit)) {
+			return {result: attemptResults.notStarted, reason: refusalReasons.ownerUnreachable};
+		}
+
 		return this.work.run({server: target.server, permit, attempt});
 	}
 
--- a/packages/entry/src/callers/caller-fixture.test.ts
+++ b/packages/entry/src/callers/caller-fixture.test.ts
@@ -54,6 +54,8 @@
 	readonly reports: FingerprintReport[] = [];
 	readonly servers: BackendServerDescription[] = [];
 	readonly storeCalls: string[] = [];
+	/** Servers whose permits have expired when they are used. */
+	readonly expiredServers = new Set<string>();
 	readonly timer = createTimerService();
 	standing: 'clear' | 'suspect' | 'quarantined' = 'clear';
 	isStopping = false;
@@ -243,6 +245,7 @@
 					this.openPermits.delete(permit.permitId);
 					this.releases.push({permit, result});
 				},
+				isValid: permit => !this.expiredServers.has(permit.serverId),
 				getLoad: serverId => this.#getLoad(serverId),
 				isOwned: () => true,
 			},
--- a/packages/entry/src/callers/completions.test.ts
+++ b/packages/entry/src/callers/completions.test.ts
@@ -170,6 +170,16 @@
 		});
 	});
 
+	// Guards against work that the owner no longer counts, sent by an entry that was paused for longer than the lifetime of its permit.
+	it('send nothing under an expired permit and run elsewhere', async () => {
+		await openWithSecondEngineLater();
+		fixture.expiredServers.add('engine-1');
+		await createChat('expired');
+		const {executed} = await fixture.fetchState<EngineState>(fixture.engines[0]!);
+		expect(executed).to.deep.equal({});
+		expect(fixture.counts.get('owner_unreachable')).to.equal(1);
+	});
+
 	describe('death of an engine', () => {
 		it('retries elsewhere before the first token and reports the crash', async () => {
 			await openWithSecondEngineLater();
--- a/packages/entry/src/callers/group-attempt.ts
+++ b/packages/entry/src/callers/group-attempt.ts
@@ -92,7 +92,9 @@
 		}
 
 		await this.#executeAll(this.#reservation.handle({type: 'start'}, this.#now));
-		return this.#reservation.state === 'reserved' && !this.task.isFinal;
+		const {permits} = this.context.services;
+		const isPermitted = [...this.#permits.values()].every(({permit}) => permits.isValid(permit));
+		return isPermitted && this.#reservation.state === 'reserved' && !this.task.isFinal;
 	}
 
 	async #executeAll(commands: GroupReservationCommand[]): Promise<void> {
--- a/packages/entry/src/contracts.ts
+++ b/packages/entry/src/contracts.ts
@@ -76,6 +76,8 @@
 		withdraw: (request: PermitRequest) => void;
 		recordFirstToken: (permit: Permit) => void;
 		release: (permit: Permit, release: Omit<PermitRelease, 'permitId' | 'serverId'>) => void;
+		/** False once the permit expired; nothing may be sent to the backend server under it. */
+		isValid: (permit: Permit) => boolean;
 		/** Last known load of a backend server. */
 		getLoad: (serverId: string) => LoadSnapshot | undefined;
 		/** True when this entry owns the backend server, so that a permit costs no message. */
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -242,6 +242,7 @@
 				release: (permit, release) => {
 					this.#getTasks().permits.services.release(permit, release);
 				},
+				isValid: permit => this.#getTasks().permits.services.isValid(permit),
 				getLoad: serverId => this.#getTasks().permits.services.getLoad(serverId),
 				isOwned: serverId => this.#getTasks().permits.services.isOwned(serverId),
 			},
--- a/packages/entry/src/permits/permit-client.ts
+++ b/packages/entry/src/permits/permit-client.ts
@@ -1,5 +1,5 @@
 import {
-	permitLifetimeMs, refusalReasons,
+	permitLifetimeMs, PermitValidity, refusalReasons,
 	type LoadSnapshot, type Permit, type PermitReply, type PermitRequest,
 } from '@knapweedrack/core';
 import {peerBatchLimit, type PermitRenewal} from '@knapweedrack/protocol';
@@ -37,6 +37,7 @@
 	readonly #options: PermitClientOptions;
 	/** Permits in use, by server. */
 	readonly #held = new Map<string, Set<string>>();
+	readonly #validity = new PermitValidity();
 	readonly #loads = new Map<string, {load: LoadSnapshot; at: number}>();
 	readonly #firstTokens = new Map<string, string[]>();
 	#unsubscribe: (() => void) | undefined;
@@ -59,6 +60,7 @@
 			release: (permit, release) => {
 				this.#release(permit, release);
 			},
+			isValid: ({permitId}) => this.#validity.isValid(permitId, this.#options.timer.now()),
 			getLoad: serverId => this.#getLoad(serverId),
 			isOwned: serverId => this.#isOwned(serverId),
 		};
@@ -128,6 +130,7 @@
 	}
 
 	#release({serverId, permitId}: Permit, release: Parameters<EntryServices['permits']['release']>[1]): void {
+		this.#validity.remove(permitId);
 		const held = this.#held.get(serverId);
 		held?.delete(permitId);
 		if (held?.size === 0) {
@@ -154,6 +157,7 @@
 		for (const [owner, servers] of byOwner) {
 			if (owner === entryId) {
 				admission.renew({entryId, servers});
+				this.#recordRenewed(servers, this.#options.timer.now(), []);
 			} else {
 				void this.#renewAtPeer(owner, servers);
 			}
@@ -163,15 +167,29 @@
 	async #renewAtPeer(owner: string, servers: readonly RenewalEntry[]): Promise<void> {
 		const {entryId, membership, metrics} = this.#options;
 		for (let start = 0; start < servers.length; start += peerBatchLimit) {
+			const sentAt = this.#options.timer.now();
 			const renewal = {entryId, servers: servers.slice(start, start + peerBatchLimit)};
 			const answer = await membership.findPeer(owner)?.run(renewalTimeoutMs, async (caller, signal) => caller.permits.renew.mutate(renewal, {signal}));
 			if (answer?.ok) {
+				this.#recordRenewed(renewal.servers, sentAt, answer.value.unknownPermitIds);
 				metrics.count(counterNames.permitUnknown, answer.value.unknownPermitIds.length);
 			}
 		}
 	}
 
-	#addHeld({serverId, permitId}: Permit): void {
+	#recordRenewed(servers: readonly RenewalEntry[], sentAt: number, unknownPermitIds: readonly string[]): void {
+		for (const {permitIds} of servers) {
+			this.#validity.renew(permitIds, permitLifetimeMs, sentAt);
+		}
+
+		for (const permitId of unknownPermitIds) {
+			this.#validity.remove(permitId);
+		}
+	}
+
+	#addHeld(permit: Permit): void {
+		const {serverId, permitId} = permit;
+		this.#validity.add(permit, this.#options.timer.now());
 		const held = this.#held.get(serverId) ?? new Set();
 		held.add(permitId);
 		this.#held.set(serverId, held);
--- a/packages/testkit/src/fault-matrix/scripted-request.ts
+++ b/packages/testkit/src/fault-matrix/scripted-request.ts
@@ -1,5 +1,5 @@
 import {
-	applyDomainEdit, decideClaim, decideRetry, FingerprintTable, FrameValidator, GroupReservation, initialAvailability, isInService,
+	applyDomainEdit, decideClaim, decideRetry, FingerprintTable, FrameValidator, GroupReservation, initialAvailability, isInService, PermitValidity,
 	RequestLifecycle, selectAdvertisedEntries, SliceHolder,
 	type AttemptRecord, type AttemptResult, type Availability, type ClaimOutcome, type ClaimPhase, type Frame, type Outcome, type Permit,
 	type RefusalReason, type RequestCommand, type RequestEvent, type SessionRecord, type TextHash,
@@ -56,6 +56,7 @@
 	readonly #store = new ScriptedStore();
 	readonly #servers: ScriptedServer[];
 	readonly #permits = new Map<string, {permit: Permit; server: ScriptedServer}>();
+	readonly #validity = new PermitValidity();
 	readonly #fingerprints = new FingerprintTable();
 	readonly #lifecycle: RequestLifecycle;
 	readonly #slice: SliceHolder;
@@ -247,6 +248,7 @@
 
 				if (renews && this.#isEntryAlive) {
 					server.point.handle({type: 'renew', permitIds: this.#listPermits(server)}, this.#now);
+					this.#validity.renew(this.#listPermits(server), 10_000, this.#now);
 				}
 
 				server.report(this.#now);
@@ -430,6 +432,7 @@
 		let end: AttemptEnd = {result: 'not_started', reason: 'owner_unreachable'};
 		if (permit !== undefined) {
 			this.#permits.set(permit.permitId, {permit, server});
+			this.#validity.add(permit, this.#now);
 			this.#apply({type: 'granted', attempt});
 			end = this.#dispatch(server, attempt, permit);
 			Object.assign(attempt, end);
@@ -516,6 +519,10 @@
 			return {result: 'not_started'};
 		}
 
+		if (!this.#validity.isValid(permit.permitId, this.#now)) {
+			return {result: 'not_started', reason: 'owner_unreachable'};
+		}
+
 		if (server.isDown) {
 			return {result: 'not_started', reason: 'backend_failed'};
 		}
@@ -530,6 +537,11 @@
 			return {result: 'not_started', reason: 'quarantined'};
 		}
 
+		// Work that the owner does not count could exceed what a cold server can take.
+		if (!server.point.hasPermit(permit.permitId)) {
+			this.#fail('work was sent without a valid permit');
+		}
+
 		server.executions++;
 		server.running.set(attempt.attemptId, 'request');
 		const end = this.#readAnswer(server, attempt);
