Check in the fault matrix that a returned owner rewrites its record first

Cause: with the rule removed that an owner rewrites its record after a lapse, all cells still held, so the cells of the lapsed lease did not show that rule.

The paused owner is now also checked between the renewal of its lease and the read of the new owner's record. Ruled out: relying on the mode during the lapse alone, which the heartbeats of the peers limit as well.

Conclusion: the cells of the lapsed lease now depend on that rule.

--- a/packages/testkit/src/fault-matrix/paused-owner.ts
+++ b/packages/testkit/src/fault-matrix/paused-owner.ts
@@ -43,6 +43,11 @@
 		const heartbeat = {...createSession('b', 0), reachesStore: true};
 		this.#table.handle({type: 'heartbeat', heartbeat, sentAt: this.#now}, this.#now);
 		this.#table.handle({type: 'lease', validUntil: this.#now + 6000}, this.#now);
+		// A renewed lease does not show whether another entry took over during the lapse.
+		if (this.mode === 'full') {
+			violations.push('an owner issues without restriction before it has rewritten its record');
+		}
+
 		this.#table.handle({
 			type: 'owner', serverId: 's1', version: 2, record: {
 				serverId: 's1', owner: 'b', epoch: '1', fencingNumber: 2, released: false,
