--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -6,6 +6,7 @@
 export * from './platform/platform.js';
 export * from './service/service.js';
 export * from './process-group/process-group.js';
+export * from './caller/caller-client.js';
 export * from './fleet/deployment.js';
 export * from './fleet/fleet.js';
 export * from './engine/engine-model.js';
