--- /dev/null
+++ b/packages/cli/src/bench/bench.test.ts
@@ -0,0 +1,21 @@
+import {expect} from 'chai';
+import {runJson} from '../commands/cli-fixture.test.js';
+import type {BenchReport} from './bench-report.js';
+
+describe('bench', () => {
+	// The figures of CI must show a change of the policy, so the run has a fixed seed and a bounded duration.
+	it('measures the quick mixed load within 10 s and meets the targets for short requests', async function () {
+		this.timeout(20_000);
+		const startedAt = performance.now();
+		const report = await runJson(['bench', 'mixed', '--quick', '--seed', '1']) as unknown as BenchReport;
+		expect(performance.now() - startedAt).to.be.below(10_000);
+		const targets = new Map(report.deployments[0]!.targets.map(target => [target.name, target]));
+		expect(targets.get('short p95 with long prompts / without, 80%')).to.include({isMet: true});
+		expect(targets.get('short p95 of round robin / core, 80%')).to.include({isMet: true});
+	});
+
+	it('refuses unknown scenarios and deployments', async () => {
+		expect(await runJson(['bench', 'none'])).to.include({exitCode: 2});
+		expect(await runJson(['bench', 'mixed', '--deployment', 'none'])).to.include({exitCode: 2});
+	});
+});
--- /dev/null
+++ b/packages/cli/src/commands/bench-command.ts
@@ -0,0 +1,64 @@
+import {createOk} from '@knapweedrack/core';
+import {simulatedDeployments, type DeploymentName} from '@knapweedrack/testkit';
+import type {BenchReport} from '../bench/bench-report.js';
+import {benchScenarios} from '../bench/bench-scenarios.js';
+import {renderBench} from '../bench/render-bench.js';
+import type {CommandContext} from '../program/command-context.js';
+import {createFailure, type CommandResult} from '../program/command-result.js';
+import type {CommandInput, CommandSpec} from '../program/command-spec.js';
+import {exitCodes} from '../program/exit-codes.js';
+import {parseCount} from '../program/number-option.js';
+
+const fullDurationS = 120;
+const quickDurationS = 20;
+
+type BenchOptions = {seed: number; quick?: boolean; deployment?: string; durationS?: number; html?: string};
+
+const listDeployments = ({deployment, quick}: BenchOptions): DeploymentName[] => {
+	const names = Object.keys(simulatedDeployments) as DeploymentName[];
+	const chosen = names.filter(name => deployment === undefined || name === deployment);
+	return quick === true ? chosen.slice(0, 1) : chosen;
+};
+
+const runBench = async (context: CommandContext, {args, options}: CommandInput): Promise<CommandResult> => {
+	const benchOptions = options as BenchOptions;
+	const {seed, quick} = benchOptions;
+	const name = args[0]!;
+	const run = benchScenarios[name];
+	const deployments = listDeployments(benchOptions);
+	if (run === undefined || deployments.length === 0) {
+		return createFailure(exitCodes.usage, run === undefined
+			? `unknown scenario ${name}; known are ${Object.keys(benchScenarios).join(', ')}`
+			: `unknown deployment ${benchOptions.deployment}; known are ${Object.keys(simulatedDeployments).join(', ')}`);
+	}
+
+	const durationMs = 1000 * (benchOptions.durationS ?? (quick ? quickDurationS : fullDurationS));
+	const reports = deployments.map(deployment => run({
+		deployment: simulatedDeployments[deployment], seed, durationMs, isQuick: quick === true,
+		notify(step) {
+			context.progress.report(step);
+		},
+	}));
+	const report: BenchReport = {
+		scenario: name, mode: 'virtual time', seed, durationMs, deployments: reports,
+		isMet: reports.every(({targets}) => targets.every(({isMet}) => isMet)),
+	};
+	return createOk({text: renderBench(report), data: {...report}});
+};
+
+/** Measures the policy under load against simple balancers. */
+export const benchCommand: CommandSpec = {
+	words: ['bench'],
+	description: 'measure the policy under a seeded load against random, round robin and least outstanding',
+	args: [{name: '<scenario>', description: `one of ${Object.keys(benchScenarios).join(', ')}`}],
+	options: [
+		{flags: '--deployment <name>', description: `one of ${Object.keys(simulatedDeployments).join(', ')}; otherwise all`},
+		{
+			flags: '--seed <number>', description: 'seed of the load', parse: parseCount, byDefault: 1,
+		},
+		{flags: '--duration-s <s>', description: `time over which requests arrive, in s; by default ${fullDurationS}, or ${quickDurationS} with --quick`, parse: parseCount},
+		{flags: '--quick', description: 'one deployment and only the runs that the targets need'},
+	],
+	help: 'A missed target is reported and does not change the exit code.',
+	run: runBench,
+};
--- a/packages/cli/src/commands/command-table.ts
+++ b/packages/cli/src/commands/command-table.ts
@@ -1,4 +1,5 @@
 import type {CommandSpec} from '../program/command-spec.js';
+import {benchCommand} from './bench-command.js';
 import {configCommands} from './config-commands.js';
 import {domainCommands, instanceCommands} from './availability-commands.js';
 import {demoCommand} from './demo-command.js';
@@ -15,4 +16,5 @@
 	explainCommand,
 	settingsCommand,
 	demoCommand,
+	benchCommand,
 ];
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -10,3 +10,4 @@
 export * from './fleet/deployment.js';
 export * from './fleet/fleet.js';
 export * from './engine/engine-model.js';
+export * from './simulation/index.js';
--- /dev/null
+++ b/packages/testkit/src/simulation/baseline-policy.ts
@@ -0,0 +1,193 @@
+import {refusalReasons, selectGroup} from '@knapweedrack/core';
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {GroupRun} from './group-run.js';
+import type {TraceRequest} from './load-trace.js';
+import {
+	availabilityLagMs, type EntryPlace, type Policy, type RequestObserver, type SimulationWorld,
+} from './simulation-world.js';
+import type {SimulatedServer, WorkAnswer, WorkEvent} from './simulated-server.js';
+
+/** Balancers without coordination, in order of the report. */
+export const baselineNames = ['random', 'round robin', 'least outstanding'] as const;
+/** Name of a baseline. */
+export type BaselineName = (typeof baselineNames)[number];
+
+type Entry = EntryPlace & {
+	next: number;
+	outstanding: Map<string, number>;
+	/** Failure domains that the entry knows to be out of service. */
+	outOfService: Set<string>;
+};
+
+const maxAttempts = 3;
+const retryAfterMs = 1000;
+const assumedFreeShare = 0.5;
+
+/** Each entry decides alone, without admission; the engine serves in order of arrival. */
+export class BaselinePolicy implements Policy {
+	readonly #entries: Entry[];
+	readonly #random;
+	#sequence = 0;
+
+	constructor(private readonly world: SimulationWorld, private readonly name: BaselineName, seed: number) {
+		this.#random = xoroshiro128plus(seed);
+		this.#entries = world.entries.map((place, index) => ({
+			...place,
+			// Entries that all start at the same server would move over the servers in step.
+			next: Math.floor(index * world.servers.length / world.entries.length),
+			outstanding: new Map(),
+			outOfService: new Set(),
+		}));
+	}
+
+	start(): void {
+		// There is no state to build up.
+	}
+
+	setDomainInService(failureDomain: string, isInService: boolean): void {
+		for (const entry of this.#entries) {
+			this.world.clock.scheduleIn(availabilityLagMs * uniformFloat64(this.#random), () => {
+				if (isInService) {
+					entry.outOfService.delete(failureDomain);
+				} else {
+					entry.outOfService.add(failureDomain);
+				}
+			});
+		}
+	}
+
+	handle(request: TraceRequest, entryIndex: number, observer: RequestObserver): void {
+		this.#runAttempt(request, this.#entries[entryIndex]!, observer, new Set());
+	}
+
+	#runAttempt(request: TraceRequest, entry: Entry, observer: RequestObserver, tried: Set<string>): void {
+		const servers = this.world.servers.filter(({id, failureDomain}) => !tried.has(id) && !entry.outOfService.has(failureDomain));
+		if (servers.length === 0) {
+			observer.recordEnd({type: 'refused', reason: refusalReasons.noBackendServer, retryAfterMs});
+			return;
+		}
+
+		observer.recordAttempt();
+		if (request.promptTokens + request.maxTokens > this.world.deployment.engine.kvTokens) {
+			this.#runOnGroup(request, entry, observer, servers);
+			return;
+		}
+
+		const server = this.#selectServer(entry, servers);
+		tried.add(server.id);
+		this.#count(entry, server.id, 1);
+		this.#submit(request, entry, server, {
+			observer,
+			retry: () => {
+				this.#runAttempt(request, entry, observer, tried);
+			},
+			canRetry: tried.size < maxAttempts,
+		});
+	}
+
+	#submit(request: TraceRequest, entry: Entry, server: SimulatedServer, {observer, retry, canRetry}: {observer: RequestObserver; retry: () => void; canRetry: boolean}): void {
+		let hasFirstToken = false;
+		const fail = (event: WorkAnswer | WorkEvent) => {
+			this.#count(entry, server.id, -1);
+			const isRefused = event === 'overloaded' || event === 'outOfMemory';
+			if (canRetry && !hasFirstToken && event !== 'expired') {
+				retry();
+			} else {
+				observer.recordEnd(isRefused
+					? {type: 'refused', reason: refusalReasons.backendRefused, retryAfterMs}
+					: {type: 'failed', reason: event === 'expired' ? refusalReasons.deadlineExceeded : refusalReasons.backendFailed});
+			}
+		};
+
+		this.world.submit(entry, server, {
+			requestId: request.id,
+			attemptId: `a${++this.#sequence}`,
+			kind: 'generate',
+			promptTokens: request.promptTokens,
+			maxTokens: request.maxTokens,
+			answerTokens: request.answerTokens,
+			priority: 0,
+			deadlineAt: request.at + request.deadlineMs,
+			blocks: request.blocks,
+			importTokens: 0,
+		}, {
+			answer(answer) {
+				if (answer !== 'accepted') {
+					fail(answer);
+				}
+			},
+			event: event => {
+				if (event === 'firstToken') {
+					hasFirstToken = true;
+					observer.recordFirstToken();
+				} else if (event === 'finished') {
+					this.#count(entry, server.id, -1);
+					observer.recordEnd({type: 'completed'});
+				} else {
+					fail(event);
+				}
+			},
+		});
+	}
+
+	/** Groups are formed as in the product, with half of the memory taken as free, because nothing tells an entry what others use. */
+	#runOnGroup(request: TraceRequest, entry: Entry, observer: RequestObserver, servers: readonly SimulatedServer[]): void {
+		const start = this.#selectServer(entry, servers);
+		const {kvTokens} = this.world.deployment.engine;
+		const plan = selectGroup({
+			promptTokens: request.promptTokens,
+			maxTokens: request.maxTokens,
+			servers: servers.filter(({failureDomain}) => failureDomain === start.failureDomain)
+				.map(({id, failureDomain}) => ({
+					id, failureDomain, kvTokensFree: kvTokens * assumedFreeShare, maxSegmentTokens: kvTokens,
+				})),
+		});
+		if (!plan.ok) {
+			observer.recordEnd({type: 'refused', reason: refusalReasons.groupUnavailable, retryAfterMs});
+			return;
+		}
+
+		new GroupRun(this.world, entry, {
+			request,
+			attemptId: `a${++this.#sequence}`,
+			members: plan.value.members,
+			deadlineAt: request.at + request.deadlineMs,
+			getPermit: () => undefined,
+			recordSegment: () => undefined,
+			recordFirstToken: observer.recordFirstToken,
+			recordEnd(end) {
+				const ends = {
+					finished: {type: 'completed'},
+					unreserved: {type: 'refused', reason: refusalReasons.groupUnavailable, retryAfterMs},
+					failed: {type: 'failed', reason: refusalReasons.backendFailed},
+					expired: {type: 'failed', reason: refusalReasons.deadlineExceeded},
+				} as const;
+				observer.recordEnd(ends[end]);
+			},
+		}).start();
+	}
+
+	#count(entry: Entry, serverId: string, change: 1 | -1): void {
+		entry.outstanding.set(serverId, (entry.outstanding.get(serverId) ?? 0) + change);
+	}
+
+	#compareServers(entry: Entry, left: SimulatedServer, right: SimulatedServer): number {
+		return (entry.outstanding.get(left.id) ?? 0) - (entry.outstanding.get(right.id) ?? 0);
+	}
+
+	#selectServer(entry: Entry, servers: readonly SimulatedServer[]): SimulatedServer {
+		if (this.name === 'random') {
+			return servers[Math.floor(uniformFloat64(this.#random) * servers.length)]!;
+		}
+
+		const rotated = entry.next++ % servers.length;
+		if (this.name === 'round robin') {
+			return servers[rotated]!;
+		}
+
+		// Ties are broken in turn, so that an idle entry does not always use the first server.
+		const order = [...servers.slice(rotated), ...servers.slice(0, rotated)];
+		return order.toSorted((left, right) => this.#compareServers(entry, left, right))[0]!;
+	}
+}
--- /dev/null
+++ b/packages/testkit/src/simulation/core-policy.ts
@@ -0,0 +1,77 @@
+import {hashRendezvous, type AdmissionOptions, type LongPromptPoolOptions} from '@knapweedrack/core';
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {CoreEntry} from './core-entry.js';
+import {CoreRequestRun} from './core-request-run.js';
+import type {TraceRequest} from './load-trace.js';
+import {OwnedPoint} from './owned-point.js';
+import {
+	availabilityLagMs, type Policy, type RequestObserver, type SimulationWorld,
+} from './simulation-world.js';
+import type {CacheFeedItem, SimulatedServer} from './simulated-server.js';
+
+/** Settings of the core that a run can change. */
+export type CorePolicyOptions = {admission?: AdmissionOptions; longPool?: LongPromptPoolOptions};
+
+const cacheEventDelayMs = 500;
+const cacheEventLossRate = 0.05;
+const renewMs = 3000;
+
+/** The decisions of the core, with each server owned by one entry of its failure domain. */
+export class CorePolicy implements Policy {
+	readonly #points = new Map<string, OwnedPoint>();
+	readonly #entries: CoreEntry[];
+	readonly #random;
+
+	constructor(private readonly world: SimulationWorld, seed: number, options: CorePolicyOptions = {}) {
+		this.#random = xoroshiro128plus(seed);
+		this.#entries = world.entries.map(place => new CoreEntry(world, place, this.#points, options.longPool));
+		for (const server of world.servers) {
+			const owner = this.#selectOwner(server);
+			this.#points.set(server.id, new OwnedPoint(world, owner.place, server, options.admission ?? {}));
+			server.publishCache = items => {
+				this.#publishCache(server, items);
+			};
+		}
+	}
+
+	start(): void {
+		for (const point of this.#points.values()) {
+			point.start();
+		}
+
+		this.world.clock.scheduleEvery(renewMs, () => {
+			for (const entry of this.#entries) {
+				entry.renewPermits();
+			}
+		});
+	}
+
+	setDomainInService(failureDomain: string, isInService: boolean): void {
+		for (const entry of this.#entries) {
+			this.world.clock.scheduleIn(availabilityLagMs * uniformFloat64(this.#random), () => {
+				entry.setDomainInService(failureDomain, isInService);
+			});
+		}
+	}
+
+	handle(request: TraceRequest, entryIndex: number, observer: RequestObserver): void {
+		new CoreRequestRun(this.world, this.#entries[entryIndex]!, request, observer).start();
+	}
+
+	#selectOwner(server: SimulatedServer): CoreEntry {
+		const near = this.#entries.filter(({place}) => place.failureDomain === server.failureDomain);
+		return near.toSorted((left, right) => hashRendezvous(server.id, right.place.id) - hashRendezvous(server.id, left.place.id))[0]!;
+	}
+
+	/** Each entry receives the events late and loses some of them. */
+	#publishCache(server: SimulatedServer, items: CacheFeedItem[]): void {
+		const {bootId} = server;
+		for (const entry of this.#entries) {
+			const received = items.filter(() => uniformFloat64(this.#random) >= cacheEventLossRate);
+			this.world.clock.scheduleIn(cacheEventDelayMs, () => {
+				entry.prefixes.applyEvents(server.id, bootId, received, this.world.clock.now);
+			});
+		}
+	}
+}
--- /dev/null
+++ b/packages/testkit/src/simulation/load-trace.ts
@@ -0,0 +1,193 @@
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {prefixBlockTokens} from '../engine/hashes.js';
+import {computeCapacity, type SimulatedDeployment, type SimulatedWorkspace} from './simulated-deployment.js';
+
+/** One request of a trace; times in ms. */
+export type TraceRequest = {
+	id: string;
+	at: number;
+	workspace: SimulatedWorkspace;
+	/** From 0 to 1; selects the entry that the caller uses. */
+	entryDraw: number;
+	promptTokens: number;
+	maxTokens: number;
+	/** Tokens that are generated, at most `maxTokens`. */
+	answerTokens: number;
+	firstTokenMs: number;
+	deadlineMs: number;
+	/** Hashes of the full prefix blocks. */
+	blocks: string[];
+};
+
+/** Prompt lengths that are generated and reported together. */
+export type PromptLengthClass = {
+	name: string;
+	/** Tokens, inclusive and exclusive. */
+	from: number;
+	to: number;
+	/** Requests out of 100. */
+	share: number;
+	firstTokenMs: number;
+	deadlineMs: number;
+};
+
+/** Length classes of the load; the last one has 1 in 50 prompts. */
+export const promptLengthClasses: readonly PromptLengthClass[] = [
+	{
+		name: 'short (under 4k)', from: 500, to: 4000, share: 70, firstTokenMs: 600, deadlineMs: 15_000,
+	},
+	{
+		name: '4k to 32k', from: 4000, to: 32_000, share: 20, firstTokenMs: 10_000, deadlineMs: 60_000,
+	},
+	{
+		name: '32k to 100k', from: 32_000, to: 100_000, share: 8, firstTokenMs: 10_000, deadlineMs: 60_000,
+	},
+	{
+		name: 'long (over 100k)', from: 100_000, to: 1_000_000, share: 2, firstTokenMs: 120_000, deadlineMs: 300_000,
+	},
+];
+
+/** Prompts from this length on count as long. */
+export const longFromTokens = 100_000;
+
+/** Index of the length class of a prompt. */
+export const findLengthClass = (promptTokens: number): number =>
+	Math.max(0, promptLengthClasses.findLastIndex(({from}) => promptTokens >= from));
+
+/** Shape of a load. */
+export type LoadOptions = {
+	deployment: SimulatedDeployment;
+	seed: number;
+	/** Offered prefill tokens, without repeated prefixes, as a share of the capacity. */
+	load: number;
+	durationMs: number;
+	/** Short requests in one burst of one workspace. */
+	burstSize: number;
+	/** Probability that a request starts a burst. */
+	burstRate: number;
+};
+
+/** Bursts of the mixed load. */
+export const mixedBursts = {burstSize: 20, burstRate: 0.004} as const;
+const burstMs = 500;
+const repeatedShare = 0.5;
+const prefixesPerWorkspace = 4;
+const largestSharedTokens = 65_536;
+const sharedPromptShare = 0.7;
+const longestAnswer = 128;
+const shortestAnswer = 16;
+
+/** Draws the requests of one seed; a higher load is a longer part of the same sequence in the same time. */
+class LoadGenerator {
+	readonly #random;
+	#sequence = 0;
+
+	constructor(private readonly options: LoadOptions) {
+		this.#random = xoroshiro128plus(options.seed);
+	}
+
+	/** Returns requests in order of time. */
+	list(): TraceRequest[] {
+		const {deployment, load, durationMs, burstRate, burstSize} = this.options;
+		const budget = load * computeCapacity(deployment) * durationMs / 1000;
+		const requests: TraceRequest[] = [];
+		let offered = 0;
+		let at = 0;
+		const bursts: Array<{start: number; end: number}> = [];
+		while (offered < budget) {
+			at -= Math.log(1 - this.#draw());
+			const request = this.#createRequest(at, this.#selectClass(), this.#selectWorkspace());
+			requests.push(request);
+			offered += countUniqueTokens(request);
+			if (this.#draw() < burstRate) {
+				const start = requests.length;
+				for (let index = 0; index < burstSize; index++) {
+					const short = this.#createRequest(at, promptLengthClasses[0]!, request.workspace);
+					requests.push(short);
+					offered += countUniqueTokens(short);
+				}
+
+				bursts.push({start, end: requests.length});
+			}
+		}
+
+		this.#applyTimes(requests, bursts, durationMs / at);
+		return requests.toSorted((left, right) => left.at - right.at);
+	}
+
+	#applyTimes(requests: TraceRequest[], bursts: ReadonlyArray<{start: number; end: number}>, scale: number): void {
+		for (const request of requests) {
+			request.at *= scale;
+		}
+
+		for (const {start, end} of bursts) {
+			for (const [index, request] of requests.slice(start, end).entries()) {
+				request.at += index * burstMs / (end - start);
+			}
+		}
+	}
+
+	#draw(): number {
+		return uniformFloat64(this.#random);
+	}
+
+	#selectClass(): PromptLengthClass {
+		return this.#selectByShare(promptLengthClasses, ({share}) => share);
+	}
+
+	#selectWorkspace(): SimulatedWorkspace {
+		return this.#selectByShare(this.options.deployment.workspaces, ({demand}) => demand);
+	}
+
+	#selectByShare<Item>(items: readonly Item[], getShare: (item: Item) => number): Item {
+		let left = this.#draw() * items.reduce((sum, item) => sum + getShare(item), 0);
+		for (const item of items) {
+			left -= getShare(item);
+			if (left < 0) {
+				return item;
+			}
+		}
+
+		return items[0]!;
+	}
+
+	#createRequest(at: number, {from, to, firstTokenMs, deadlineMs}: PromptLengthClass, workspace: SimulatedWorkspace): TraceRequest {
+		const id = `r${++this.#sequence}`;
+		// Lengths are spread evenly over the logarithm.
+		const promptTokens = Math.floor(from * ((to / from) ** this.#draw()));
+		const isRepeated = this.#draw() < repeatedShare;
+		const prefix = Math.floor(this.#draw() * prefixesPerWorkspace);
+		const sharedTokens = isRepeated ? Math.min(largestSharedTokens, promptTokens * sharedPromptShare) : 0;
+		const sharedBlocks = Math.floor(sharedTokens / prefixBlockTokens);
+		return {
+			id,
+			at,
+			workspace,
+			entryDraw: this.#draw(),
+			promptTokens,
+			maxTokens: longestAnswer,
+			answerTokens: shortestAnswer + Math.floor(this.#draw() * (longestAnswer - shortestAnswer)),
+			firstTokenMs,
+			deadlineMs,
+			blocks: Array.from({length: Math.floor(promptTokens / prefixBlockTokens)}, (_, index) => index < sharedBlocks
+				? `${sharedPrefix}${workspace.id}.${prefix}:${index}`
+				: `${id}:${index}`),
+		};
+	}
+}
+
+const sharedPrefix = 'shared.';
+
+/** Prompt tokens that are not part of a repeated prefix. */
+export const countUniqueTokens = ({promptTokens, blocks}: TraceRequest): number => {
+	const firstOwn = blocks.findIndex(block => !block.startsWith(sharedPrefix));
+	return promptTokens - ((firstOwn === -1 ? blocks.length : firstOwn) * prefixBlockTokens);
+};
+
+/** Generates a load; the same options give the same requests. */
+export const createLoadTrace = (options: LoadOptions): TraceRequest[] => new LoadGenerator(options).list();
+
+/** The same trace without its long prompts. */
+export const removeLongPrompts = (trace: readonly TraceRequest[]): TraceRequest[] =>
+	trace.filter(({promptTokens}) => promptTokens < longFromTokens);
--- /dev/null
+++ b/packages/testkit/src/simulation/owned-point.ts
@@ -0,0 +1,82 @@
+import {
+	AdmissionPoint,
+	type AdmissionEvent, type AdmissionOptions, type PermitReply, type PermitRequest,
+} from '@knapweedrack/core';
+import type {EntryPlace, SimulationWorld} from './simulation-world.js';
+import type {SimulatedServer} from './simulated-server.js';
+
+const reportPeriodMs = 500;
+/** Age in ms of the load figures of a report. */
+const reportLagMs = 250;
+const tickMs = 25;
+/** Warm-up factor that no longer restricts the server. */
+const warmFactor = 1024;
+
+/** Admission point of one server at its owner, with the polling of the server's reports. */
+export class OwnedPoint {
+	/** True while the failure domain of the server is out of service as far as the owner knows. */
+	isOutOfService = false;
+	readonly point: AdmissionPoint;
+	readonly #replies = new Map<string, (reply: PermitReply) => void>();
+
+	constructor(private readonly world: SimulationWorld, readonly owner: EntryPlace, readonly server: SimulatedServer, options: AdmissionOptions) {
+		this.point = new AdmissionPoint(server.profile, {
+			fencingNumber: 1, ...options, handover: {bootId: server.bootId, factor: warmFactor},
+		});
+	}
+
+	start(): void {
+		this.#poll(0);
+		this.world.clock.scheduleEvery(reportPeriodMs, () => {
+			this.#poll(reportLagMs);
+		});
+		this.world.clock.scheduleEvery(tickMs, () => {
+			this.handle({type: 'tick'});
+		});
+	}
+
+	/** Asks for a permit; the reply is given at the owner. */
+	request(request: PermitRequest, reply: (reply: PermitReply) => void): void {
+		this.#replies.set(request.attemptId, reply);
+		this.handle({type: 'request', request});
+	}
+
+	handle(event: AdmissionEvent): void {
+		for (const command of this.point.handle(event, this.world.clock.now)) {
+			if (command.type === 'cancel') {
+				this.world.send(this.owner, this.server, () => {
+					this.server.cancel(command.requestId);
+				});
+				continue;
+			}
+
+			const attemptId = command.type === 'grant' ? command.permit.attemptId : command.attemptId;
+			const reply = this.#replies.get(attemptId);
+			this.#replies.delete(attemptId);
+			const {load} = this.point;
+			reply?.(command.type === 'grant'
+				? {type: 'granted', permit: command.permit, load}
+				: {
+					type: 'refused', reason: command.reason, retryAfterMs: command.retryAfterMs, load,
+				});
+		}
+	}
+
+	/** Owner that knows that the server's failure domain left service stops granting, as for a server that is leaving. */
+	setOutOfService(isOutOfService: boolean): void {
+		this.isOutOfService = isOutOfService;
+		this.#poll(0);
+	}
+
+	#poll(lagMs: number): void {
+		const state = () => this.isOutOfService ? 'leaving' as const : 'live' as const;
+		const report = this.server.createReport(state());
+		this.world.clock.scheduleIn(lagMs, () => {
+			const present = report?.bootId === this.server.bootId ? report : this.server.createReport(state());
+			if (present !== undefined && !this.server.isDown) {
+				this.handle({type: 'report', report: {...present, state: state()}});
+			}
+		});
+	}
+}
+
--- /dev/null
+++ b/packages/testkit/src/simulation/run-simulation.ts
@@ -0,0 +1,145 @@
+import {BaselinePolicy, type BaselineName} from './baseline-policy.js';
+import {CorePolicy, type CorePolicyOptions} from './core-policy.js';
+import type {TraceRequest} from './load-trace.js';
+import type {SimulatedDeployment} from './simulated-deployment.js';
+import {
+	availabilityLagMs, SimulationWorld, type Policy, type RequestEnd, type RequestResult,
+} from './simulation-world.js';
+import type {SimulatedServer} from './simulated-server.js';
+import {VirtualClock} from './virtual-clock.js';
+
+/** Policy of the product, or a baseline. */
+export type PolicyName = 'core' | BaselineName;
+
+/** What happens during a run; times in ms after the start of the trace. */
+export type SimulationEvent =
+	| {at: number; type: 'domain'; failureDomain: string; isInService: boolean}
+	/** All servers are cold and lose their work. */
+	| {at: number; type: 'cold'};
+
+/** Facts of one run. */
+export type SimulationOptions = {
+	deployment: SimulatedDeployment;
+	policy: PolicyName;
+	trace: readonly TraceRequest[];
+	seed: number;
+	events?: readonly SimulationEvent[];
+	core?: CorePolicyOptions;
+};
+
+/** What happened in one run; times in ms after the start of the trace. */
+export type SimulationResult = {
+	results: RequestResult[];
+	/** Crashes of engines that were given more than they could take while cold. */
+	crashes: number;
+	/** Times at which work was submitted last before each event, by failure domain. */
+	lastSubmits: Array<{event: SimulationEvent; byDomain: Record<string, number>}>;
+	durationMs: number;
+};
+
+/** Time before the trace, in which reports arrive. */
+const leadMs = 1000;
+/** Time in ms for which callers keep the list of entries. */
+const callerKeepMs = 2000;
+
+const createPolicy = (world: SimulationWorld, {policy, seed, core}: SimulationOptions): Policy => policy === 'core'
+	? new CorePolicy(world, seed, core)
+	: new BaselinePolicy(world, policy, seed);
+
+/** One run of a trace in virtual time. */
+class Simulation {
+	readonly #clock = new VirtualClock();
+	readonly #world: SimulationWorld;
+	readonly #policy: Policy;
+	readonly #results: RequestResult[] = [];
+	readonly #lastSubmits: SimulationResult['lastSubmits'] = [];
+	/** Failure domains that callers do not use any more. */
+	readonly #avoided = new Set<string>();
+
+	constructor(private readonly options: SimulationOptions) {
+		this.#world = new SimulationWorld(options.deployment, this.#clock);
+		this.#policy = createPolicy(this.#world, options);
+	}
+
+	run(): SimulationResult {
+		for (const server of this.#world.servers) {
+			server.resetToWarm();
+		}
+
+		this.#policy.start();
+		for (const request of this.options.trace) {
+			this.#clock.schedule(leadMs + request.at, () => {
+				this.#send({...request, at: leadMs + request.at});
+			});
+		}
+
+		for (const event of this.options.events ?? []) {
+			this.#clock.schedule(leadMs + event.at, () => {
+				this.#apply(event);
+			});
+		}
+
+		this.#clock.run(Infinity, () => this.#results.length === this.options.trace.length);
+		return {
+			results: this.#results,
+			crashes: this.#world.servers.reduce((sum, {crashes}) => sum + crashes, 0),
+			lastSubmits: this.#lastSubmits,
+			durationMs: this.#clock.now - leadMs,
+		};
+	}
+
+	#send(request: TraceRequest): void {
+		const {fromCallerMs} = this.options.deployment.delays;
+		const usable = this.#world.entries.map(({failureDomain}, index) => ({failureDomain, index}))
+			.filter(({failureDomain}) => !this.#avoided.has(failureDomain));
+		const {index} = usable[Math.floor(request.entryDraw * usable.length)]!;
+		const result: Omit<RequestResult, 'end'> = {request: {...request, at: request.at - leadMs}, attempts: 0, endMs: 0};
+		const observer = {
+			recordAttempt() {
+				result.attempts++;
+			},
+			recordFirstToken: () => {
+				result.firstTokenMs ??= this.#clock.now - request.at + fromCallerMs;
+			},
+			recordEnd: (end: RequestEnd) => {
+				result.endMs = this.#clock.now - request.at + fromCallerMs;
+				this.#results.push({...result, end});
+			},
+		};
+		this.#clock.scheduleIn(fromCallerMs, () => {
+			this.#policy.handle(request, index, observer);
+		});
+	}
+
+	#apply(event: SimulationEvent): void {
+		this.#recordSubmits(event);
+		if (event.type === 'cold') {
+			for (const server of this.#world.servers) {
+				server.resetToCold();
+			}
+
+			return;
+		}
+
+		this.#policy.setDomainInService(event.failureDomain, event.isInService);
+		this.#clock.scheduleIn(availabilityLagMs + callerKeepMs, () => {
+			if (event.isInService) {
+				this.#avoided.delete(event.failureDomain);
+			} else {
+				this.#avoided.add(event.failureDomain);
+			}
+		});
+	}
+
+	#recordSubmits(event: SimulationEvent): void {
+		const byDomain: Record<string, number> = {};
+		for (const {failureDomain, lastSubmittedAt} of this.#world.servers) {
+			byDomain[failureDomain] = Math.max(byDomain[failureDomain] ?? -Infinity, lastSubmittedAt - leadMs);
+		}
+
+		this.#lastSubmits.push({event, byDomain});
+	}
+}
+
+/** Runs a trace until every request has its end. */
+export const runSimulation = (options: SimulationOptions): SimulationResult => new Simulation(options).run();
--- /dev/null
+++ b/packages/testkit/src/simulation/run-summary.ts
@@ -0,0 +1,164 @@
+import {build as buildHistogram} from 'hdr-histogram-js';
+import {findLengthClass, longFromTokens, promptLengthClasses} from './load-trace.js';
+import type {RequestResult} from './simulation-world.js';
+
+/** Time to first token of one length class in ms. */
+export type ClassFigures = {
+	name: string;
+	requests: number;
+	completed: number;
+	medianMs: number;
+	p95Ms: number;
+	maxMs: number;
+};
+
+/** Refusals with one reason; times in ms from the sending of the request to the refusal. */
+export type RefusalFigures = {reason: string; count: number; medianMs: number; maxMs: number};
+
+/** Prompt tokens of one workspace that were completed in time, as a share of its entitlement. */
+export type WorkspaceFigures = {workspaceId: string; offeredTokens: number; servedTokens: number; entitledTokens: number};
+
+/** Figures of one run. */
+export type RunFigures = {
+	requests: number;
+	completed: number;
+	classes: ClassFigures[];
+	/** Requests and tokens per second that finished within their deadline during the trace. */
+	goodRequestsPerSecond: number;
+	goodTokensPerSecond: number;
+	refusals: RefusalFigures[];
+	/** Failures after the start on a backend server, by reason. */
+	failures: Record<string, number>;
+	/** Requests that ended after their deadline, completed or not. */
+	late: number;
+	/** Long prompts that were admitted and did not complete within their deadline. */
+	starvedLong: number;
+	admittedLong: number;
+	refusedLong: number;
+	/** Jain's index of the workspaces' served shares of their entitlements; 1 is fair. */
+	fairness: number;
+	workspaces: WorkspaceFigures[];
+};
+
+const toTenths = 10;
+
+/** Percentiles of times in ms, to a tenth; 0 without values. */
+export const computeTimes = (values: readonly number[]): {medianMs: number; p95Ms: number; maxMs: number} => {
+	const histogram = buildHistogram({numberOfSignificantValueDigits: 3});
+	for (const value of values) {
+		histogram.recordValue(Math.max(0, Math.round(value * toTenths)));
+	}
+
+	const get = (percentile: number) => values.length === 0 ? 0 : histogram.getValueAtPercentile(percentile) / toTenths;
+	return {medianMs: get(50), p95Ms: get(95), maxMs: get(100)};
+};
+
+const isGood = ({end, endMs, request}: RequestResult): boolean => end.type === 'completed' && endMs <= request.deadlineMs;
+
+const listFirstTokens = (results: readonly RequestResult[]): number[] => results.flatMap(({firstTokenMs}) => firstTokenMs ?? []);
+
+const computeClasses = (results: readonly RequestResult[]): ClassFigures[] => promptLengthClasses.map(({name}, index) => {
+	const members = results.filter(({request}) => findLengthClass(request.promptTokens) === index);
+	return {
+		name, requests: members.length, completed: members.filter(result => isGood(result)).length, ...computeTimes(listFirstTokens(members)),
+	};
+});
+
+const computeRefusals = (results: readonly RequestResult[]): RefusalFigures[] => {
+	const times = new Map<string, number[]>();
+	for (const {end, endMs} of results) {
+		if (end.type === 'refused') {
+			times.set(end.reason, [...times.get(end.reason) ?? [], endMs]);
+		}
+	}
+
+	return [...times].map(([reason, values]) => {
+		const {medianMs, maxMs} = computeTimes(values);
+		return {
+			reason, count: values.length, medianMs, maxMs,
+		};
+	});
+};
+
+const countFailures = (results: readonly RequestResult[]): Record<string, number> => {
+	const counts: Record<string, number> = {};
+	for (const {end} of results) {
+		if (end.type === 'failed') {
+			counts[end.reason] = (counts[end.reason] ?? 0) + 1;
+		}
+	}
+
+	return counts;
+};
+
+/** Divides tokens by weight; nobody gets more than it offered (max-min fairness). */
+const computeEntitlements = (offers: ReadonlyArray<{offered: number; weight: number}>, served: number): number[] => {
+	const entitled = offers.map(() => 0);
+	let open = offers.map((_, index) => index);
+	let left = served;
+	while (open.length > 0 && left > 0) {
+		const weight = open.reduce((sum, index) => sum + offers[index]!.weight, 0);
+		const fill = Math.min(left / weight, ...open.map(index => (offers[index]!.offered - entitled[index]!) / offers[index]!.weight));
+		for (const index of open) {
+			entitled[index]! += fill * offers[index]!.weight;
+		}
+
+		left -= fill * weight;
+		const next = open.filter(index => entitled[index]! < offers[index]!.offered - 1e-6);
+		if (next.length === open.length) {
+			break;
+		}
+
+		open = next;
+	}
+
+	return entitled;
+};
+
+const computeWorkspaces = (results: readonly RequestResult[]): WorkspaceFigures[] => {
+	const byId = new Map<string, {weight: number; offered: number; served: number}>();
+	for (const result of results) {
+		const {workspace, promptTokens} = result.request;
+		const sums = byId.get(workspace.id) ?? {weight: workspace.weight, offered: 0, served: 0};
+		sums.offered += promptTokens;
+		sums.served += isGood(result) ? promptTokens : 0;
+		byId.set(workspace.id, sums);
+	}
+
+	const offers = [...byId.values()];
+	const entitled = computeEntitlements(offers, offers.reduce((sum, {served}) => sum + served, 0));
+	return [...byId].map(([workspaceId, {offered, served}], index) => ({
+		workspaceId, offeredTokens: offered, servedTokens: served, entitledTokens: Math.round(entitled[index]!),
+	}));
+};
+
+/** Jain's index of shares; 1 when all are equal. */
+export const computeJainIndex = (shares: readonly number[]): number => {
+	const sum = shares.reduce((total, share) => total + share, 0);
+	const squares = shares.reduce((total, share) => total + (share ** 2), 0);
+	return squares === 0 ? 1 : (sum ** 2) / (shares.length * squares);
+};
+
+/** Computes the figures of a run; `traceMs` is the time over which requests arrived. */
+export const computeRunFigures = (results: readonly RequestResult[], traceMs: number): RunFigures => {
+	const good = results.filter(result => isGood(result));
+	const inTime = good.filter(({request, endMs}) => request.at + endMs <= traceMs);
+	const long = results.filter(({request}) => request.promptTokens >= longFromTokens);
+	const admittedLong = long.filter(({end}) => end.type !== 'refused');
+	const workspaces = computeWorkspaces(results);
+	return {
+		requests: results.length,
+		completed: good.length,
+		classes: computeClasses(results),
+		goodRequestsPerSecond: inTime.length * 1000 / traceMs,
+		goodTokensPerSecond: inTime.reduce((sum, {request}) => sum + request.promptTokens + request.answerTokens, 0) * 1000 / traceMs,
+		refusals: computeRefusals(results),
+		failures: countFailures(results),
+		late: results.filter(({end, endMs, request}) => end.type !== 'refused' && endMs >= request.deadlineMs).length,
+		starvedLong: admittedLong.filter(result => !isGood(result)).length,
+		admittedLong: admittedLong.length,
+		refusedLong: long.length - admittedLong.length,
+		fairness: computeJainIndex(workspaces.map(({servedTokens, entitledTokens}) => entitledTokens === 0 ? 1 : servedTokens / entitledTokens)),
+		workspaces,
+	};
+};
