Count the whole prompt on warming servers and let prompts over one engine's memory reach a group

Cause: (1) an entry's known prefix was from before a restart, so a cold engine got 9,296 prefill tokens with a permit for 7,248 and crashed. The permit request now carries the whole prompt, which counts until the server is warm. Unknown memory is now taken as the largest known, and the refusal is retried while another server or a group is left. Ruled out for (1): permits of the former boot; the engine refuses them.

--- a/packages/core/src/admission/admission-point.test.ts
+++ b/packages/core/src/admission/admission-point.test.ts
@@ -49,6 +49,14 @@
 			expect(listGrants(point.handle({type: 'report', report: createReport()}, 10))).to.have.length(1);
 		});
 
+		// Guards against a crash: the cached prefix that an entry knows is gone with the former boot.
+		it('counts the whole prompt while the server is not warm', () => {
+			const point = createPoint({}, coldProfile);
+			const fields = {prefillTokens: 3000, promptTokens: 5000, kvTokens: 5100};
+			expect(listRefusals(request(point, 1, 'a', fields))).to.have.length(1);
+			expect(listGrants(request(createPoint(), 1, 'a', fields))).to.have.length(1);
+		});
+
 		// Guards against permits that outlive the engine process they were issued for.
 		it('drops all permits of a former boot id and returns to the cold bounds', () => {
 			const point = createPoint({}, coldProfile);
--- a/packages/core/src/admission/admission-point.ts
+++ b/packages/core/src/admission/admission-point.ts
@@ -235,7 +235,12 @@
 	}
 
 	#isFitting(request: PermitRequest, bounds: AdmissionBounds): boolean {
-		return bounds.concurrency >= 1 && request.kvTokens <= bounds.kvTokens && request.prefillTokens <= bounds.prefillTokens;
+		return bounds.concurrency >= 1 && request.kvTokens <= bounds.kvTokens && this.#countPrefill(request) <= bounds.prefillTokens;
+	}
+
+	/** The cached prefix that an entry knows may be from before a restart, so it does not count while the server warms up. */
+	#countPrefill({prefillTokens, promptTokens}: PermitRequest): number {
+		return this.#warmup.isWarm ? prefillTokens : Math.max(prefillTokens, promptTokens ?? 0);
 	}
 
 	#handleRenew(permitId: string): void {
@@ -498,7 +503,7 @@
 		const ledger = this.#ledger;
 		return ledger.concurrency + 1 <= this.#computeConcurrencyBound(bounds, claim)
 			&& ledger.kvTokens + request.kvTokens <= this.#computeKvBound(bounds, claim)
-			&& ledger.prefillTokens + request.prefillTokens <= bounds.prefillTokens
+			&& ledger.prefillTokens + this.#countPrefill(request) <= bounds.prefillTokens
 			&& this.#hasLaneRoom(request, lane, bounds);
 	}
 
@@ -565,7 +570,7 @@
 			permit,
 			lane,
 			kvTokens: request.kvTokens,
-			prefillInFlight: request.prefillTokens,
+			prefillInFlight: this.#countPrefill(request),
 			decodeTokens: request.decodeTokens,
 			grantedAt: this.#now,
 			firstTokenAt: undefined,
--- a/packages/core/src/retry/decide-retry.ts
+++ b/packages/core/src/retry/decide-retry.ts
@@ -61,7 +61,6 @@
 /** Reasons of the last attempt that no other backend server can change. */
 const finalReasons: ReadonlySet<RefusalReason> = new Set([
 	refusalReasons.badRequest,
-	refusalReasons.promptTooLong,
 	refusalReasons.callerGone,
 	refusalReasons.quarantined,
 	refusalReasons.deadlineExceeded,
--- a/packages/core/src/retry/retry.test.ts
+++ b/packages/core/src/retry/retry.test.ts
@@ -44,6 +44,9 @@
 		expect(decide({sentBytes: false, reason: 'queue_full'})).to.include({reason: 'permit_refused'});
 		expect(decide({sentBytes: false, reason: 'owner_unreachable'})).to.include({reason: 'owner_unreachable'});
 		expect(decide({sentBytes: false, reason: 'ownership_disputed'})).to.include({reason: 'ownership_changed'});
+		// The memory of a server may be unknown until it refuses; another server or a group can still hold the prompt.
+		expect(decide({sentBytes: false, reason: 'prompt_too_long'})).to.deep.equal({type: 'retry', reason: 'permit_refused'});
+		expect(decide({sentBytes: false, reason: 'prompt_too_long'}, {candidatesLeft: 0})).to.deep.equal({type: 'give_up', reason: 'prompt_too_long'});
 		expect(decide({completed: true})).to.deep.equal({type: 'finish'});
 	});
 });
--- a/packages/core/src/routing/routing.test.ts
+++ b/packages/core/src/routing/routing.test.ts
@@ -1,7 +1,9 @@
 import {expect} from 'chai';
 import type {LoadSnapshot} from '../types/index.js';
 import {LongPromptPool} from './long-prompt-pool.js';
-import {selectCandidates, type RoutingInput, type RoutingServer} from './select-candidates.js';
+import {
+	applyAssumedMemory, selectCandidates, type RoutingInput, type RoutingServer,
+} from './select-candidates.js';
 
 const createLoad = (serverId: string, firstTokenMs: number, concurrencyLimit = 8): LoadSnapshot => ({
 	serverId, queuedPrefillTokens: 0, runningPrefillTokens: 0, kvTokensUsed: 0, kvTokens: 1_000_000, running: 0, concurrencyLimit,
@@ -27,6 +29,13 @@
 		expect(select(servers, {excluded: new Set(['s0', 's1', 's2'])})).to.be.empty;
 	});
 
+	// Guards against the refusal of a prompt for a group by a server whose memory is not known yet.
+	it('assumes that servers of unknown memory are no larger than the known ones', () => {
+		const servers = applyAssumedMemory(createServers(4, index => ({kvTokens: index === 0 ? 1500 : undefined})));
+		expect(servers.map(({kvTokens}) => kvTokens)).to.deep.equal([1500, 1500, 1500, 1500]);
+		expect(select(servers)).to.be.empty;
+	});
+
 	// Guards against a prefill that a cache would have saved.
 	it('prefers the server with the longest cached prefix and subtracts it from the cost', () => {
 		const [first] = select(createServers(10, index => ({cachedTokens: index === 7 ? 3072 : 0})));
--- a/packages/core/src/routing/select-candidates.ts
+++ b/packages/core/src/routing/select-candidates.ts
@@ -60,6 +60,16 @@
 /** Age in ms at which a known load says nothing any more. */
 const loadMaxAgeMs = 5000;
 
+/**
+ * Fills in the KV memory of servers that have not reported it with the largest known one.
+ * Servers of one model are alike; without this a prompt for a group is refused by the first server of unknown memory.
+ */
+export const applyAssumedMemory = (servers: readonly RoutingServer[]): RoutingServer[] => {
+	const known = servers.flatMap(({kvTokens}) => kvTokens ?? []);
+	const assumed = known.length === 0 ? undefined : Math.max(...known);
+	return servers.map(server => server.kvTokens === undefined ? {...server, kvTokens: assumed} : server);
+};
+
 type Scored = {server: RoutingServer; loadMs: number};
 
 const estimateLoadMs = (server: RoutingServer, isLong: boolean, now: number): number | undefined => {
--- a/packages/core/src/types/permit.ts
+++ b/packages/core/src/types/permit.ts
@@ -18,6 +18,8 @@
 	priority: Priority;
 	/** Estimated prompt tokens that are not in the server's prefix cache. */
 	prefillTokens: number;
+	/** Whole prompt in tokens, counted while the server warms up, because its cache may be empty; `prefillTokens` when missing. */
+	promptTokens?: number | undefined;
 	/** Expected number of generated tokens. */
 	decodeTokens: number;
 	/** KV cache tokens held until the end of the attempt. */
--- a/packages/entry/src/callers/attempt-loop.ts
+++ b/packages/entry/src/callers/attempt-loop.ts
@@ -112,6 +112,7 @@
 			attemptId: attempt.attemptId,
 			serverId: target.server.id,
 			prefillTokens: target.candidate.prefillTokens,
+			promptTokens: cost.promptTokens,
 			decodeTokens: cost.decodeTokens,
 			kvTokens: cost.promptTokens + cost.maxTokens,
 			isSuspect,
--- a/packages/entry/src/callers/candidates.ts
+++ b/packages/entry/src/callers/candidates.ts
@@ -1,5 +1,5 @@
 import {
-	selectCandidates, selectGroup, serviceStates,
+	applyAssumedMemory, selectCandidates, selectGroup, serviceStates,
 	type BackendServerDescription, type Candidate, type GroupPlan, type RoutingServer,
 } from '@knapweedrack/core';
 import type {CallerContext} from './caller-context.js';
@@ -69,7 +69,7 @@
 
 	const {cost} = work;
 	const now = context.services.timer.now();
-	const routing = servers.map(server => toRoutingServer(context, work, server));
+	const routing = applyAssumedMemory(servers.map(server => toRoutingServer(context, work, server)));
 	const candidates = selectCandidates({
 		subsetKey: context.services.entryId,
 		affinityKey: cost.blocks[0] ?? task.facts.workspace.id,
--- a/packages/protocol/src/peer/peer-records.ts
+++ b/packages/protocol/src/peer/peer-records.ts
@@ -18,6 +18,7 @@
 	weight: z.number().positive(),
 	priority: z.union([z.literal(priorities.high), z.literal(priorities.normal), z.literal(priorities.low)]),
 	prefillTokens: count,
+	promptTokens: count.optional(),
 	decodeTokens: count,
 	kvTokens: count,
 	deadlineInMs: z.number(),
--- a/packages/testkit/src/simulation/core-entry.ts
+++ b/packages/testkit/src/simulation/core-entry.ts
@@ -1,5 +1,5 @@
 import {
-	LongPromptPool, PrefixIndex, RetryBudget, isLongPrompt, selectCandidates, selectGroup,
+	LongPromptPool, PrefixIndex, RetryBudget, isLongPrompt, applyAssumedMemory, selectCandidates, selectGroup,
 	type AttemptResult, type Candidate, type GroupPlan, type LoadSnapshot, type LongPromptPoolOptions,
 	type Permit, type PermitReply, type PermitRequest, type RoutingServer,
 } from '@knapweedrack/core';
@@ -80,7 +80,7 @@
 	selectTarget(request: TraceRequest, excluded: ReadonlySet<string>, attemptId: string): SimulatedTarget {
 		const {now} = this.world.clock;
 		const servers = this.world.servers.filter(({failureDomain}) => !this.#outOfService.has(failureDomain));
-		const routing = servers.map(({id}) => this.#toRoutingServer(id, request));
+		const routing = applyAssumedMemory(servers.map(({id}) => this.#toRoutingServer(id, request)));
 		const kvTokens = request.promptTokens + request.maxTokens;
 		const candidates = selectCandidates({
 			subsetKey: this.place.id,
--- a/packages/testkit/src/simulation/core-request-run.ts
+++ b/packages/testkit/src/simulation/core-request-run.ts
@@ -67,7 +67,7 @@
 		}
 	}
 
-	#buildPermitRequest(attempt: AttemptRecord, fields: Pick<PermitRequest, 'serverId' | 'prefillTokens' | 'decodeTokens' | 'kvTokens'>): PermitRequest {
+	#buildPermitRequest(attempt: AttemptRecord, fields: Pick<PermitRequest, 'serverId' | 'prefillTokens' | 'promptTokens' | 'decodeTokens' | 'kvTokens'>): PermitRequest {
 		const {request} = this;
 		const leftMs = this.#deadlineAt - this.#now;
 		return {
@@ -89,6 +89,7 @@
 		const permitRequest = this.#buildPermitRequest(attempt, {
 			serverId: candidate.serverId,
 			prefillTokens: candidate.prefillTokens,
+			promptTokens: request.promptTokens,
 			decodeTokens: entry.estimateDecodeTokens(request.maxTokens),
 			kvTokens: request.promptTokens + request.maxTokens,
 		});
