Keep short prompts out of the way of prompts on groups

Causes: (1) segments ran under an attempt id without a permit, so the owner counted their memory twice and cancelled them after 10 s as nobody's work; the failure returned warm servers to the cold level. (2) A long prompt that waits for memory held by another long one stopped all short ones, because memory of any holder counted against the part set aside. (3) Segments took whole engines. (4) All entries chose the failure domain that their late loads showed as free. (5) Permits of later members blocked the long lane before their turn. Ruled out: decode concurrency and the length of prefill chunks; waits of the short lane were for memory alone. The test of a group over three engines counted two members; it now counts three, because a segment takes at most three quarters of an engine.

--- a/packages/core/src/admission/admission-point.test.ts
+++ b/packages/core/src/admission/admission-point.test.ts
@@ -57,6 +57,25 @@
 			expect(listGrants(request(createPoint(), 1, 'a', fields))).to.have.length(1);
 		});
 
+		// Guards against head-of-line blocking: a long prompt that waits for the memory of another one must not stop short ones.
+		it('grants short prompts while a long one waits for memory that another long one holds', () => {
+			const point = createPoint({agingMs: 100});
+			const long = {prefillTokens: 74_000, kvTokens: 75_000, deadlineInMs: 300_000};
+			request(point, 1, 'long-1', long);
+			request(point, 2, 'long-2', long);
+			point.handle({type: 'tick'}, 500);
+			expect(listGrants(request(point, 501, 'short'))).to.have.length(1);
+			expect(listGrants(request(point, 502, 'other', {kvTokens: 24_500}))).to.be.empty;
+		});
+
+		// Guards against a group that keeps the servers of its later members idle until their turn.
+		it('does not count the prefill of a later member of a group against other prompts of its lane', () => {
+			const point = createPoint();
+			const long = {prefillTokens: 40_000, kvTokens: 41_000, deadlineInMs: 300_000};
+			expect(listGrants(request(point, 1, 'member', {...long, isDeferred: true}))).to.have.length(1);
+			expect(listGrants(request(point, 2, 'single', long))).to.have.length(1);
+		});
+
 		// Guards against permits that outlive the engine process they were issued for.
 		it('drops all permits of a former boot id and returns to the cold bounds', () => {
 			const point = createPoint({}, coldProfile);
--- a/packages/core/src/admission/admission-point.ts
+++ b/packages/core/src/admission/admission-point.ts
@@ -239,8 +239,12 @@
 	}
 
 	/** The cached prefix that an entry knows may be from before a restart, so it does not count while the server warms up. */
-	#countPrefill({prefillTokens, promptTokens}: PermitRequest): number {
-		return this.#warmup.isWarm ? prefillTokens : Math.max(prefillTokens, promptTokens ?? 0);
+	#countPrefill({prefillTokens, promptTokens, isDeferred}: PermitRequest): number {
+		if (!this.#warmup.isWarm) {
+			return Math.max(prefillTokens, promptTokens ?? 0);
+		}
+
+		return isDeferred ? 0 : prefillTokens;
 	}
 
 	#handleRenew(permitId: string): void {
@@ -502,7 +506,8 @@
 	#hasRoom({request, lane}: QueuedRequest, bounds: AdmissionBounds, claim: Claim | undefined): boolean {
 		const ledger = this.#ledger;
 		return ledger.concurrency + 1 <= this.#computeConcurrencyBound(bounds, claim)
-			&& ledger.kvTokens + request.kvTokens <= this.#computeKvBound(bounds, claim)
+			&& ledger.kvTokens + request.kvTokens <= bounds.kvTokens
+			&& this.#hasRoomBesideClaim(request, lane, bounds, claim)
 			&& ledger.prefillTokens + this.#countPrefill(request) <= bounds.prefillTokens
 			&& this.#hasLaneRoom(request, lane, bounds);
 	}
@@ -511,11 +516,18 @@
 		return claim !== undefined && concurrency > 1 ? concurrency - 1 : concurrency;
 	}
 
-	#computeKvBound({kvTokens}: AdmissionBounds, claim: Claim | undefined): number {
+	/** Memory held by longer prompts does not count against shorter ones, because they would all wait until it is returned. */
+	#hasRoomBesideClaim(request: PermitRequest, lane: number, bounds: AdmissionBounds, claim: Claim | undefined): boolean {
 		if (claim === undefined) {
-			return kvTokens;
+			return true;
 		}
 
+		const isShorter = lane < claim.queued.lane;
+		const used = isShorter ? this.#computeSumUpTo(this.#ledger.usage.laneKvTokens, claim.queued.lane - 1) : this.#ledger.kvTokens;
+		return used + request.kvTokens <= this.#computeClaimBound(bounds, claim);
+	}
+
+	#computeClaimBound({kvTokens}: AdmissionBounds, claim: Claim): number {
 		const isUrgent = claim.waitedMs >= claimAllFactor * this.#options.agingMs;
 		const reserve = isUrgent ? 0 : kvTokens * claimReserveShare;
 		return Math.max(reserve, kvTokens - claim.queued.request.kvTokens);
@@ -524,7 +536,7 @@
 	#hasLaneRoom(request: PermitRequest, lane: number, bounds: AdmissionBounds): boolean {
 		const {usage} = this.#ledger;
 		const inFlight = usage.lanePrefillTokens[lane]!;
-		if (inFlight > 0 && inFlight + request.prefillTokens > this.#computeWindowTokens()) {
+		if (!request.isDeferred && inFlight > 0 && inFlight + request.prefillTokens > this.#computeWindowTokens()) {
 			return false;
 		}
 
--- a/packages/core/src/group/group.test.ts
+++ b/packages/core/src/group/group.test.ts
@@ -23,6 +23,20 @@
 		expect(selectGroup({...input, promptTokens: 1_400_000})).to.deep.equal({ok: false, error: 'group_unavailable'});
 	});
 
+	// Guards against herding: loads are known late, so equal engines must not attract all groups.
+	it('spreads groups of different requests over the domains', () => {
+		const servers = ['a', 'b', 'c'].flatMap(failureDomain => [1, 2, 3].map(index => ({
+			id: `${failureDomain}${index}`, failureDomain, kvTokensFree: 40_960, maxSegmentTokens: 40_960,
+		})));
+		const plans = Array.from({length: 60}, (_, index) => selectGroup({
+			promptTokens: 50_000, maxTokens: 100, servers, choiceKey: `r${index}`,
+		}));
+		const domains = plans.map(plan => plan.ok ? plan.value.failureDomain : '');
+		expect(new Set(domains)).to.have.keys('a', 'b', 'c');
+		const segments = plans.flatMap(plan => plan.ok ? plan.value.members.map(({tokens}) => tokens) : []);
+		expect(Math.max(...segments)).to.be.at.most(0.75 * 40_960);
+	});
+
 	// Guards against lost or repeated parts of a prompt and against members that get more than they hold.
 	it('covers the prompt without gaps within the memory of each member', () => {
 		const server = fc.record({kvTokensFree: fc.integer({min: 0, max: 500_000}), maxSegmentTokens: fc.integer({min: 0, max: 500_000}), failureDomain: fc.constantFrom('a', 'b')});
--- a/packages/core/src/group/plan-group.ts
+++ b/packages/core/src/group/plan-group.ts
@@ -1,4 +1,5 @@
 import {prefixBlockTokens} from '../prefix/index.js';
+import {hashRendezvous} from '../routing/index.js';
 import {createError, createOk, type Result} from '../types/index.js';
 
 /** An engine that may take part in a group. */
@@ -33,20 +34,31 @@
 	servers: readonly GroupServer[];
 	excluded?: ReadonlySet<string> | undefined;
 	maxMembers?: number | undefined;
+	/** Spreads groups over engines with equal memory; usually the request id. */
+	choiceKey?: string | undefined;
 };
 
 /** Segments end on prefix block boundaries, so that engines can share their blocks. */
 const blockTokens = prefixBlockTokens;
 const defaultMaxMembers = 8;
+/** Largest part of a member's memory that a segment takes when enough members are there; the rest is left to short prompts. */
+const sharedMemberShare = 0.75;
 
-type Choice = {failureDomain: string; servers: GroupServer[]; spare: number};
+type Choice = {failureDomain: string; servers: GroupServer[]};
 
 const computeCapacity = (server: GroupServer): number =>
 	Math.floor(Math.min(server.kvTokensFree, server.maxSegmentTokens) / blockTokens) * blockTokens;
 
+const applyMemberShare = (server: GroupServer): GroupServer => ({
+	...server, maxSegmentTokens: server.maxSegmentTokens * sharedMemberShare,
+});
+
 const selectMembers = (failureDomain: string, servers: GroupServer[], input: GroupInput): Choice | undefined => {
 	const needed = input.promptTokens + input.maxTokens;
-	const sorted = servers.toSorted((left, right) => computeCapacity(right) - computeCapacity(left) || (left.id < right.id ? -1 : 1));
+	const hashed = servers.map(server => ({server, hash: hashRendezvous(input.choiceKey ?? '', server.id)}));
+	const sorted = hashed
+		.toSorted((left, right) => computeCapacity(right.server) - computeCapacity(left.server) || right.hash - left.hash)
+		.map(({server}) => server);
 	const members: GroupServer[] = [];
 	let capacity = 0;
 	if (sorted[0] === undefined || computeCapacity(sorted[0]) < (2 * blockTokens) + input.maxTokens) {
@@ -57,7 +69,7 @@
 		members.push(server);
 		capacity += computeCapacity(server);
 		if (capacity >= needed) {
-			return {failureDomain, servers: members, spare: capacity - needed};
+			return {failureDomain, servers: members};
 		}
 	}
 
@@ -86,12 +98,21 @@
 	}];
 };
 
-const isBefore = (left: Choice, right: Choice): boolean => left.servers.length === right.servers.length
-	? left.spare > right.spare
+/** Loads are known late, so that the domain with the most memory would attract the groups of all entries at once. */
+const isBefore = (left: Choice, right: Choice, choiceKey: string): boolean => left.servers.length === right.servers.length
+	? hashRendezvous(choiceKey, left.failureDomain) > hashRendezvous(choiceKey, right.failureDomain)
 	: left.servers.length < right.servers.length;
 
-/** Chooses the fewest engines of one failure domain that hold the prompt and its answer, and splits the prompt. */
+/**
+ * Chooses the fewest engines of one failure domain that hold the prompt and its answer, and splits the prompt.
+ * Whole engines are taken only where parts of them do not suffice: without memory, short prompts wait until the group ends.
+ */
 export const selectGroup = (input: GroupInput): Result<GroupPlan, 'group_unavailable'> => {
+	const shared = selectGroupOf({...input, servers: input.servers.map(server => applyMemberShare(server))});
+	return shared.ok ? shared : selectGroupOf(input);
+};
+
+const selectGroupOf = (input: GroupInput): Result<GroupPlan, 'group_unavailable'> => {
 	const domains = new Map<string, GroupServer[]>();
 	for (const server of input.servers) {
 		if (!input.excluded?.has(server.id) && computeCapacity(server) > 0) {
@@ -102,7 +123,7 @@
 	let best: Choice | undefined;
 	for (const [failureDomain, servers] of domains) {
 		const choice = selectMembers(failureDomain, servers, input);
-		if (choice !== undefined && (best === undefined || isBefore(choice, best))) {
+		if (choice !== undefined && (best === undefined || isBefore(choice, best, input.choiceKey ?? ''))) {
 			best = choice;
 		}
 	}
--- a/packages/core/src/types/permit.ts
+++ b/packages/core/src/types/permit.ts
@@ -20,6 +20,8 @@
 	prefillTokens: number;
 	/** Whole prompt in tokens, counted while the server warms up, because its cache may be empty; `prefillTokens` when missing. */
 	promptTokens?: number | undefined;
+	/** True for a later member of a group; its prefill waits for other members and leaves the server to other prompts until then. */
+	isDeferred?: boolean | undefined;
 	/** Expected number of generated tokens. */
 	decodeTokens: number;
 	/** KV cache tokens held until the end of the attempt. */
--- a/packages/entry/src/callers/candidates.ts
+++ b/packages/entry/src/callers/candidates.ts
@@ -38,12 +38,14 @@
 	};
 };
 
-const selectGroupTarget = (work: RequestWork, servers: readonly BackendServerDescription[], routing: readonly RoutingServer[], excluded: ReadonlySet<string>): Target | NoTarget => {
+type GroupChoice = {excluded: ReadonlySet<string>; choiceKey: string};
+
+const selectGroupTarget = (work: RequestWork, servers: readonly BackendServerDescription[], routing: readonly RoutingServer[], choice: GroupChoice): Target | NoTarget => {
 	const capacities = new Map(routing.map(server => [server.id, server]));
 	const plan = selectGroup({
 		promptTokens: work.cost.promptTokens,
 		maxTokens: work.cost.maxTokens,
-		excluded,
+		...choice,
 		servers: servers.flatMap(server => {
 			const {kvTokens, load} = capacities.get(server.id)!;
 			// One token is kept free, because a segment that must not cut a character can be one token longer.
@@ -89,5 +91,5 @@
 	}
 
 	const isTooLong = work.runOnGroup !== undefined && routing.some(server => server.kvTokens !== undefined && cost.promptTokens + cost.maxTokens > server.kvTokens);
-	return isTooLong ? selectGroupTarget(work, servers, routing, excluded) : {type: 'none', reason: 'no_backend_server'};
+	return isTooLong ? selectGroupTarget(work, servers, routing, {excluded, choiceKey: task.requestId}) : {type: 'none', reason: 'no_backend_server'};
 };
--- a/packages/entry/src/callers/completions.test.ts
+++ b/packages/entry/src/callers/completions.test.ts
@@ -276,7 +276,7 @@
 			expect(error).to.equal(undefined);
 			expect(answer.length).to.equal(renderAnswer(text, 8).length);
 			await fixture.waitForCleanUp();
-			expect(fixture.releases.map(release => release.result)).to.deep.equal(['completed', 'completed']);
+			expect(fixture.releases.map(release => release.result)).to.deep.equal(['completed', 'completed', 'completed']);
 		});
 
 		it('release all memory when a member dies', async () => {
--- a/packages/entry/src/callers/group-attempt.ts
+++ b/packages/entry/src/callers/group-attempt.ts
@@ -137,6 +137,7 @@
 			attemptId: input.attempt.attemptId,
 			serverId,
 			prefillTokens: member.tokens,
+			isDeferred: member.index > 0,
 			decodeTokens: member === members.at(-1) ? work.cost.decodeTokens : 0,
 			kvTokens: member.kvTokens + 1,
 			isSuspect: input.isSuspect,
@@ -183,7 +184,8 @@
 		try {
 			const reply = await context.engines.sendSegment(server.address, {
 				requestId: task.requestId,
-				attemptId: `${input.attempt.attemptId}.${member.index}`,
+				// The id of the permit, so that the owner of the server recognises the segment as permitted work.
+				attemptId: input.attempt.attemptId,
 				index: member.index,
 				prompt,
 				priority: this.#permits.get(member.serverId)!.permit.enginePriority,
--- a/packages/entry/src/callers/permit-acquisition.ts
+++ b/packages/entry/src/callers/permit-acquisition.ts
@@ -5,7 +5,7 @@
 import type {RequestTask} from './request-task.js';
 
 /** What one attempt asks of a backend server. */
-export type AttemptDemand = Pick<PermitRequest, 'attemptId' | 'serverId' | 'prefillTokens' | 'promptTokens' | 'decodeTokens' | 'kvTokens' | 'isSuspect'>;
+export type AttemptDemand = Pick<PermitRequest, 'attemptId' | 'serverId' | 'prefillTokens' | 'promptTokens' | 'isDeferred' | 'decodeTokens' | 'kvTokens' | 'isSuspect'>;
 
 /** Builds the permit request of one attempt. */
 export const buildPermitRequest = (entryId: string, task: RequestTask, fields: AttemptDemand): PermitRequest => ({
--- a/packages/protocol/src/peer/peer-records.ts
+++ b/packages/protocol/src/peer/peer-records.ts
@@ -19,6 +19,7 @@
 	priority: z.union([z.literal(priorities.high), z.literal(priorities.normal), z.literal(priorities.low)]),
 	prefillTokens: count,
 	promptTokens: count.optional(),
+	isDeferred: z.boolean().optional(),
 	decodeTokens: count,
 	kvTokens: count,
 	deadlineInMs: z.number(),
--- a/packages/testkit/src/simulation/core-entry.ts
+++ b/packages/testkit/src/simulation/core-entry.ts
@@ -170,6 +170,7 @@
 			promptTokens: request.promptTokens,
 			maxTokens: request.maxTokens,
 			excluded,
+			choiceKey: request.id,
 			servers: routing.flatMap(({id, kvTokens, load}) => kvTokens === undefined
 				? []
 				: [{
--- a/packages/testkit/src/simulation/core-request-run.ts
+++ b/packages/testkit/src/simulation/core-request-run.ts
@@ -67,7 +67,7 @@
 		}
 	}
 
-	#buildPermitRequest(attempt: AttemptRecord, fields: Pick<PermitRequest, 'serverId' | 'prefillTokens' | 'promptTokens' | 'decodeTokens' | 'kvTokens'>): PermitRequest {
+	#buildPermitRequest(attempt: AttemptRecord, fields: Pick<PermitRequest, 'serverId' | 'prefillTokens' | 'promptTokens' | 'isDeferred' | 'decodeTokens' | 'kvTokens'>): PermitRequest {
 		const {request} = this;
 		const leftMs = this.#deadlineAt - this.#now;
 		return {
@@ -183,6 +183,7 @@
 
 			entry.requestPermit(this.#buildPermitRequest(attempt, {
 				serverId: member.serverId,
+				isDeferred: member.index > 0,
 				prefillTokens: member.tokens,
 				decodeTokens: member === last ? entry.estimateDecodeTokens(request.maxTokens) : 0,
 				kvTokens: member.kvTokens,
--- a/packages/testkit/src/simulation/group-run.ts
+++ b/packages/testkit/src/simulation/group-run.ts
@@ -89,7 +89,7 @@
 		const permit = getPermit(member.serverId);
 		const work: EngineWork = {
 			requestId: request.id,
-			attemptId: `${attemptId}.${index}`,
+			attemptId,
 			kind: isLast ? 'generate' : 'segment',
 			promptTokens: member.tokens,
 			maxTokens: isLast ? request.maxTokens : 0,
