Refuse longer prompts earlier when their estimate is close to the deadline

Cause: requests of the longer lanes also wait for memory that other long prompts hold; a margin of 15% admitted many to the queue that were refused near their deadline.

--- a/packages/core/src/admission/admission-point.ts
+++ b/packages/core/src/admission/admission-point.ts
@@ -24,6 +24,8 @@
 const deadlineScanMs = 250;
 /** Waiting times vary around their estimate; the margin keeps most admitted requests within their deadline. */
 const estimateMargin = 1.15;
+/** Margin of the longer lanes, whose requests also wait for memory; with less, many are refused near their deadline. */
+const longEstimateMargin = 2;
 /** Share of the KV memory that shorter prompts may use while a longer one collects memory. */
 const claimReserveShare = 0.125;
 /** Waiting time, in multiples of the aging time, after which a longer prompt may collect all memory. */
@@ -208,7 +210,8 @@
 			return {reason: refusalReasons.queueFull, retryAfterMs: firstTokenMs / 4};
 		}
 
-		const lateMs = (estimateMargin * (firstTokenMs + this.#estimateDecodeMs(request))) - request.deadlineInMs;
+		const margin = queued.lane === 0 ? estimateMargin : longEstimateMargin;
+		const lateMs = (margin * (firstTokenMs + this.#estimateDecodeMs(request))) - request.deadlineInMs;
 		// The excess over the deadline is the part of the queue that must drain before a retry can succeed.
 		return lateMs > 0 ? {reason: refusalReasons.deadlineUnreachable, retryAfterMs: lateMs} : undefined;
 	}
