Replay recorded traces against stated outcomes in virtual time

Traces are JSONL with a header, requests and fault injections; the exit code says whether all stated outcomes held. Ruled out: a simulated object API; claims are decided by decideClaim over the times of the first request with a key, and plain services take a fixed time. Conclusion: replay against processes is still missing.

--- a/packages/cli/src/commands/command-table.ts
+++ b/packages/cli/src/commands/command-table.ts
@@ -4,6 +4,7 @@
 import {domainCommands, instanceCommands} from './availability-commands.js';
 import {demoCommand} from './demo-command.js';
 import {explainCommand} from './explain-command.js';
+import {replayCommand} from './replay-command.js';
 import {settingsCommand} from './settings-command.js';
 import {statusCommand} from './status-command.js';
 
@@ -17,4 +18,5 @@
 	settingsCommand,
 	demoCommand,
 	benchCommand,
+	replayCommand,
 ];
--- /dev/null
+++ b/packages/cli/src/commands/replay-command.ts
@@ -0,0 +1,57 @@
+import {readFile} from 'node:fs/promises';
+import {createOk} from '@knapweedrack/core';
+import {
+	findMismatches, parseReplayTrace, replayVirtual, simulatedDeployments,
+	type ReplayMismatch, type ReplayResult, type ReplayTrace, type SimulatedDeployment,
+} from '@knapweedrack/testkit';
+import type {CommandContext} from '../program/command-context.js';
+import {createFailure, type CommandResult} from '../program/command-result.js';
+import type {CommandInput, CommandSpec} from '../program/command-spec.js';
+import {exitCodes} from '../program/exit-codes.js';
+import {parseCount} from '../program/number-option.js';
+
+const buildResult = (trace: ReplayTrace, results: ReplayResult[]): CommandResult => {
+	const mismatches = findMismatches(trace.requests, results);
+	const data = {
+		mode: 'virtual time', requests: trace.requests.length, mismatches, results,
+	};
+	const summary = `${trace.requests.length} requests, ${mismatches.length} stated outcomes did not hold`;
+	return mismatches.length === 0
+		? createOk({text: summary, data})
+		: createFailure(exitCodes.failure, [summary, ...mismatches.map(mismatch => describeMismatch(mismatch))].join('\n'), data);
+};
+
+const describeMismatch = ({id, expected, seen}: ReplayMismatch): string => `  ${id}: expected ${expected}, saw ${seen}`;
+
+const runReplay = async (_context: CommandContext, {args, options}: CommandInput): Promise<CommandResult> => {
+	const file = args[0]!;
+	let text: string;
+	try {
+		text = await readFile(file, 'utf8');
+	} catch (error) {
+		return createFailure(exitCodes.usage, `${file} cannot be read: ${(error as Error).message}`);
+	}
+
+	const parsed = parseReplayTrace(text);
+	if (!parsed.ok) {
+		return createFailure(exitCodes.usage, parsed.error.map(({line, message}) => `${file}:${line}: ${message}`).join('\n'), {problems: parsed.error});
+	}
+
+	const trace = parsed.value;
+	const deployment = (simulatedDeployments as Record<string, SimulatedDeployment>)[trace.deployment];
+	return deployment === undefined
+		? createFailure(exitCodes.usage, `${file}:1: unknown deployment ${trace.deployment}; known are ${Object.keys(simulatedDeployments).join(', ')}`)
+		: buildResult(trace, replayVirtual(trace, deployment, options.seed as number));
+};
+
+/** Replays a recorded trace and checks its stated outcomes. */
+export const replayCommand: CommandSpec = {
+	words: ['replay'],
+	description: 'replay a recorded trace in virtual time and check its stated outcomes',
+	args: [{name: '<trace>', description: 'JSONL file; docs/testkit.md describes the format'}],
+	options: [{
+		flags: '--seed <number>', description: 'seed of delays and lost cache events', parse: parseCount, byDefault: 1,
+	}],
+	help: 'The exit code is 0 when all stated outcomes hold, and 1 otherwise.',
+	run: runReplay,
+};
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -11,3 +11,4 @@
 export * from './fleet/fleet.js';
 export * from './engine/engine-model.js';
 export * from './simulation/index.js';
+export * from './replay/index.js';
--- /dev/null
+++ b/packages/testkit/src/replay/index.ts
@@ -0,0 +1,2 @@
+export * from './replay-trace.js';
+export * from './replay-virtual.js';
--- a/packages/testkit/src/simulation/run-simulation.ts
+++ b/packages/testkit/src/simulation/run-simulation.ts
@@ -14,8 +14,8 @@
 /** What happens during a run; times in ms after the start of the trace. */
 export type SimulationEvent =
 	| {at: number; type: 'domain'; failureDomain: string; isInService: boolean}
-	/** All servers are cold and lose their work. */
-	| {at: number; type: 'cold'};
+	/** All servers, or the one of a number from 1, are cold and lose their work. */
+	| {at: number; type: 'cold' | 'crash'; server?: number | undefined};
 
 /** Facts of one run. */
 export type SimulationOptions = {
@@ -113,9 +113,10 @@
 
 	#apply(event: SimulationEvent): void {
 		this.#recordSubmits(event);
-		if (event.type === 'cold') {
-			for (const server of this.#world.servers) {
-				server.resetToCold();
+		if (event.type !== 'domain') {
+			const {server: number} = event;
+			for (const server of this.#world.servers.filter((_, index) => number === undefined || index === number - 1)) {
+				server.resetToCold(event.type === 'crash');
 			}
 
 			return;
--- a/packages/testkit/src/simulation/simulated-server.ts
+++ b/packages/testkit/src/simulation/simulated-server.ts
@@ -103,9 +103,9 @@
 		return 'accepted';
 	}
 
-	/** The engine is cold from now on, and all its work is lost. */
-	resetToCold(): void {
-		this.#restart(0);
+	/** The engine is cold from now on, and all its work is lost; a crash also takes its restart time. */
+	resetToCold(isCrash: boolean): void {
+		this.#restart(isCrash ? restartMs : 0);
 	}
 
 	cancel(requestId: string): void {
