Write the bench report as one page with plots

Ruled out: a plotting library, because the page must work without scripts and the two plots are bars. Conclusion: to be checked as a picture.

--- a/packages/cli/src/commands/bench-command.ts
+++ b/packages/cli/src/commands/bench-command.ts
@@ -1,8 +1,10 @@
+import {writeFile} from 'node:fs/promises';
 import {createOk} from '@knapweedrack/core';
 import {simulatedDeployments, type DeploymentName} from '@knapweedrack/testkit';
 import type {BenchReport} from '../bench/bench-report.js';
 import {benchScenarios} from '../bench/bench-scenarios.js';
 import {renderBench} from '../bench/render-bench.js';
+import {renderBenchHtml} from '../bench/render-html.js';
 import type {CommandContext} from '../program/command-context.js';
 import {createFailure, type CommandResult} from '../program/command-result.js';
 import type {CommandInput, CommandSpec} from '../program/command-spec.js';
@@ -43,6 +45,14 @@
 		scenario: name, mode: 'virtual time', seed, durationMs, deployments: reports,
 		isMet: reports.every(({targets}) => targets.every(({isMet}) => isMet)),
 	};
+	if (benchOptions.html !== undefined) {
+		try {
+			await writeFile(benchOptions.html, renderBenchHtml(report));
+		} catch (error) {
+			return createFailure(exitCodes.failure, `${benchOptions.html} cannot be written: ${(error as Error).message}`);
+		}
+	}
+
 	return createOk({text: renderBench(report), data: {...report}});
 };
 
@@ -57,6 +67,7 @@
 			flags: '--seed <number>', description: 'seed of the load', parse: parseCount, byDefault: 1,
 		},
 		{flags: '--duration-s <s>', description: `time over which requests arrive, in s; by default ${fullDurationS}, or ${quickDurationS} with --quick`, parse: parseCount},
+		{flags: '--html <file>', description: 'also write the report as one page with plots'},
 		{flags: '--quick', description: 'one deployment and only the runs that the targets need'},
 	],
 	help: 'A missed target is reported and does not change the exit code.',
