Refuse a longer prompt after a quarter of its time, so that another server is asked

Cause: requests of the longer lanes waited at one server for nearly their whole deadline behind prompts on groups, and were refused when no other server could help.

--- a/packages/cli/src/bench/render-html.ts
+++ b/packages/cli/src/bench/render-html.ts
@@ -9,8 +9,11 @@
 
 const toPercent = (load: number): string => `${Math.round(load * 100)}%`;
 
-/** Colours that stay apart in grey print, by series. */
-const seriesColours = ['#1b4f72', '#5dade2', '#b03a2e', '#e59866', '#7d6608'];
+/** Colours that stay apart in grey print; a series has the same one in all plots. */
+const seriesColours = new Map([['core', '#1b4f72'], ['core (no long)', '#5dade2'], ['random', '#b03a2e'], ['round robin', '#e59866'], ['least outstanding', '#7d6608']]);
+
+const getColour = (series: string): string => seriesColours.get(series) ?? '#555';
+
 const chart = {
 	width: 900, height: 300, left: 64, right: 8, top: 12, bottom: 44,
 };
@@ -24,7 +27,7 @@
 
 const renderLegend = (series: readonly string[]): string => series.map((name, index) => {
 	const x = chart.left + (index * 160);
-	return `<rect x="${x}" y="${chart.height - 14}" width="10" height="10" fill="${seriesColours[index % seriesColours.length]}"/><text x="${x + 14}" y="${chart.height - 5}">${escapeHtml(name)}</text>`;
+	return `<rect x="${x}" y="${chart.height - 14}" width="10" height="10" fill="${getColour(name)}"/><text x="${x + 14}" y="${chart.height - 5}">${escapeHtml(name)}</text>`;
 }).join('');
 
 type Scale = {ticks: number[]; toY: (value: number) => number};
@@ -61,7 +64,8 @@
 		const x = chart.left + (groups.indexOf(group) * groupWidth) + (groupWidth * 0.075) + (index * barWidth);
 		const y = toY(value);
 		const height = Math.max(0, toY(ticks[0]!) - y);
-		return `<rect x="${x.toFixed(1)}" y="${y.toFixed(1)}" width="${(barWidth - 1).toFixed(1)}" height="${height.toFixed(1)}" fill="${seriesColours[index % seriesColours.length]}"><title>${escapeHtml(`${name}, ${group}: ${formatValue(value)}`)}</title></rect>`
+		const title = escapeHtml(`${name}, ${group}: ${formatValue(value)}`);
+		return `<rect x="${x.toFixed(1)}" y="${y.toFixed(1)}" width="${(barWidth - 1).toFixed(1)}" height="${height.toFixed(1)}" fill="${getColour(name)}"><title>${title}</title></rect>`
 			+ `<text class="value" x="${(x + (barWidth / 2)).toFixed(1)}" y="${(y - 2).toFixed(1)}" text-anchor="middle">${formatValue(value)}</text>`;
 	}).join('');
 	const names = groups.map((group, index) => `<text x="${(chart.left + ((index + 0.5) * groupWidth)).toFixed(1)}" y="${chart.height - chart.bottom + 16}" text-anchor="middle">${escapeHtml(group)}</text>`).join('');
--- a/packages/core/src/admission/admission-point.test.ts
+++ b/packages/core/src/admission/admission-point.test.ts
@@ -68,6 +68,18 @@
 			expect(listGrants(request(point, 502, 'other', {kvTokens: 24_500}))).to.be.empty;
 		});
 
+		// Guards against a refusal near the deadline, after which no other server can help.
+		it('refuses a longer prompt that waited for a quarter of its time', () => {
+			const point = createPoint();
+			const long = {prefillTokens: 40_000, kvTokens: 41_000, deadlineInMs: 40_000};
+			request(point, 1, 'long-1', long);
+			expect(request(point, 2, 'long-2', long)).to.be.empty;
+			point.handle({type: 'report', report: createReport({running: [listed('long-1', 41_000)]})}, 9000);
+			expect(listRefusals(point.handle({type: 'tick'}, 9900))).to.be.empty;
+			const [refusal] = listRefusals(point.handle({type: 'tick'}, 10_200));
+			expect(refusal).to.include({attemptId: 'long-2', reason: 'deadline_unreachable'});
+		});
+
 		// Guards against a group that keeps the servers of its later members idle until their turn.
 		it('does not count the prefill of a later member of a group against other prompts of its lane', () => {
 			const point = createPoint();
--- a/packages/core/src/admission/admission-point.ts
+++ b/packages/core/src/admission/admission-point.ts
@@ -26,6 +26,8 @@
 const estimateMargin = 1.15;
 /** Margin of the longer lanes, whose requests also wait for memory; with less, many are refused near their deadline. */
 const longEstimateMargin = 2;
+/** Part of the time left at its arrival for which a request of the longer lanes waits at one server. */
+const maxWaitShare = 0.25;
 /** Share of the KV memory that shorter prompts may use while a longer one collects memory. */
 const claimReserveShare = 0.125;
 /** Waiting time, in multiples of the aging time, after which a longer prompt may collect all memory. */
@@ -394,7 +396,7 @@
 		for (const queued of this.#queue.list()) {
 			const leastMs = this.#estimateLeast(queued) + this.#estimateDecodeMs(queued.request);
 			const misfit = this.#findMisfit(queued.request);
-			if (misfit !== undefined || this.#now + leastMs > queued.deadlineAt) {
+			if (misfit !== undefined || this.#isStuck(queued) || this.#now + leastMs > queued.deadlineAt) {
 				this.#queue.remove(queued.request.attemptId);
 				this.#refuse(
 					queued,
@@ -405,6 +407,11 @@
 		}
 	}
 
+	/** A longer prompt that waits for the memory of others is refused while there is time to ask another owner. */
+	#isStuck({lane, enqueuedAt, deadlineAt}: QueuedRequest): boolean {
+		return lane > 0 && this.#now - enqueuedAt > maxWaitShare * (deadlineAt - enqueuedAt);
+	}
+
 	/** Least time in ms to the first token of a queued request; only the shortest lane drains steadily enough to be measured. */
 	#estimateLeast({request, lane}: QueuedRequest): number {
 		const inFlight = this.#ledger.usage.lanePrefillTokens[0]!;
