--- a/packages/entry/src/limits/limits-task.ts
+++ b/packages/entry/src/limits/limits-task.ts
@@ -1,6 +1,6 @@
 import {
 	SliceHolder, WorkspaceBudget,
-	type LimitSlice, type Plan, type TextHash32, type Workspace,
+	type LimitSlice, type LimitVerdict, type Plan, type TextHash32, type Workspace,
 } from '@knapweedrack/core';
 import {peerBatchLimit, type Slice, type SliceRequest} from '@knapweedrack/protocol';
 import type {
@@ -9,11 +9,16 @@
 import type {MembershipTask} from '../membership/membership-task.js';
 import {selectResourceOwner} from '../membership/resource-owner.js';
 import {counterNames} from '../metrics/metric-names.js';
+import {waitFor} from '../timer/timer-service.js';
 
 const sliceLifetimeMs = 2000;
 /** A slice is renewed well before its end, so that one lost answer does not stop a workspace. */
 const renewalMs = 500;
 const requestTimeoutMs = 400;
+/** Least time between two renewals that refused requests cause, so that an overload does not turn into peer traffic. */
+const refusalRenewalMs = 100;
+/** Within this time the other holders of a workspace renew a few times and give up what they do not use. */
+const shareWaitMs = 3 * renewalMs;
 /** Workspaces without a request for this time are forgotten; 27,000 of them do not fit into memory with their histories. */
 const idleMs = 30_000;
 
@@ -28,11 +33,11 @@
 	findPlan: (workspaceId: string) => Plan | undefined;
 };
 
-type HeldSlice = {holder: SliceHolder; usedAt: number; pending: Promise<void> | undefined};
+type HeldSlice = {holder: SliceHolder; usedAt: number; renewedAt: number; pending: Promise<void> | undefined};
 type OwnedBudget = {budget: WorkspaceBudget; usedAt: number};
 
 const unavailableSlice: LimitSlice = {
-	requestsPerSecond: 0, tokensPerSecond: 0, concurrency: 0, lifetimeMs: 0,
+	requestsPerSecond: 0, tokensPerSecond: 0, concurrency: 0, lifetimeMs: 0, isContended: false,
 };
 
 /** Workspace limits: slices that this entry uses, and budgets of the workspaces that it owns. */
@@ -80,18 +85,15 @@
 		const {timer, metrics} = this.#options;
 		const held = this.#openSlice(workspace.id, plan, timer.now());
 		if (!held.holder.hasSlice(timer.now())) {
-			held.pending ??= this.#renew([workspace.id]);
-			await held.pending;
-			held.pending = undefined;
+			await this.#renewOne(held, workspace.id);
 		}
 
-		const now = timer.now();
-		const verdict = held.holder.tryConsume(cost, now);
+		const verdict = await this.#tryConsume(held, workspace.id, cost);
 		if (verdict.type === 'refused') {
 			return verdict;
 		}
 
-		if (!held.holder.hasSlice(now)) {
+		if (!held.holder.hasSlice(timer.now())) {
 			metrics.count(counterNames.sliceFloor);
 		}
 
@@ -103,6 +105,32 @@
 		};
 	}
 
+	/** Asks for a larger slice before a refusal, because a slice follows the demand only at its next renewal. */
+	async #tryConsume(held: HeldSlice, workspaceId: string, cost: RequestCost): Promise<LimitVerdict> {
+		const {timer} = this.#options;
+		const endsAt = timer.now() + shareWaitMs;
+		for (let isRepeated = false; ; isRepeated = true) {
+			const verdict = held.holder.tryConsume(cost, timer.now(), isRepeated);
+			const isRenewable = timer.now() - held.renewedAt >= refusalRenewalMs;
+			if (verdict.type === 'admitted' || timer.now() >= endsAt || !(isRenewable || held.holder.canGrow(timer.now()))) {
+				return verdict;
+			}
+
+			if (!isRenewable) {
+				await waitFor(timer, refusalRenewalMs);
+			}
+
+			await this.#renewOne(held, workspaceId);
+		}
+	}
+
+	async #renewOne(held: HeldSlice, workspaceId: string): Promise<void> {
+		held.renewedAt = this.#options.timer.now();
+		held.pending ??= this.#renew([workspaceId]);
+		await held.pending;
+		held.pending = undefined;
+	}
+
 	#openSlice(workspaceId: string, plan: Plan, now: number): HeldSlice {
 		const known = this.#slices.get(workspaceId);
 		if (known) {
@@ -111,7 +139,9 @@
 		}
 
 		this.#updateEntries(now);
-		const held: HeldSlice = {holder: new SliceHolder(plan, {entries: this.#live.length}, now), usedAt: now, pending: undefined};
+		const held: HeldSlice = {
+			holder: new SliceHolder(plan, {entries: this.#live.length}, now), usedAt: now, renewedAt: Number.NEGATIVE_INFINITY, pending: undefined,
+		};
 		this.#slices.set(workspaceId, held);
 		return held;
 	}
