--- a/packages/cli/src/commands/replay-command.ts
+++ b/packages/cli/src/commands/replay-command.ts
@@ -9,11 +9,12 @@
 import type {CommandInput, CommandSpec} from '../program/command-spec.js';
 import {exitCodes} from '../program/exit-codes.js';
 import {parseCount} from '../program/number-option.js';
+import {findProcessObstacle, replayProcesses} from '../replay/replay-processes.js';
 
-const buildResult = (trace: ReplayTrace, results: ReplayResult[]): CommandResult => {
+const buildResult = (mode: string, trace: ReplayTrace, results: ReplayResult[]): CommandResult => {
 	const mismatches = findMismatches(trace.requests, results);
 	const data = {
-		mode: 'virtual time', requests: trace.requests.length, mismatches, results,
+		mode, requests: trace.requests.length, mismatches, results,
 	};
 	const summary = `${trace.requests.length} requests, ${mismatches.length} stated outcomes did not hold`;
 	return mismatches.length === 0
@@ -23,7 +24,7 @@
 
 const describeMismatch = ({id, expected, seen}: ReplayMismatch): string => `  ${id}: expected ${expected}, saw ${seen}`;
 
-const runReplay = async (_context: CommandContext, {args, options}: CommandInput): Promise<CommandResult> => {
+const runReplay = async (context: CommandContext, {args, options}: CommandInput): Promise<CommandResult> => {
 	const file = args[0]!;
 	let text: string;
 	try {
@@ -39,9 +40,18 @@
 
 	const trace = parsed.value;
 	const deployment = (simulatedDeployments as Record<string, SimulatedDeployment>)[trace.deployment];
-	return deployment === undefined
-		? createFailure(exitCodes.usage, `${file}:1: unknown deployment ${trace.deployment}; known are ${Object.keys(simulatedDeployments).join(', ')}`)
-		: buildResult(trace, replayVirtual(trace, deployment, options.seed as number));
+	if (deployment === undefined) {
+		return createFailure(exitCodes.usage, `${file}:1: unknown deployment ${trace.deployment}; known are ${Object.keys(simulatedDeployments).join(', ')}`);
+	}
+
+	if (options.processes !== true) {
+		return buildResult('virtual time', trace, replayVirtual(trace, deployment, options.seed as number));
+	}
+
+	const obstacle = findProcessObstacle(trace);
+	return obstacle === undefined
+		? buildResult('processes', trace, await replayProcesses(trace, context.progress))
+		: createFailure(exitCodes.usage, `${file}: ${obstacle}`);
 };
 
 /** Replays a recorded trace and checks its stated outcomes. */
@@ -49,7 +59,7 @@
 	words: ['replay'],
 	description: 'replay a recorded trace in virtual time and check its stated outcomes',
 	args: [{name: '<trace>', description: 'JSONL file; docs/testkit.md describes the format'}],
-	options: [{
+	options: [{flags: '--processes', description: 'in real time against the processes of the example deployment prairie'}, {
 		flags: '--seed <number>', description: 'seed of delays and lost cache events', parse: parseCount, byDefault: 1,
 	}],
 	help: 'The exit code is 0 when all stated outcomes hold, and 1 otherwise.',
--- a/packages/cli/src/demo/run-demo.ts
+++ b/packages/cli/src/demo/run-demo.ts
@@ -56,12 +56,17 @@
 	});
 };
 
-/** Sends the requests of the demo and summarizes them. */
-export const runDemoLoad = async (fleet: Fleet, progress: Progress): Promise<DemoSummary> => {
+/** Waits until the engines have owners and are warm. */
+export const prepareDemoFleet = async (fleet: Fleet, progress: Progress): Promise<void> => {
 	progress.update('waiting until the engines have owners');
 	await waitForService(fleet);
 	progress.update('warming up the engines');
 	await warmUp(fleet);
+};
+
+/** Sends the requests of the demo and summarizes them. */
+export const runDemoLoad = async (fleet: Fleet, progress: Progress): Promise<DemoSummary> => {
+	await prepareDemoFleet(fleet, progress);
 	progress.update('sending requests');
 	const [workOrder, ...classes] = await Promise.all([
 		sendWorkOrderTwice(fleet),
