--- a/packages/cli/src/demo/run-demo.ts
+++ b/packages/cli/src/demo/run-demo.ts
@@ -6,13 +6,14 @@
 	CallerClient, startFleet, type Fleet, type ServiceCall,
 } from '@knapweedrack/testkit';
 import VError from 'verror';
+import {z} from 'zod';
 import {applyConfiguration} from '../configuration/apply-configuration.js';
 import {renderProblems} from '../configuration/read-lists.js';
+import {EntryPool} from '../entries/entry-pool.js';
 import {PlatformAccess} from '../platform/platform-access.js';
 import type {Progress} from '../program/progress.js';
 import {
-	buildDemoCredential, buildDemoPrompt, createDemoDeployment, demoClasses, demoEngine, warmupRequestsPerEngine, warmupWorkspaces,
-	type DemoClass,
+	buildDemoCredential, buildDemoPrompt, createDemoDeployment, demoClasses, demoEngine, type DemoClass,
 } from './demo-plan.js';
 import {
 	summarizeDemo, type ClassResults, type DemoSummary, type WorkOrderFacts,
@@ -21,9 +22,8 @@
 const examplesUrl = new URL('../../../../examples/prairie/', import.meta.url);
 const platformTimeoutMs = 5000;
 /** Period over which the requests of each class are spread, in ms. */
-const loadPeriodMs = 6000;
-/** Time between two warm-up requests of one entry; two entries share the 40 requests/s of one plan. */
-const warmupPeriodMs = 60;
+const loadPeriodMs = 5000;
+const ownerPollMs = 250;
 const workOrderWorkspace = 'great-plains-shortline';
 
 const installLists = async (platformAddress: string, lists: {workspaces: string; plans: string}, progress: Progress): Promise<void> => {
@@ -56,12 +56,11 @@
 	});
 };
 
-/** Waits until the engines have owners and are warm. */
+/** Waits until every engine has an owner that issues permits. */
 export const prepareDemoFleet = async (fleet: Fleet, progress: Progress): Promise<void> => {
-	progress.update('waiting until the engines have owners');
+	progress.update('waiting until every engine has an owner that issues permits');
+	await waitForOwners(fleet);
 	await waitForService(fleet);
-	progress.update('warming up the engines');
-	await warmUp(fleet);
 };
 
 /** Sends the requests of the demo and summarizes them. */
@@ -79,6 +78,27 @@
 	entries: fleet.entries.map(({address}) => address), credential: buildDemoCredential(workspaceId),
 });
 
+const backendServersSchema = z.array(z.object({serverId: z.string(), mode: z.string()}));
+
+/** While entries join, ownership moves, and a new owner issues only what a cold engine takes until it knows all open permits. */
+const waitForOwners = async (fleet: Fleet): Promise<void> => {
+	const pool = new EntryPool(fleet.peerSecret, platformTimeoutMs);
+	try {
+		while (await countFullOwners(fleet, pool) < fleet.engines.length) {
+			await wait(ownerPollMs);
+		}
+	} finally {
+		pool.close();
+	}
+};
+
+const countFullOwners = async (fleet: Fleet, pool: EntryPool): Promise<number> => {
+	const engines = new Set(fleet.engines.map(({id}) => id));
+	const answers = await Promise.all(fleet.entries.map(async ({peerAddress}) => pool.getStatus(peerAddress)));
+	const servers = answers.flatMap(answer => answer.ok ? backendServersSchema.parse(answer.value.backendServers ?? []) : []);
+	return servers.filter(({serverId, mode}) => engines.has(serverId) && mode === 'full').length;
+};
+
 /** Sends one short prompt per model until it completes. */
 const waitForService = async (fleet: Fleet): Promise<void> => {
 	const caller = createCaller(fleet, workOrderWorkspace);
@@ -98,23 +118,6 @@
 	}
 };
 
-/** Sends short prompts through every entry, at the rate of the plan. */
-const warmUp = async (fleet: Fleet): Promise<void> => {
-	const requests = (warmupRequestsPerEngine * fleet.engines.length) / fleet.entries.length;
-	await Promise.all(fleet.entries.map(async ({address}, entryIndex) => {
-		const workspaceId = warmupWorkspaces[entryIndex % warmupWorkspaces.length]!;
-		const caller = new CallerClient({entries: [address], credential: buildDemoCredential(workspaceId), isPinned: true});
-		try {
-			await Promise.all(Array.from({length: requests}, async (_, index) => {
-				await wait(index * warmupPeriodMs);
-				await caller.sendCompletion({model: index % 3 === 0 ? 'shop-desk' : 'truing-model', prompt: `warm-up ${address} ${index}`, maxTokens: 1});
-			}));
-		} finally {
-			await caller.close();
-		}
-	}));
-};
-
 const sendClass = async (fleet: Fleet, demoClass: DemoClass): Promise<ClassResults> => {
 	const caller = createCaller(fleet, demoClass.workspaceId);
 	try {
--- a/packages/core/src/ownership/ownership-table.ts
+++ b/packages/core/src/ownership/ownership-table.ts
@@ -50,6 +50,11 @@
 	#isStopping = false;
 	#leaseValidUntil = Number.NEGATIVE_INFINITY;
 	#leaseValidSince = Number.POSITIVE_INFINITY;
+	/** Start of the first valid lease; an owner stays a candidate after an outage, so that nothing changes hands. */
+	#startedAt = Number.POSITIVE_INFINITY;
+	/** Sending time of the latest call that the object API answered, and the start of the time without a gap before it. */
+	#contactAt = Number.NEGATIVE_INFINITY;
+	#contactSince = Number.POSITIVE_INFINITY;
 	/** Number of lapses of the own lease. */
 	#lapses = 0;
 	#lapsedAt = Number.NEGATIVE_INFINITY;
@@ -57,12 +62,12 @@
 	readonly #handlers: EventHandlers = {
 		lease: ({validUntil}, now) => {
 			this.#setLease(validUntil, now);
+			this.#recordContact(validUntil - sessionTtlMs);
 			return 'all';
 		},
 		sessions: ({sessions, sentAt}, now) => {
-			// A list read during or right after an outage shows live entries as lapsed.
-			const isCurrent = now - this.#leaseValidSince >= sessionExpiryMs;
-			this.#peers.acceptSessions(sessions, sentAt, now, isCurrent);
+			this.#recordContact(sentAt);
+			this.#peers.acceptSessions(sessions, sentAt, now);
 			return undefined;
 		},
 		session: ({entryId, session, sentAt}, now) => {
@@ -160,6 +165,14 @@
 		return {isIssuing: this.getMode(serverId, now) !== 'stopped', fencingNumber};
 	}
 
+	/**
+	 * Whether the object API answered recently; this is what heartbeats report as `reachesStore`. All entries stop
+	 * reporting it before the first lease lapses in an outage.
+	 */
+	hasStoreContact(now: number): boolean {
+		return now - this.#contactAt <= storeContactMs;
+	}
+
 	/** Fencing number for permits and orders; undefined when this entry does not own the backend server. */
 	getFencingNumber(serverId: string): number | undefined {
 		const server = this.#servers.get(serverId);
@@ -202,11 +215,20 @@
 		this.#leaseValidUntil = validUntil;
 		if (now < validUntil && this.#leaseValidSince === Number.POSITIVE_INFINITY) {
 			this.#leaseValidSince = now;
+			this.#startedAt = Math.min(this.#startedAt, now);
 		}
 
 		this.#checkLease(now);
 	}
 
+	#recordContact(sentAt: number): void {
+		if (sentAt - this.#contactAt > storeContactMs) {
+			this.#contactSince = sentAt;
+		}
+
+		this.#contactAt = Math.max(this.#contactAt, sentAt);
+	}
+
 	#isLeaseValid(now: number): boolean {
 		return now < this.#leaseValidUntil;
 	}
@@ -234,8 +256,17 @@
 
 	#updateCandidates(now: number): void {
 		const others = this.#peers.listLive(now, this.#settleMs);
-		const isCandidate = !this.#isStopping && now - this.#leaseValidSince >= this.#settleMs;
-		this.#candidates.update(isCandidate ? [...others, this.options.self] : others, this.#availability);
+		this.#candidates.update(this.#isCandidate(now) ? [...others, this.options.self] : others, this.#availability);
+	}
+
+	/**
+	 * Entries that start together take their servers together; the first one would otherwise take all of them and
+	 * hand most of them over at once. The wait is bounded, so that an entry that keeps restarting does not hold up others.
+	 */
+	#isCandidate(now: number): boolean {
+		const age = now - this.#startedAt;
+		const isWaiting = age < 2 * this.#settleMs && this.#peers.countSettling(now, this.#settleMs) > 0;
+		return !this.#isStopping && this.#isLeaseValid(now) && age >= this.#settleMs && !isWaiting;
 	}
 
 	#getDesiredOwner(server: OwnedServer): string | undefined {
@@ -311,7 +342,8 @@
 		}
 
 		const open = [...dispute.clearFrom].filter(([, clearFrom]) => now < clearFrom);
-		if (open.length === 0 || this.#isDisputeOver(dispute, now)) {
+		const isOver = this.#isDisputeOver(dispute, now);
+		if (open.length === 0 || isOver) {
 			server.dispute = undefined;
 			server.lifecycle.handle('resolve');
 		} else if (this.#isLeaseValid(now) && now >= server.retryAt) {
@@ -324,13 +356,18 @@
 	}
 
 	/**
-	 * A former owner without any lapsed companion either hears of an entry that reaches the object API and stops,
-	 * or hears of none and stops after one permit lifetime. Two lapsed entries could keep each other issuing.
+	 * When all other entries are in reach and reach the object API, the former owner either hears of one of them and
+	 * stops, or hears of none and stops after one permit lifetime. Two entries without the object API could keep
+	 * each other issuing.
 	 */
 	#isDisputeOver(dispute: Dispute, now: number): boolean {
-		return this.#isLeaseValid(now)
-			&& now >= dispute.judgedAt + (2 * permitLifetimeMs)
-			&& this.#peers.listLapsed(now).length <= 1;
+		if (!this.#isLeaseValid(now) || this.#peers.countUncertain(now) > 1) {
+			dispute.singleSince = undefined;
+			return false;
+		}
+
+		dispute.singleSince ??= now;
+		return now >= dispute.singleSince + (2 * permitLifetimeMs);
 	}
 
 	#evaluateWanted(server: OwnedServer, now: number, commands: OwnershipCommand[]): void {
@@ -351,18 +388,19 @@
 	}
 
 	/**
-	 * The own lease must have been valid for the expiry time, so that owners that continue during an outage
-	 * of the object API have heard that this entry reaches it again.
+	 * The object API must have answered without a gap for the expiry time, so that owners that continue during
+	 * an outage have heard that this entry reaches it again.
 	 */
 	#isTakeoverAllowed(server: OwnedServer, record: OwnerRecord, now: number, commands: OwnershipCommand[]): boolean {
 		const {sessions} = this.#peers;
-		const expiry = sessions.getExpiry(record.owner);
-		if (now - this.#leaseValidSince < sessionExpiryMs || (expiry !== undefined && now < expiry)) {
+		const expiry = sessions.getExpiry(record.owner, record.epoch);
+		const hasContact = this.hasStoreContact(now) && now - this.#contactSince >= sessionExpiryMs;
+		if (!hasContact || (expiry !== undefined && now < expiry)) {
 			return false;
 		}
 
 		const isConfirmed = (sessions.get(record.owner)?.confirmedAt ?? Number.NEGATIVE_INFINITY) >= server.recordSeenAt;
-		if (isConfirmed && sessions.isExpired(record.owner, record.epoch, now)) {
+		if (isConfirmed && sessions.isExpired(record.owner, record.epoch)) {
 			return true;
 		}
 
@@ -377,7 +415,10 @@
 	/** Other lapsed entries may be earlier owners whose dispute the former owner did not resolve. */
 	#createDispute(record: OwnerRecord, now: number): Dispute {
 		const suspects = new Set([record.owner, ...this.#peers.listLapsed(now)]);
-		return {judgedAt: now, clearFrom: new Map([...suspects].map(entryId => [entryId, Number.POSITIVE_INFINITY]))};
+		return {
+			singleSince: undefined,
+			clearFrom: new Map([...suspects].map(entryId => [entryId, Number.POSITIVE_INFINITY])),
+		};
 	}
 
 	#createRecord(server: OwnedServer): OwnerRecord {
@@ -453,8 +494,9 @@
 
 	/** Matches the record with the write that produced it; its answer may have been lost. */
 	#acceptOwnRecord(server: OwnedServer, record: OwnerRecord, now: number): void {
-		const writes = server.unresolved.filter(({kind, record: written}) =>
-			kind !== 'release' && written.fencingNumber === record.fencingNumber);
+		// The watch can bring the record before the write is answered.
+		const sent = server.pending === undefined ? server.unresolved : [...server.unresolved, server.pending];
+		const writes = sent.filter(({kind, record: written}) => kind !== 'release' && written.fencingNumber === record.fencingNumber);
 		server.unresolved = [];
 		if (writes.length > 0) {
 			// Which of several equal writes took effect is not known; the earliest one covers the fewest lapses.
@@ -488,11 +530,15 @@
 			return 'stopped';
 		}
 
-		return allowed === 'full' ? phaseModes[phase] : limitMode(phaseModes[phase]);
+		if (allowed === 'half') {
+			server.halvedLapse = this.#lapses;
+		}
+
+		return allowed === 'grace' || server.isHalvedByLapse ? limitMode(phaseModes[phase]) : phaseModes[phase];
 	}
 
 	/** What an owner with a lapsed lease may issue at most. */
-	#computeLapsedMode(server: OwnedServer, now: number): 'full' | 'half' | 'stopped' {
+	#computeLapsedMode(server: OwnedServer, now: number): 'full' | 'half' | 'grace' | 'stopped' {
 		// A takeover may have taken effect unseen between two lapses, or while the own lease is valid again.
 		const isSecondLapse = this.#lapses - server.coveredLapses > 1;
 		if (isSecondLapse || now - this.#leaseValidSince >= reclaimGraceMs) {
@@ -504,10 +550,14 @@
 			return 'full';
 		}
 
-		if (server.dispute !== undefined || standing === 'superseded') {
+		if (server.dispute !== undefined) {
 			return 'stopped';
 		}
 
+		if (standing === 'superseded') {
+			return now < this.#lapsedAt + lapseGraceMs ? 'grace' : 'stopped';
+		}
+
 		return standing === 'partlyFrozen' || now < this.#lapsedAt + permitLifetimeMs ? 'half' : 'stopped';
 	}
 }
@@ -515,6 +565,16 @@
 /** Number of lost answers remembered for one backend server. */
 const unresolvedLimit = 16;
 
+/** Age in ms up to which an answer of the object API counts as contact; more than the time between renewals. */
+const storeContactMs = 3000;
+
+/**
+ * Time in ms after a lapse in which an entry that still reports the object API restricts an owner to half instead of
+ * stopping it. An entry that stops reporting within this time had no contact later than the margin after the lapse,
+ * so it has not taken over.
+ */
+const lapseGraceMs = storeContactMs + sessionMarginMs;
+
 /** Time in ms within which the record is to be rewritten after the own lease is valid again. */
 const reclaimGraceMs = 3000;
 
--- a/packages/entry/src/quarantine/quarantine-task.ts
+++ b/packages/entry/src/quarantine/quarantine-task.ts
@@ -16,6 +16,7 @@
 
 const watchMs = 10_000;
 const paceMs = 200;
+const relistMs = 30_000;
 const peerTimeoutMs = 1000;
 const writeTimeoutMs = 2000;
 const retryAfterMs = 1000;
@@ -48,7 +49,7 @@
 		this.#options = options;
 		const {store, timer, metrics} = options;
 		this.#watch = new ObjectWatch({
-			prefix: objectKeys.quarantinePrefix, waitMs: watchMs, paceMs, store, timer, metrics,
+			prefix: objectKeys.quarantinePrefix, waitMs: watchMs, paceMs, relistMs, store, timer, metrics,
 			notify: state => {
 				this.#acceptRecords(state);
 			},
@@ -88,10 +89,13 @@
 
 	/** Records a report as the owner of the fingerprint. */
 	async reportOwned(report: FingerprintReport): Promise<FingerprintStanding> {
-		const {fingerprint, attemptId, serverId, result, runningFingerprints} = report;
+		const {fingerprint, attemptId, serverId, bootId, result, runningFingerprints} = report;
+		const companions = runningFingerprints.filter(other => other !== fingerprint);
 		this.#table.recordRunEnd(fingerprint, checkedRun.attemptId);
 		const effect = result === 'crashed'
-			? this.#table.recordCrash(fingerprint, {attemptId, serverId, companions: runningFingerprints.filter(other => other !== fingerprint)})
+			? this.#table.recordCrash(fingerprint, {
+				attemptId, serverId, bootId, companions,
+			})
 			: this.#table.recordCompletion(fingerprint, attemptId);
 		await this.#apply(fingerprint, effect);
 		return {standing: effect.record?.standing ?? 'clear'};
--- a/packages/protocol/src/peer/peer-records.ts
+++ b/packages/protocol/src/peer/peer-records.ts
@@ -104,6 +104,8 @@
 	/** Demand seen by the entry since its last request. */
 	requests: z.number().nonnegative(),
 	tokens: z.number().nonnegative(),
+	/** Tokens admitted beyond the slices so far. */
+	debtTokens: z.number().nonnegative(),
 	concurrency: count,
 });
 /** A request for a slice. */
@@ -137,6 +139,8 @@
 	fingerprint: identifier,
 	attemptId: identifier,
 	serverId: identifier,
+	/** Boot that ran the content; several attempts lost with one boot lose one server. */
+	bootId: identifier.optional(),
 	/** `crashed` when the server died while it ran the content. */
 	result: z.enum(['crashed', 'completed']),
 	/** Fingerprints that were running on the same server at the time. */
