--- a/packages/cli/src/commands/command-table.ts
+++ b/packages/cli/src/commands/command-table.ts
@@ -1,9 +1,11 @@
 import type {CommandSpec} from '../program/command-spec.js';
 import {reportCommand} from '../report/report-command.js';
+import {benchCommand} from './bench-command.js';
 import {configCommands} from './config-commands.js';
 import {domainCommands, instanceCommands} from './availability-commands.js';
 import {demoCommand} from './demo-command.js';
 import {explainCommand} from './explain-command.js';
+import {replayCommand} from './replay-command.js';
 import {settingsCommand} from './settings-command.js';
 import {statusCommand} from './status-command.js';
 
@@ -17,4 +19,6 @@
 	reportCommand,
 	settingsCommand,
 	demoCommand,
+	benchCommand,
+	replayCommand,
 ];
--- a/packages/core/src/admission/admission-point.test.ts
+++ b/packages/core/src/admission/admission-point.test.ts
@@ -49,6 +49,45 @@
 			expect(listGrants(point.handle({type: 'report', report: createReport()}, 10))).to.have.length(1);
 		});
 
+		// Guards against a crash: the cached prefix that an entry knows is gone with the former boot.
+		it('counts the whole prompt while the server is not warm', () => {
+			const point = createPoint({}, coldProfile);
+			const fields = {prefillTokens: 3000, promptTokens: 5000, kvTokens: 5100};
+			expect(listRefusals(request(point, 1, 'a', fields))).to.have.length(1);
+			expect(listGrants(request(createPoint(), 1, 'a', fields))).to.have.length(1);
+		});
+
+		// Guards against head-of-line blocking: a long prompt that waits for the memory of another one must not stop short ones.
+		it('grants short prompts while a long one waits for memory that another long one holds', () => {
+			const point = createPoint({agingMs: 100});
+			const long = {prefillTokens: 74_000, kvTokens: 75_000, deadlineInMs: 300_000};
+			request(point, 1, 'long-1', long);
+			request(point, 2, 'long-2', long);
+			point.handle({type: 'tick'}, 500);
+			expect(listGrants(request(point, 501, 'short'))).to.have.length(1);
+			expect(listGrants(request(point, 502, 'other', {kvTokens: 24_500}))).to.be.empty;
+		});
+
+		// Guards against a refusal near the deadline, after which no other server can help.
+		it('refuses a longer prompt that waited for a quarter of its time', () => {
+			const point = createPoint();
+			const long = {prefillTokens: 40_000, kvTokens: 41_000, deadlineInMs: 40_000};
+			request(point, 1, 'long-1', long);
+			expect(request(point, 2, 'long-2', long)).to.be.empty;
+			point.handle({type: 'report', report: createReport({running: [listed('long-1', 41_000)]})}, 9000);
+			expect(listRefusals(point.handle({type: 'tick'}, 9900))).to.be.empty;
+			const [refusal] = listRefusals(point.handle({type: 'tick'}, 10_200));
+			expect(refusal).to.include({attemptId: 'long-2', reason: 'deadline_unreachable'});
+		});
+
+		// Guards against a group that keeps the servers of its later members idle until their turn.
+		it('does not count the prefill of a later member of a group against other prompts of its lane', () => {
+			const point = createPoint();
+			const long = {prefillTokens: 40_000, kvTokens: 41_000, deadlineInMs: 300_000};
+			expect(listGrants(request(point, 1, 'member', {...long, isDeferred: true}))).to.have.length(1);
+			expect(listGrants(request(point, 2, 'single', long))).to.have.length(1);
+		});
+
 		// Guards against permits that outlive the engine process they were issued for.
 		it('drops all permits of a former boot id and returns to the cold bounds', () => {
 			const point = createPoint({}, coldProfile);
--- a/packages/core/src/admission/admission-point.ts
+++ b/packages/core/src/admission/admission-point.ts
@@ -24,6 +24,10 @@
 const deadlineScanMs = 250;
 /** Waiting times vary around their estimate; the margin keeps most admitted requests within their deadline. */
 const estimateMargin = 1.15;
+/** Margin of the longer lanes, whose requests also wait for memory; with less, many are refused near their deadline. */
+const longEstimateMargin = 2;
+/** Part of the time left at its arrival for which a request of the longer lanes waits at one server. */
+const maxWaitShare = 0.25;
 /** Share of the KV memory that shorter prompts may use while a longer one collects memory. */
 const claimReserveShare = 0.125;
 /** Waiting time, in multiples of the aging time, after which a longer prompt may collect all memory. */
@@ -208,7 +212,8 @@
 			return {reason: refusalReasons.queueFull, retryAfterMs: firstTokenMs / 4};
 		}
 
-		const lateMs = (estimateMargin * (firstTokenMs + this.#estimateDecodeMs(request))) - request.deadlineInMs;
+		const margin = queued.lane === 0 ? estimateMargin : longEstimateMargin;
+		const lateMs = (margin * (firstTokenMs + this.#estimateDecodeMs(request))) - request.deadlineInMs;
 		// The excess over the deadline is the part of the queue that must drain before a retry can succeed.
 		return lateMs > 0 ? {reason: refusalReasons.deadlineUnreachable, retryAfterMs: lateMs} : undefined;
 	}
@@ -235,7 +240,16 @@
 	}
 
 	#isFitting(request: PermitRequest, bounds: AdmissionBounds): boolean {
-		return bounds.concurrency >= 1 && request.kvTokens <= bounds.kvTokens && request.prefillTokens <= bounds.prefillTokens;
+		return bounds.concurrency >= 1 && request.kvTokens <= bounds.kvTokens && this.#countPrefill(request) <= bounds.prefillTokens;
+	}
+
+	/** The cached prefix that an entry knows may be from before a restart, so it does not count while the server warms up. */
+	#countPrefill({prefillTokens, promptTokens, isDeferred}: PermitRequest): number {
+		if (!this.#warmup.isWarm) {
+			return Math.max(prefillTokens, promptTokens ?? 0);
+		}
+
+		return isDeferred ? 0 : prefillTokens;
 	}
 
 	#handleRenew(permitId: string): void {
@@ -382,7 +396,7 @@
 		for (const queued of this.#queue.list()) {
 			const leastMs = this.#estimateLeast(queued) + this.#estimateDecodeMs(queued.request);
 			const misfit = this.#findMisfit(queued.request);
-			if (misfit !== undefined || this.#now + leastMs > queued.deadlineAt) {
+			if (misfit !== undefined || this.#isStuck(queued) || this.#now + leastMs > queued.deadlineAt) {
 				this.#queue.remove(queued.request.attemptId);
 				this.#refuse(
 					queued,
@@ -393,6 +407,11 @@
 		}
 	}
 
+	/** A longer prompt that waits for the memory of others is refused while there is time to ask another owner. */
+	#isStuck({lane, enqueuedAt, deadlineAt}: QueuedRequest): boolean {
+		return lane > 0 && this.#now - enqueuedAt > maxWaitShare * (deadlineAt - enqueuedAt);
+	}
+
 	/** Least time in ms to the first token of a queued request; only the shortest lane drains steadily enough to be measured. */
 	#estimateLeast({request, lane}: QueuedRequest): number {
 		const inFlight = this.#ledger.usage.lanePrefillTokens[0]!;
@@ -497,8 +516,9 @@
 	#hasRoom({request, lane}: QueuedRequest, bounds: AdmissionBounds, claim: Claim | undefined): boolean {
 		const ledger = this.#ledger;
 		return ledger.concurrency + 1 <= this.#computeConcurrencyBound(bounds, claim)
-			&& ledger.kvTokens + request.kvTokens <= this.#computeKvBound(bounds, claim)
-			&& ledger.prefillTokens + request.prefillTokens <= bounds.prefillTokens
+			&& ledger.kvTokens + request.kvTokens <= bounds.kvTokens
+			&& this.#hasRoomBesideClaim(request, lane, bounds, claim)
+			&& ledger.prefillTokens + this.#countPrefill(request) <= bounds.prefillTokens
 			&& this.#hasLaneRoom(request, lane, bounds);
 	}
 
@@ -506,11 +526,18 @@
 		return claim !== undefined && concurrency > 1 ? concurrency - 1 : concurrency;
 	}
 
-	#computeKvBound({kvTokens}: AdmissionBounds, claim: Claim | undefined): number {
+	/** Memory held by longer prompts does not count against shorter ones, because they would all wait until it is returned. */
+	#hasRoomBesideClaim(request: PermitRequest, lane: number, bounds: AdmissionBounds, claim: Claim | undefined): boolean {
 		if (claim === undefined) {
-			return kvTokens;
+			return true;
 		}
 
+		const isShorter = lane < claim.queued.lane;
+		const used = isShorter ? this.#computeSumUpTo(this.#ledger.usage.laneKvTokens, claim.queued.lane - 1) : this.#ledger.kvTokens;
+		return used + request.kvTokens <= this.#computeClaimBound(bounds, claim);
+	}
+
+	#computeClaimBound({kvTokens}: AdmissionBounds, claim: Claim): number {
 		const isUrgent = claim.waitedMs >= claimAllFactor * this.#options.agingMs;
 		const reserve = isUrgent ? 0 : kvTokens * claimReserveShare;
 		return Math.max(reserve, kvTokens - claim.queued.request.kvTokens);
@@ -519,7 +546,7 @@
 	#hasLaneRoom(request: PermitRequest, lane: number, bounds: AdmissionBounds): boolean {
 		const {usage} = this.#ledger;
 		const inFlight = usage.lanePrefillTokens[lane]!;
-		if (inFlight > 0 && inFlight + request.prefillTokens > this.#computeWindowTokens()) {
+		if (!request.isDeferred && inFlight > 0 && inFlight + request.prefillTokens > this.#computeWindowTokens()) {
 			return false;
 		}
 
@@ -565,7 +592,7 @@
 			permit,
 			lane,
 			kvTokens: request.kvTokens,
-			prefillInFlight: request.prefillTokens,
+			prefillInFlight: this.#countPrefill(request),
 			decodeTokens: request.decodeTokens,
 			grantedAt: this.#now,
 			firstTokenAt: undefined,
--- a/packages/entry/src/callers/candidates.ts
+++ b/packages/entry/src/callers/candidates.ts
@@ -1,5 +1,5 @@
 import {
-	selectCandidates, selectGroup, serviceStates,
+	applyAssumedMemory, selectCandidates, selectGroup, serviceStates,
 	type BackendServerDescription, type Candidate, type GroupPlan, type RoutingServer,
 } from '@knapweedrack/core';
 import type {CallerContext} from './caller-context.js';
@@ -42,12 +42,14 @@
 	};
 };
 
-const selectGroupTarget = (work: RequestWork, servers: readonly BackendServerDescription[], routing: readonly RoutingServer[], excluded: ReadonlySet<string>): Target | NoTarget => {
+type GroupChoice = {excluded: ReadonlySet<string>; choiceKey: string};
+
+const selectGroupTarget = (work: RequestWork, servers: readonly BackendServerDescription[], routing: readonly RoutingServer[], choice: GroupChoice): Target | NoTarget => {
 	const capacities = new Map(routing.map(server => [server.id, server]));
 	const plan = selectGroup({
 		promptTokens: work.cost.promptTokens,
 		maxTokens: work.cost.maxTokens,
-		excluded,
+		...choice,
 		servers: servers.flatMap(server => {
 			const {kvTokens, load} = capacities.get(server.id)!;
 			// One token is kept free, because a segment that must not cut a character can be one token longer.
@@ -73,7 +75,7 @@
 
 	const {cost} = work;
 	const now = context.services.timer.now();
-	const routing = servers.map(server => toRoutingServer(context, work, server));
+	const routing = applyAssumedMemory(servers.map(server => toRoutingServer(context, work, server)));
 	const candidates = selectCandidates({
 		subsetKey: context.services.entryId,
 		// Short prompts have no block to share; a key per workspace would send all of them to two servers.
@@ -94,5 +96,5 @@
 	}
 
 	const isTooLong = work.runOnGroup !== undefined && routing.some(server => server.kvTokens !== undefined && cost.promptTokens + cost.maxTokens > server.kvTokens);
-	return isTooLong ? selectGroupTarget(work, servers, routing, excluded) : {type: 'none', reason: 'no_backend_server'};
+	return isTooLong ? selectGroupTarget(work, servers, routing, {excluded, choiceKey: task.requestId}) : {type: 'none', reason: 'no_backend_server'};
 };
