--- a/packages/entry/src/quarantine/quarantine-task.ts
+++ b/packages/entry/src/quarantine/quarantine-task.ts
@@ -44,6 +44,8 @@
 	readonly #watch: ObjectWatch;
 	/** Records by fingerprint as watched; content without a record is clear and costs no message. */
 	readonly #records = new Map<string, FingerprintRecord>();
+	/** Content whose crash was reported here. The owner is asked about it, because the watch shows its record later than a retry starts. */
+	readonly #reported = new Set<string>();
 
 	constructor(options: QuarantineOptions) {
 		this.#options = options;
@@ -102,7 +104,7 @@
 	}
 
 	async #check(fingerprint: string): Promise<FingerprintStanding> {
-		if (!this.#records.has(fingerprint)) {
+		if (!this.#records.has(fingerprint) && !this.#reported.has(fingerprint)) {
 			return {standing: 'clear'};
 		}
 
@@ -117,10 +119,14 @@
 	}
 
 	async #report(report: FingerprintReport): Promise<FingerprintStanding> {
-		if (report.result === 'completed' && !this.#records.has(report.fingerprint)) {
+		if (report.result === 'completed' && !this.#records.has(report.fingerprint) && !this.#reported.has(report.fingerprint)) {
 			return {standing: 'clear'};
 		}
 
+		if (report.result === 'crashed') {
+			this.#reported.add(report.fingerprint);
+		}
+
 		const owner = this.#findOwner(report.fingerprint);
 		const answer = owner === this.#options.entryId
 			? undefined
@@ -164,6 +170,7 @@
 	#acceptRecords({objects, changed}: WatchedState): void {
 		for (const key of changed) {
 			const fingerprint = key.slice(objectKeys.quarantinePrefix.length);
+			this.#reported.delete(fingerprint);
 			const record = fingerprintRecordSchema.safeParse(objects.get(key)?.value).data;
 			if (!record) {
 				this.#records.delete(fingerprint);
