Move the estimates and the capacity check out of AdmissionPoint

Ruled out: a split of the event handlers, which share most of the state.

The estimates of first tokens and the check for room are classes of their own over the same queue and ledger. No decision changes.

--- a/packages/core/src/admission/admission-point.ts
+++ b/packages/core/src/admission/admission-point.ts
@@ -8,15 +8,15 @@
 import type {AdmissionCommand, AdmissionEvent, AdmissionMode} from './admission-events.js';
 import {resolveAdmissionOptions, type AdmissionOptions, type ResolvedAdmissionOptions} from './admission-options.js';
 import {AdmissionQueue, type QueuedRequest} from './admission-queue.js';
+import {CapacityCheck, type CapacityClaim} from './capacity-check.js';
 import {DrainEstimator} from './drain-estimator.js';
 import {LaneCredits} from './lane-credits.js';
+import {FirstTokenEstimator} from './first-token-estimator.js';
+import {computeSumFrom} from './lane-sums.js';
 import {computeEnginePriority, computeLane, lanes} from './lanes.js';
 import {buildPermitId, parsePermitId} from './permit-id.js';
 import {PermitLedger, type HeldPermit} from './permit-ledger.js';
 
-/** Capacity set aside for a request that waited for long. */
-type Claim = {queued: QueuedRequest; waitedMs: number};
-
 type EventHandlers = {[Type in AdmissionEvent['type']]: (event: AdmissionEvent & {type: Type}) => void};
 
 const minRetryAfterMs = 100;
@@ -28,10 +28,6 @@
 const longEstimateMargin = 2;
 /** Part of the time left at its arrival for which a request of the longer lanes waits at one server. */
 const maxWaitShare = 0.25;
-/** Share of the KV memory that shorter prompts may use while a longer one collects memory. */
-const claimReserveShare = 0.125;
-/** Waiting time, in multiples of the aging time, after which a longer prompt may collect all memory. */
-const claimAllFactor = 3;
 /** Lengths in tokens for which the load snapshot gives estimates. */
 const shortSampleTokens = 1024;
 const longSampleTokens = 131_072;
@@ -48,6 +44,8 @@
 	readonly #warmup: WarmupLevel;
 	readonly #estimator: DrainEstimator;
 	readonly #credits: LaneCredits;
+	readonly #firstToken: FirstTokenEstimator;
+	readonly #capacity: CapacityCheck;
 	#profile: BackendServerProfile;
 	#mode: AdmissionMode = 'full';
 	#bootId: string | undefined;
@@ -106,6 +104,9 @@
 			reportLagMs: this.#options.hasReports ? this.#options.reportLagMs : 0,
 			foreignGraceMs: this.#options.permitLifetimeMs,
 		});
+		const parts = {ledger: this.#ledger, options: this.#options, getProfile: () => this.#profile};
+		this.#firstToken = new FirstTokenEstimator({...parts, queue: this.#queue, drain: this.#estimator});
+		this.#capacity = new CapacityCheck({...parts, countPrefill: request => this.#countPrefill(request)});
 	}
 
 	/** Load at the time of the last event. */
@@ -119,8 +120,8 @@
 			kvTokens: this.#profile.kvTokens,
 			running: this.#ledger.concurrency,
 			concurrencyLimit: this.#isServing ? bounds.concurrency : 0,
-			shortFirstTokenMs: this.#estimateSample(shortSampleTokens),
-			longFirstTokenMs: this.#estimateSample(longSampleTokens),
+			shortFirstTokenMs: this.#firstToken.estimateSample(shortSampleTokens, bounds),
+			longFirstTokenMs: this.#firstToken.estimateSample(longSampleTokens, bounds),
 		};
 	}
 
@@ -207,13 +208,13 @@
 			return misfit;
 		}
 
-		const firstTokenMs = this.#estimateFirstToken(request);
+		const firstTokenMs = this.#firstToken.estimateFirstToken(request, this.bounds);
 		if (this.#queue.size >= this.#options.maxQueued) {
 			return {reason: refusalReasons.queueFull, retryAfterMs: firstTokenMs / 4};
 		}
 
 		const margin = queued.lane === 0 ? estimateMargin : longEstimateMargin;
-		const lateMs = (margin * (firstTokenMs + this.#estimateDecodeMs(request))) - request.deadlineInMs;
+		const lateMs = (margin * (firstTokenMs + this.#firstToken.estimateDecodeMs(request))) - request.deadlineInMs;
 		// The excess over the deadline is the part of the queue that must drain before a retry can succeed.
 		return lateMs > 0 ? {reason: refusalReasons.deadlineUnreachable, retryAfterMs: lateMs} : undefined;
 	}
@@ -394,14 +395,14 @@
 
 		this.#scannedAt = this.#now;
 		for (const queued of this.#queue.list()) {
-			const leastMs = this.#estimateLeast(queued) + this.#estimateDecodeMs(queued.request);
+			const leastMs = this.#estimateLeast(queued) + this.#firstToken.estimateDecodeMs(queued.request);
 			const misfit = this.#findMisfit(queued.request);
 			if (misfit !== undefined || this.#isStuck(queued) || this.#now + leastMs > queued.deadlineAt) {
 				this.#queue.remove(queued.request.attemptId);
 				this.#refuse(
 					queued,
 					misfit?.reason ?? refusalReasons.deadlineUnreachable,
-					misfit?.retryAfterMs ?? this.#estimateFirstToken(queued.request),
+					misfit?.retryAfterMs ?? this.#firstToken.estimateFirstToken(queued.request, this.bounds),
 				);
 			}
 		}
@@ -417,7 +418,7 @@
 		const inFlight = this.#ledger.usage.lanePrefillTokens[0]!;
 		return lane === 0
 			? ((inFlight + request.prefillTokens) * 1000) / Math.max(1, this.#estimator.getDrainRate(0))
-			: this.#computePrefillMs(request.prefillTokens);
+			: this.#firstToken.computePrefillMs(request.prefillTokens);
 	}
 
 	#refuseAll(): void {
@@ -472,7 +473,7 @@
 	}
 
 	/** Longest-waiting head of a lane past the aging time; it is served first or capacity is set aside for it. */
-	#findClaim(bounds: AdmissionBounds): Claim | undefined {
+	#findClaim(bounds: AdmissionBounds): CapacityClaim | undefined {
 		for (;;) {
 			const oldest = this.#findOldestHead();
 			const waitedMs = oldest === undefined ? 0 : this.#now - oldest.enqueuedAt;
@@ -480,7 +481,7 @@
 				return undefined;
 			}
 
-			if (!this.#hasRoom(oldest, bounds, undefined)) {
+			if (!this.#capacity.hasRoom(oldest, bounds, undefined)) {
 				return {queued: oldest, waitedMs};
 			}
 
@@ -501,10 +502,10 @@
 		return oldest;
 	}
 
-	#grantLane(lane: number, bounds: AdmissionBounds, claim: Claim | undefined): void {
+	#grantLane(lane: number, bounds: AdmissionBounds, claim: CapacityClaim | undefined): void {
 		for (;;) {
 			const head = this.#queue.getFirst(lane);
-			if (head === undefined || !this.#hasCredit(lane, claim) || !this.#hasRoom(head, bounds, claim)) {
+			if (head === undefined || !this.#hasCredit(lane, claim) || !this.#capacity.hasRoom(head, bounds, claim)) {
 				return;
 			}
 
@@ -513,66 +514,9 @@
 		}
 	}
 
-	#hasRoom({request, lane}: QueuedRequest, bounds: AdmissionBounds, claim: Claim | undefined): boolean {
-		const ledger = this.#ledger;
-		return ledger.concurrency + 1 <= this.#computeConcurrencyBound(bounds, claim)
-			&& ledger.kvTokens + request.kvTokens <= bounds.kvTokens
-			&& this.#hasRoomBesideClaim(request, lane, bounds, claim)
-			&& ledger.prefillTokens + this.#countPrefill(request) <= bounds.prefillTokens
-			&& this.#hasLaneRoom(request, lane, bounds);
-	}
-
-	#computeConcurrencyBound({concurrency}: AdmissionBounds, claim: Claim | undefined): number {
-		return claim !== undefined && concurrency > 1 ? concurrency - 1 : concurrency;
-	}
-
-	/** Memory held by longer prompts does not count against shorter ones, because they would all wait until it is returned. */
-	#hasRoomBesideClaim(request: PermitRequest, lane: number, bounds: AdmissionBounds, claim: Claim | undefined): boolean {
-		if (claim === undefined) {
-			return true;
-		}
-
-		const isShorter = lane < claim.queued.lane;
-		const used = isShorter ? this.#computeSumUpTo(this.#ledger.usage.laneKvTokens, claim.queued.lane - 1) : this.#ledger.kvTokens;
-		return used + request.kvTokens <= this.#computeClaimBound(bounds, claim);
-	}
-
-	#computeClaimBound({kvTokens}: AdmissionBounds, claim: Claim): number {
-		const isUrgent = claim.waitedMs >= claimAllFactor * this.#options.agingMs;
-		const reserve = isUrgent ? 0 : kvTokens * claimReserveShare;
-		return Math.max(reserve, kvTokens - claim.queued.request.kvTokens);
-	}
-
-	#hasLaneRoom(request: PermitRequest, lane: number, bounds: AdmissionBounds): boolean {
-		const {usage} = this.#ledger;
-		const inFlight = usage.lanePrefillTokens[lane]!;
-		if (!request.isDeferred && inFlight > 0 && inFlight + request.prefillTokens > this.#computeWindowTokens()) {
-			return false;
-		}
-
-		const {concurrencyShare, kvShare} = lanes[lane]!;
-		const concurrency = this.#computeSumFrom(usage.laneConcurrency, lane);
-		const kvTokens = this.#computeSumFrom(usage.laneKvTokens, lane);
-		return concurrency + 1 <= Math.max(1, Math.floor(bounds.concurrency * concurrencyShare))
-			&& (kvTokens === 0 || kvTokens + request.kvTokens <= bounds.kvTokens * kvShare);
-	}
-
-	#computeSumFrom(values: readonly number[], lane: number): number {
-		let sum = 0;
-		for (let index = lane; index < values.length; index++) {
-			sum += values[index]!;
-		}
-
-		return sum;
-	}
-
-	#computeWindowTokens(): number {
-		return (this.#profile.prefillTokensPerSecond * this.#options.prefillWindowMs) / 1000;
-	}
-
-	#hasCredit(lane: number, claim: Claim | undefined): boolean {
+	#hasCredit(lane: number, claim: CapacityClaim | undefined): boolean {
 		const isLongerWaiting = (claim?.queued.lane ?? -1) > lane
-			|| this.#computeSumFrom(this.#ledger.usage.lanePrefillTokens, lane + 1) > 0;
+			|| computeSumFrom(this.#ledger.usage.lanePrefillTokens, lane + 1) > 0;
 		return !isLongerWaiting || this.#credits.isAvailable(lane);
 	}
 
@@ -597,7 +541,7 @@
 			grantedAt: this.#now,
 			firstTokenAt: undefined,
 			expiresAt: this.#now + permitLifetimeMs,
-			expectedFirstTokenMs: this.#estimateGranted(request, lane),
+			expectedFirstTokenMs: this.#firstToken.estimateGranted(request, lane),
 			isSuspect: request.isSuspect,
 			abandonedAt: undefined,
 			isReleased: false,
@@ -610,53 +554,4 @@
 
 		this.#commands.push({type: 'grant', permit});
 	}
-
-	/** First-token time in ms of a request granted now. */
-	#estimateGranted(request: PermitRequest, lane: number): number {
-		const inFlight = this.#computeSumUpTo(this.#ledger.usage.lanePrefillTokens, lane);
-		const share = lane === 0 ? 1 : this.#options.longPrefillShare;
-		return this.#computePrefillMs((inFlight + request.prefillTokens) / share);
-	}
-
-	#computeSumUpTo(values: readonly number[], lane: number): number {
-		let sum = 0;
-		for (let index = 0; index <= lane; index++) {
-			sum += values[index]!;
-		}
-
-		return sum;
-	}
-
-	#computePrefillMs(tokens: number): number {
-		return (tokens * 1000) / this.#profile.prefillTokensPerSecond;
-	}
-
-	#estimateDecodeMs(request: PermitRequest): number {
-		return request.decodeTokens * this.#estimator.decodeMsPerToken;
-	}
-
-	#estimateSample(prefillTokens: number): number {
-		return Math.ceil(this.#estimate(prefillTokens, prefillTokens, 1, 1));
-	}
-
-	/** Estimated time in ms to the first token of a request that arrives now. */
-	#estimateFirstToken(request: PermitRequest): number {
-		const share = this.#queue.estimateShareAhead(computeLane(request.prefillTokens), request.workspaceId, request.weight);
-		return this.#estimate(request.prefillTokens, request.kvTokens, share, request.isSuspect ? 0 : 1);
-	}
-
-	/** The slowest of prefill rate, concurrency and KV memory decides. */
-	#estimate(prefillTokens: number, kvTokens: number, shareAhead: number, slots: number): number {
-		const lane = computeLane(prefillTokens);
-		const backlog = this.#queue.backlogs[lane]!;
-		const {bounds} = this;
-		const rate = Math.max(1, this.#estimator.getDrainRate(lane));
-		const inFlight = this.#ledger.usage.lanePrefillTokens[lane]!;
-		const prefillMs = ((inFlight + (backlog.prefillTokens * shareAhead) + prefillTokens) * 1000) / rate;
-		const ownMs = (prefillTokens * 1000) / rate;
-		const missingSlots = (backlog.size * shareAhead) + slots - (bounds.concurrency - this.#ledger.concurrency);
-		const missingKv = (backlog.kvTokens * shareAhead) + kvTokens - (bounds.kvTokens - this.#ledger.kvTokens);
-		const turnover = Math.max(missingSlots / Math.max(1, bounds.concurrency), missingKv / Math.max(1, bounds.kvTokens));
-		return Math.max(prefillMs, ownMs + (Math.max(0, turnover) * this.#estimator.holdMs));
-	}
 }
--- /dev/null
+++ b/packages/core/src/admission/first-token-estimator.ts
@@ -0,0 +1,64 @@
+import type {BackendServerProfile, PermitRequest} from '../types/index.js';
+import type {AdmissionBounds} from './admission-bounds.js';
+import type {ResolvedAdmissionOptions} from './admission-options.js';
+import type {AdmissionQueue} from './admission-queue.js';
+import type {DrainEstimator} from './drain-estimator.js';
+import {computeLane} from './lanes.js';
+import {computeSumUpTo} from './lane-sums.js';
+import type {PermitLedger} from './permit-ledger.js';
+
+/** State of an admission point from which times to the first token are estimated. */
+export type EstimatorParts = {
+	queue: AdmissionQueue;
+	ledger: PermitLedger;
+	drain: DrainEstimator;
+	options: ResolvedAdmissionOptions;
+	getProfile: () => BackendServerProfile;
+};
+
+/** Estimates times to the first token from the queue, the work in flight and the measured drain rate. */
+export class FirstTokenEstimator {
+	constructor(private readonly parts: EstimatorParts) {}
+
+	/** First-token time in ms of a request granted now. */
+	estimateGranted(request: PermitRequest, lane: number): number {
+		const inFlight = computeSumUpTo(this.parts.ledger.usage.lanePrefillTokens, lane);
+		const share = lane === 0 ? 1 : this.parts.options.longPrefillShare;
+		return this.computePrefillMs((inFlight + request.prefillTokens) / share);
+	}
+
+	/** Time in ms of a prefill at the full rate of the server. */
+	computePrefillMs(tokens: number): number {
+		return (tokens * 1000) / this.parts.getProfile().prefillTokensPerSecond;
+	}
+
+	/** Time in ms from the first to the last token. */
+	estimateDecodeMs(request: PermitRequest): number {
+		return request.decodeTokens * this.parts.drain.decodeMsPerToken;
+	}
+
+	/** Estimated time in ms to the first token of a prompt of this length that arrives now. */
+	estimateSample(prefillTokens: number, bounds: AdmissionBounds): number {
+		return Math.ceil(this.#estimate(prefillTokens, prefillTokens, {share: 1, slots: 1}, bounds));
+	}
+
+	/** Estimated time in ms to the first token of a request that arrives now. */
+	estimateFirstToken(request: PermitRequest, bounds: AdmissionBounds): number {
+		const share = this.parts.queue.estimateShareAhead(computeLane(request.prefillTokens), request.workspaceId, request.weight);
+		return this.#estimate(request.prefillTokens, request.kvTokens, {share, slots: request.isSuspect ? 0 : 1}, bounds);
+	}
+
+	/** The slowest of prefill rate, concurrency and KV memory decides. */
+	#estimate(prefillTokens: number, kvTokens: number, ahead: {share: number; slots: number}, bounds: AdmissionBounds): number {
+		const lane = computeLane(prefillTokens);
+		const backlog = this.parts.queue.backlogs[lane]!;
+		const rate = Math.max(1, this.parts.drain.getDrainRate(lane));
+		const inFlight = this.parts.ledger.usage.lanePrefillTokens[lane]!;
+		const prefillMs = ((inFlight + (backlog.prefillTokens * ahead.share) + prefillTokens) * 1000) / rate;
+		const ownMs = (prefillTokens * 1000) / rate;
+		const missingSlots = (backlog.size * ahead.share) + ahead.slots - (bounds.concurrency - this.parts.ledger.concurrency);
+		const missingKv = (backlog.kvTokens * ahead.share) + kvTokens - (bounds.kvTokens - this.parts.ledger.kvTokens);
+		const turnover = Math.max(missingSlots / Math.max(1, bounds.concurrency), missingKv / Math.max(1, bounds.kvTokens));
+		return Math.max(prefillMs, ownMs + (Math.max(0, turnover) * this.parts.drain.holdMs));
+	}
+}
