Tell every entry of a crash before its report is answered

Ruled out: asking the owner before each request, which costs a message per request; crashes are rare, so a message to each entry at a crash is affordable.

--- a/packages/entry/src/peer-handlers.ts
+++ b/packages/entry/src/peer-handlers.ts
@@ -34,6 +34,9 @@
 		fetchAvailability: () => availability.availability,
 		checkFingerprint: async fingerprint => getTasks().quarantine.checkOwned(fingerprint),
 		reportFingerprint: async report => getTasks().quarantine.reportOwned(report),
+		notifyFingerprint(record) {
+			getTasks().quarantine.acceptNotice(record);
+		},
 		queryOwnership: serverId => getTasks().ownership.describe(serverId),
 		getStatus,
 		explainRequest: requestId => explain.get(requestId),
--- a/packages/entry/src/quarantine/quarantine-task.ts
+++ b/packages/entry/src/quarantine/quarantine-task.ts
@@ -99,10 +99,32 @@
 				attemptId, serverId, bootId, companions,
 			})
 			: this.#table.recordCompletion(fingerprint, attemptId);
-		await this.#apply(fingerprint, effect);
+		await Promise.all([this.#apply(fingerprint, effect), this.#notifyPeers(effect.record)]);
 		return {standing: effect.record?.standing ?? 'clear'};
 	}
 
+	/** Takes over a record that the owner of the fingerprint announced. */
+	acceptNotice(record: FingerprintRecord): void {
+		this.#records.set(record.fingerprint, record);
+		if (this.#findOwner(record.fingerprint) !== this.#options.entryId) {
+			this.#table.load([record], this.#options.timer.now());
+		}
+	}
+
+	/**
+	 * Tells every entry before a crash report is answered: the caller may send the content again at another entry
+	 * before the watch there shows the record. Crashes are rare, so a message to each entry is affordable.
+	 */
+	async #notifyPeers(record: FingerprintRecord | undefined): Promise<void> {
+		if (record === undefined) {
+			return;
+		}
+
+		const others = this.#options.membership.listLiveSessions().filter(({entryId}) => entryId !== this.#options.entryId);
+		await Promise.all(others.map(async ({entryId}) =>
+			this.#findPeer(entryId)?.run(peerTimeoutMs, async (caller, signal) => caller.quarantine.notify.mutate(record, {signal}))));
+	}
+
 	async #check(fingerprint: string): Promise<FingerprintStanding> {
 		if (!this.#records.has(fingerprint) && !this.#reported.has(fingerprint)) {
 			return {standing: 'clear'};
--- a/packages/protocol/src/peer/peer-router.ts
+++ b/packages/protocol/src/peer/peer-router.ts
@@ -1,6 +1,9 @@
 import {initTRPC, TRPCError} from '@trpc/server';
 import {z} from 'zod';
-import type {Heartbeat, PermitReply, PermitRequest} from '@knapweedrack/core';
+import type {
+	FingerprintRecord, Heartbeat, PermitReply, PermitRequest,
+} from '@knapweedrack/core';
+import {fingerprintRecordSchema} from '../state/state-records.js';
 import {
 	fingerprintReportSchema, heartbeatSchema, permitReleaseSchema, permitRenewalSchema, permitRequestSchema,
 	permitWithdrawalSchema, sliceRequestSchema,
@@ -25,6 +28,8 @@
 	fetchAvailability: () => unknown;
 	checkFingerprint: (fingerprint: string) => Promise<FingerprintStanding>;
 	reportFingerprint: (report: FingerprintReport) => Promise<FingerprintStanding>;
+	/** Tells that content is suspect or quarantined, before the watch shows its record. */
+	notifyFingerprint: (record: FingerprintRecord) => void;
 	/** Tells whether this entry issues permits for a backend server. */
 	queryOwnership: (serverId: string) => {isIssuing: boolean; fencingNumber: number};
 	getStatus: () => unknown;
@@ -72,6 +77,9 @@
 		quarantine: router({
 			check: authorized.input(z.string()).query(async ({input}) => handlers.checkFingerprint(input)),
 			report: authorized.input(fingerprintReportSchema).mutation(async ({input}) => handlers.reportFingerprint(input)),
+			notify: authorized.input(fingerprintRecordSchema).mutation(({input}) => {
+				handlers.notifyFingerprint(input);
+			}),
 		}),
 		ownership: router({
 			query: authorized.input(z.string()).query(({input}) => handlers.queryOwnership(input)),
