Take over from the predecessor at the same address at once

Cause: after the restart of an entry its servers waited for the expiry of the former session (7 s) and then for a dispute with the former process (20 s), in which the entry asked itself whether its predecessor still issues and answered yes. The failure tests saw engines without a full owner for 40 s.

Ruled out: a shorter dispute, which would exceed the bound when the former process runs on. A process that listens at the address of the former owner proves that this one has ended, so its permits expire while the ownership is rebuilt, as after a release.

The owner record carries the owner's address. The new test fails on the former code, which has no such field; the model test, now with addresses, keeps its bound in all runs.

--- a/packages/core/src/ownership/ownership-model.test.ts
+++ b/packages/core/src/ownership/ownership-model.test.ts
@@ -233,7 +233,7 @@
 		this.#offset = world.roll(0, 1_000_000);
 		this.#rate = 1 + (world.roll(-5, 5) / 1000);
 		this.#session = {
-			entryId: this.id, epoch: `${epoch}`, callerAddress: '', peerAddress: '', failureDomain: domains[index]!, region: 'r',
+			entryId: this.id, epoch: `${epoch}`, callerAddress: '', peerAddress: this.id, failureDomain: domains[index]!, region: 'r',
 			state: 'serving', configurationRevision: 0, availabilityRevision: 0, renewal: 0,
 		};
 		this.#table = new OwnershipTable({self: this.#session, hash});
--- a/packages/core/src/ownership/ownership-table.test.ts
+++ b/packages/core/src/ownership/ownership-table.test.ts
@@ -80,6 +80,25 @@
 		expect(table.getMode('s', now)).to.equal('full');
 	});
 
+	// Guards against engines that stay without a full owner for 40 s after the restart of an entry.
+	it('takes over from its predecessor at once and issues fully when the permits of the predecessor have expired', () => {
+		const takeFrom = (ownerAddress: string) => findWrite(handle({
+			type: 'owner', serverId: 's', record: {
+				serverId: 's', owner: 'a', ownerAddress, epoch: '0', fencingNumber: 4, released: false,
+			}, version: ownerAddress === 'own' ? 10 : 9,
+		}));
+		table = new OwnershipTable({self: session('a', 0, {peerAddress: 'own'}), hash});
+		handle({type: 'instances', servers: [server], entryIds: ['a', 'b']});
+		run(4000);
+		expect(takeFrom('other'), 'the former process listened elsewhere and may still run').to.equal(undefined);
+		expect(takeFrom('own')).to.include({owner: 'a', fencingNumber: 5});
+		handle({type: 'writeResult', serverId: 's', result: {type: 'ok', version: 12}});
+		run(now + permitLifetimeMs);
+		expect(table.getMode('s', now)).to.equal('rebuilding');
+		run(now + 1000);
+		expect(table.getMode('s', now)).to.equal('full');
+	});
+
 	// Guards against a first owner that holds back for 20 s, because the watch brought its own record before the answer of the write.
 	it('knows its own record when the watch is faster than the answer of the write', () => {
 		run(4000);
--- a/packages/core/src/ownership/ownership-table.ts
+++ b/packages/core/src/ownership/ownership-table.ts
@@ -382,11 +382,25 @@
 
 		if (server.record === undefined || server.record.released) {
 			commands.push(this.#createWrite(server, 'take'));
+		} else if (this.#isPredecessor(server.record)) {
+			commands.push(this.#createWrite(server, 'take', this.#createPredecessorDispute(now)));
 		} else if (this.#isTakeoverAllowed(server, server.record, now, commands)) {
 			commands.push(this.#createWrite(server, 'take', this.#createDispute(server.record, now)));
 		}
 	}
 
+	/** The record of an earlier process of this entry, which has ended, because this one listens at its address. */
+	#isPredecessor({owner, ownerAddress, epoch}: OwnerRecord): boolean {
+		const {self} = this.options;
+		return owner === self.entryId && epoch !== self.epoch && ownerAddress !== undefined && ownerAddress === self.peerAddress;
+	}
+
+	/** Permits of the predecessor expire while the ownership is rebuilt; only other lapsed entries can still issue. */
+	#createPredecessorDispute(now: number): Dispute | undefined {
+		const lapsed = this.#peers.listLapsed(now);
+		return lapsed.length === 0 ? undefined : createDispute(lapsed);
+	}
+
 	/**
 	 * The object API must have answered without a gap for the expiry time, so that owners that continue during
 	 * an outage have heard that this entry reaches it again.
@@ -414,17 +428,14 @@
 
 	/** Other lapsed entries may be earlier owners whose dispute the former owner did not resolve. */
 	#createDispute(record: OwnerRecord, now: number): Dispute {
-		const suspects = new Set([record.owner, ...this.#peers.listLapsed(now)]);
-		return {
-			singleSince: undefined,
-			clearFrom: new Map([...suspects].map(entryId => [entryId, Number.POSITIVE_INFINITY])),
-		};
+		return createDispute([record.owner, ...this.#peers.listLapsed(now)]);
 	}
 
 	#createRecord(server: OwnedServer): OwnerRecord {
 		return {
 			serverId: server.description.id,
 			owner: this.options.self.entryId,
+			ownerAddress: this.options.self.peerAddress,
 			epoch: this.options.self.epoch,
 			fencingNumber: (server.record?.fencingNumber ?? 0) + 1,
 			released: false,
@@ -589,3 +600,8 @@
 		dispute.clearFrom.set(entryId, isIssuing ? Number.POSITIVE_INFINITY : Math.min(clearFrom, now + permitLifetimeMs));
 	}
 };
+
+const createDispute = (entryIds: readonly string[]): Dispute => ({
+	singleSince: undefined,
+	clearFrom: new Map(entryIds.map(entryId => [entryId, Number.POSITIVE_INFINITY])),
+});
--- a/packages/core/src/types/session.ts
+++ b/packages/core/src/types/session.ts
@@ -20,6 +20,8 @@
 export type OwnerRecord = {
 	serverId: string;
 	owner: string;
+	/** `host:port` of the owner's listener for other entries; a process that listens there proves that an earlier one ended. */
+	ownerAddress?: string | undefined;
 	epoch: string;
 	/** Increases with each change of ownership. */
 	fencingNumber: number;
--- a/packages/protocol/src/state/state-records.ts
+++ b/packages/protocol/src/state/state-records.ts
@@ -25,6 +25,7 @@
 export const ownerRecordSchema: z.ZodType<OwnerRecord> = z.object({
 	serverId: identifier,
 	owner: identifier,
+	ownerAddress: z.string().optional(),
 	epoch: identifier,
 	fencingNumber: count,
 	released: z.boolean(),
