Start the lease again after an outage

Cause: the check of the clock took a lease that had already ended for ended by a gap and reset it at each check. The renewal under way then counted as sent before the reset, so an entry whose first renewal failed, or whose lease lapsed once, never got a lease again and took no servers.

Ruled out by prints at each step: the instance list, the owner records and the candidates, which were all known 4 s after the outage.

Test: 'starts again with the first renewal after an outage' failed before (lease not valid) and passes.

--- a/packages/core/src/membership/membership.test.ts
+++ b/packages/core/src/membership/membership.test.ts
@@ -14,6 +14,27 @@
 });
 
 describe('SessionLease', () => {
+	// Guards against an entry that never gets a lease because the object API was away at its start or for longer than a session.
+	it('starts again with the first renewal after an outage, however often the clock is checked', () => {
+		const lease = new SessionLease();
+		const checkUntil = (from: number, to: number) => {
+			for (let now = from; now <= to; now += 250) {
+				lease.checkClock(now, now);
+			}
+		};
+
+		const renew = (sentAt: number) => {
+			lease.checkClock(sentAt + 5, sentAt + 5);
+			return lease.recordRenewal(sentAt, sentAt + 5);
+		};
+
+		checkUntil(0, 10_000);
+		expect(renew(10_100)).to.equal(true);
+		checkUntil(10_200, 30_000);
+		expect(lease.isValid(30_000)).to.equal(false);
+		expect(renew(30_100)).to.equal(true);
+	});
+
 	// Guards against a lease that is extended by the time its renewal took.
 	it('is valid from the sending time of the renewal', () => {
 		const lease = new SessionLease();
--- a/packages/core/src/membership/session-lease.ts
+++ b/packages/core/src/membership/session-lease.ts
@@ -49,7 +49,9 @@
 
 		const elapsed = now - last.now;
 		const stoppedMs = wallNow - last.wallNow - elapsed;
-		const hasGap = elapsed >= this.#validUntil - last.now || stoppedMs > this.#clockStopMs;
+		// A lease that had ended before the last check is not ended again, or the renewal that is under way would not count.
+		const hasOutlasted = this.isValid(last.now) && elapsed >= this.#validUntil - last.now;
+		const hasGap = hasOutlasted || stoppedMs > this.#clockStopMs;
 		if (hasGap) {
 			this.reset(now);
 		}
