--- a/packages/core/src/ownership/ownership-table.ts
+++ b/packages/core/src/ownership/ownership-table.ts
@@ -520,11 +520,11 @@
 			return 'stopped';
 		}
 
-		if (allowed === 'half') {
+		if (allowed !== 'full') {
 			server.halvedLapse = this.#lapses;
 		}
 
-		return allowed === 'grace' || server.isHalvedByLapse ? limitMode(phaseModes[phase]) : phaseModes[phase];
+		return server.isHalvedByLapse ? limitMode(phaseModes[phase]) : phaseModes[phase];
 	}
 
 	/** What an owner with a lapsed lease may issue at most. */
@@ -560,8 +560,7 @@
 
 /**
  * Time in ms after a lapse in which an entry that still reports the object API restricts an owner to half instead of
- * stopping it. An entry that stops reporting within this time had no contact later than the margin after the lapse,
- * so it has not taken over.
+ * stopping it. The restriction holds until the record is rewritten, because a takeover may still be under way.
  */
 const lapseGraceMs = storeContactMs + sessionMarginMs;
 
