Tell a reset from a close when it arrives with the last bytes of an answer

Cause: after a partial read with a hang-up libuv reports an end without reading again, so a reset that arrives together with the last bytes of an answer without a length looked like a close, and the cut answer went out as whole. The stop-gap goes with it: it repeated or failed idempotent answers without a length whose connection was closed, which are whole.

--- a/packages/relay/src/exchange/attempt.ts
+++ b/packages/relay/src/exchange/attempt.ts
@@ -9,8 +9,8 @@
 
 /** How an attempt on a backend server ended. */
 export type AttemptEnd =
-	/** The whole answer arrived; without a length, only the close of its connection says so. */
-	| {type: 'complete'; isUnframed: boolean}
+	/** The whole answer arrived. */
+	| {type: 'complete'}
 	/** No byte of the request left this process. */
 	| {type: 'not_sent'; cause: string}
 	/** The connection ended, or bytes arrived that are no answer to this request; the request may have run. */
@@ -108,7 +108,7 @@
 		},
 		onResponseEnd() {
 			// An answer without a length is complete when its connection is closed, but not when it is reset.
-			end(isUnframed && connection.wasReset() ? {type: 'broken', cause: 'reset within an answer without a length'} : {type: 'complete', isUnframed});
+			end(isUnframed && connection.wasReset() ? {type: 'broken', cause: 'reset within an answer without a length'} : {type: 'complete'});
 		},
 		onResponseError(_controller, error) {
 			end(controller === undefined ? {type: 'not_sent', cause: describeError(error)} : {type: 'broken', cause: describeError(error)});
--- a/packages/relay/src/exchange/backend-connections.ts
+++ b/packages/relay/src/exchange/backend-connections.ts
@@ -1,5 +1,5 @@
-import type {Socket} from 'node:net';
 import {buildConnector, Client, type Dispatcher} from 'undici';
+import {watchReset} from './reset-watch.js';
 
 /** Time to open a connection; several round trips between failure domains, short enough to be on time at another backend server. */
 const connectTimeoutMs = 150;
@@ -84,7 +84,10 @@
 					const [, socket] = result;
 					// The connector passes no socket at all when it could not connect.
 					if (socket) {
-						this.#watch(socket);
+						// Registered before the client's own listeners, which take a reset answer without a length for complete.
+						watchReset(socket, () => {
+							this.wasReset = true;
+						});
 					}
 
 					callback(...result);
@@ -94,13 +97,6 @@
 		// Without a listener, an error that belongs to no request would end the process; the attempts report their own.
 		this.client.on('connectionError', () => undefined);
 	}
-
-	/** Registered before the client's own listener, which takes a reset answer without a length for complete. */
-	#watch(socket: Socket): void {
-		socket.on('error', () => {
-			this.wasReset = true;
-		});
-	}
 }
 
 /** Connections to the backend servers, by id: a restarted server at the same address gets new connections. */
--- a/packages/relay/src/front/run-attempt.ts
+++ b/packages/relay/src/front/run-attempt.ts
@@ -307,12 +307,6 @@
 			return;
 		}
 
-		// The close of a connection does not prove that an answer is whole, and an idempotent call can be repeated.
-		if (end.isUnframed && this.options.route.execution === executionKinds.idempotent) {
-			this.#finish({type: 'broken', cause: 'the end of an answer without a length cannot be verified'});
-			return;
-		}
-
 		if (this.#head === undefined || isUnusable(this.#head)) {
 			this.#finish({type: 'broken', cause: 'the answer is not signed or is encoded'});
 			return;
