Record the first byte of answers that are no streams

Cause: only streams recorded the time to the first byte, so the histogram did not show calls of plain services. Ruled out: a fault of the bundle; the samples were missing in the packages too.

--- a/packages/relay/src/front/run-attempt.ts
+++ b/packages/relay/src/front/run-attempt.ts
@@ -132,7 +132,7 @@
 
 	/** Passes on complete events. */
 	passEvents(chunk: Buffer): boolean {
-		const {writer, progress, placed, route} = this.options;
+		const {writer, progress, placed} = this.options;
 		if (isUnusable(this.#head!)) {
 			return true;
 		}
@@ -146,7 +146,7 @@
 
 		if (writer.isOpen) {
 			writer.start(this.#head!);
-			this.services.metrics.recordFirstByte(route.name, this.services.timer.now() - this.options.arrivedAt);
+			this.#recordFirstByte();
 		}
 
 		progress.lastEventId = lastEventId ?? progress.lastEventId;
@@ -160,6 +160,8 @@
 		if (this.#mode === answerModes.held && this.#heldBytes > heldAnswerBytes && this.options.writer.isOpen && !isUnusable(this.#head!)) {
 			this.#mode = answerModes.passing;
 			this.options.writer.start(this.#head!);
+			this.#firstByteMs = this.services.timer.now();
+			this.#recordFirstByte();
 			const bytes = Buffer.concat(this.#held);
 			this.#held = [];
 			return this.options.writer.write(bytes);
@@ -196,6 +198,7 @@
 		}
 
 		this.#firstByteMs = this.services.timer.now();
+		this.#recordFirstByte();
 		writer.writeWhole(head, Buffer.concat(this.#held));
 		return {type: 'delivered'};
 	}
@@ -301,6 +304,12 @@
 		this.#postponeSilence?.(now + overduePauseMs);
 	}
 
+	/** Records the time to the first byte that the caller gets; a repeated stream has sent it already. */
+	#recordFirstByte(): void {
+		const {services: {metrics, timer}, options: {route, arrivedAt}} = this;
+		metrics.recordFirstByte(route.name, timer.now() - arrivedAt);
+	}
+
 	#handleEnd(end: AttemptEnd): void {
 		if (end.type !== 'complete') {
 			this.#finish(end);
