Give reserved memory back on every way that a request ends, and never send a request that is over

The new cases found three faults. A caller that left, or a time-out that was answered as not run, while memory was set aside, did not keep the request from being sent afterwards. A renewal that an engine carries out after the release set the memory aside again until the lease ended. A prompt whose memory is not free after a third of its time is now refused with a time to come back instead of waiting for its time-out. Ruled out: leases longer than the bound, renewals that come too late, and orders left after a refusal or a break.

--- a/packages/core/src/placement/placement-plan.ts
+++ b/packages/core/src/placement/placement-plan.ts
@@ -6,7 +6,7 @@
 	computePromptValue, type PlacedReservation, type Placement, type PlacementCandidate, type PromptDemand,
 } from './placement-types.js';
 import {computePart, predictHelpEnd, predictReadingEnd} from './predict-first-token.js';
-import type {ServerLoad} from './server-load.js';
+import {noLoad, type ServerLoad} from './server-load.js';
 
 /** Weight of the preferred end of the order of engines, as a share of the request's value. */
 const orderWeight = 0.03;
@@ -121,3 +121,7 @@
 
 const computeFreeTokens = (profile: EngineProfile, load: ServerLoad): number =>
 	(profile.memoryTokens * usableMemoryShare) - load.memoryTokens;
+
+/** True when an empty engine keeps a prompt and its answer alone. */
+export const fitsOneEngine = (profile: EngineProfile, demand: PromptDemand): boolean =>
+	demand.promptTokens + demand.outputTokens <= computeFreeTokens(profile, noLoad);
--- a/packages/core/src/placement/placement.test.ts
+++ b/packages/core/src/placement/placement.test.ts
@@ -172,6 +172,13 @@
 			expect(placement.reservations.every(({serverId, tokens}) => tokens <= 450_000 && placement.helperIds.includes(serverId))).to.equal(true);
 		});
 
+		// Guards against prompts that are refused because they are read fast although no engine keeps them.
+		it('reserves on helpers also for prompts that are read fast', () => {
+			const small = {...profile, memoryTokens: 10_000, readTokensPerMs: 1000};
+			const decision = selectPlacement(small, buildCandidates(Array.from({length: 4}, () => buildLoad(0))), {...note, promptTokens: 25_000});
+			expect(decision.type).to.equal('place');
+		});
+
 		// Guards against a reservation where memory is in use.
 		it('waits while the engines together have too little memory', () => {
 			const full = buildLoad(0, {memoryTokens: 400_000});
--- a/packages/core/src/placement/select-placement.ts
+++ b/packages/core/src/placement/select-placement.ts
@@ -1,7 +1,7 @@
 import type {EngineProfile} from '../engine-model/engine-profile.js';
 import {computeReadMs} from '../engine-model/reading-time.js';
 import {lateShare} from './lateness.js';
-import {buildPlan, type PlacementPlan} from './placement-plan.js';
+import {buildPlan, fitsOneEngine, type PlacementPlan} from './placement-plan.js';
 import type {PlacementCandidate, PlacementDecision, PromptDemand} from './placement-types.js';
 
 /** Most engines that one request may name as helpers, from the platform's protocol. */
@@ -46,7 +46,7 @@
  */
 export const selectPlacement = (profile: EngineProfile, candidates: readonly PlacementCandidate[], demand: PromptDemand): PlacementDecision => {
 	const readMs = computeReadMs(profile, demand.promptTokens);
-	if (readMs <= shortReadMs) {
+	if (readMs <= shortReadMs && fitsOneEngine(profile, demand)) {
 		return selectShortPlan(profile, candidates, demand);
 	}
 
--- a/packages/relay/src/exchange/memory-reservation.ts
+++ b/packages/relay/src/exchange/memory-reservation.ts
@@ -46,9 +46,10 @@
 		return connection === undefined ? 'refused' : sendOrder(connection, orders, {serverId: server.id, body});
 	};
 
+	const renewals = new Map<ReservedPart, Promise<OrderResult>>();
 	const release = (): void => {
 		for (const part of held) {
-			void releasePart(part, order, orders.encodeRelease(id), result => {
+			void releasePart(part, order, {body: orders.encodeRelease(id), renewal: renewals.get(part)}, result => {
 				log.writeRequest('reservation.release_failed', requestId, {server: part.server.id, reservation: id, result});
 			});
 		}
@@ -72,7 +73,7 @@
 
 	const unsubscribe = timer.subscribe(Math.round(leaseMs * renewShare), () => {
 		for (const part of held) {
-			void order(part, orders.encodeReservation({id, tokens: part.tokens, holdMs: leaseMs}));
+			renewals.set(part, order(part, orders.encodeReservation({id, tokens: part.tokens, holdMs: leaseMs})));
 		}
 	});
 	return {
@@ -84,10 +85,18 @@
 	};
 };
 
-/** Releases once more when the first order had no answer; after that the lease ends by itself. */
-const releasePart = async (part: ReservedPart, order: (part: ReservedPart, body: string) => Promise<OrderResult>, body: string, reportFailure: (result: OrderResult) => void): Promise<void> => {
-	const first = await order(part, body);
-	const result = first === 'unknown' ? await order(part, body) : first;
+/**
+ * Releases once more when the first order had no answer; after that the lease ends by itself. A renewal that was on its way
+ * may be carried out after the release and set the memory aside again, so the release is repeated after its answer.
+ */
+const releasePart = async (
+	part: ReservedPart,
+	order: (part: ReservedPart, body: string) => Promise<OrderResult>,
+	{body, renewal}: {body: string; renewal: Promise<OrderResult> | undefined},
+	reportFailure: (result: OrderResult) => void,
+): Promise<void> => {
+	const [first] = await Promise.all([order(part, body), renewal]);
+	const result = first === 'unknown' || renewal !== undefined ? await order(part, body) : first;
 	if (result !== 'done') {
 		reportFailure(result);
 	}
--- a/packages/relay/src/front/relay-request.ts
+++ b/packages/relay/src/front/relay-request.ts
@@ -19,6 +19,8 @@
 const placementRetryMs = 20;
 /** Pause after memory was not free on an engine, in ms; streams end in about this time. */
 const reservationRetryMs = 150;
+/** Share of its time for which a request waits for memory that is not free; the same as for idle engines. */
+const reservationWaitShare = 0.35;
 const noReservation: MemoryReservation = {ids: new Map(), release: () => undefined};
 /** Range of the time after which a caller may come back when no better estimate exists, in ms. */
 const comeBackMs = {least: 150, most: 600};
@@ -146,10 +148,22 @@
 			const reservation = await this.#reserve(placed);
 			if (reservation === undefined) {
 				placed.release();
+				if (this.#isReservationHopeless(route)) {
+					this.#answerUnplaced();
+					return;
+				}
+
 				await waitFor(timer, reservationRetryMs);
 				continue;
 			}
 
+			// The caller may have left, or got its answer at the time-out, while memory was set aside.
+			if (this.#writer.isOver) {
+				reservation.release();
+				placed.release();
+				return;
+			}
+
 			this.#tried.add(placed.server.id);
 			const result = await this.#runOne(placed, service, {...work, reservations: reservation.ids});
 			reservation.release();
@@ -181,6 +195,12 @@
 		return reservations.length === 0 ? noReservation : reserveMemory(this.#services, reservations, this.#envelope.requestId);
 	}
 
+	/** Memory that is not free again soon leaves too little time for the answer, so the caller is told to come back. */
+	#isReservationHopeless(route: Route): boolean {
+		const waitedMs = this.#services.timer.now() - this.#arrivedAt;
+		return waitedMs > (waitedMs + this.#computeRemainingMs(route)) * reservationWaitShare;
+	}
+
 	async #runOne(placed: PlacedRequest, service: Service, {route, workspace, body, reservations}: AttemptWork): Promise<AttemptResult> {
 		const {log, metrics, timer} = this.#services;
 		const sentAt = timer.now();
--- a/packages/testkit/src/users-platform/index.ts
+++ b/packages/testkit/src/users-platform/index.ts
@@ -1,2 +1,3 @@
 export * from './metadata-store.js';
+export * from './reservation-ledger.js';
 export * from './runner.js';
--- a/packages/testkit/src/users-platform/runner.ts
+++ b/packages/testkit/src/users-platform/runner.ts
@@ -4,6 +4,7 @@
 import type {AddressInfo} from 'node:net';
 import {loopbackHost} from '../http/listener.js';
 import type {StandIn} from '../http/stand-in.js';
+import {ReservationLedger} from './reservation-ledger.js';
 
 /** A request as a runner received it. */
 export type RunnerRequest = {
@@ -19,8 +20,10 @@
 /** Answers one request; the response and its socket are at hand for answers that break the protocol. */
 export type RunnerHandler = (request: RunnerRequest, response: ServerResponse) => Promise<void> | void;
 
-/** A running runner with the requests that it took. */
-export type Runner = StandIn & {id: string; received: RunnerRequest[]};
+/** A running runner with the requests that it took and the memory set aside on it. */
+export type Runner = StandIn & {id: string; received: RunnerRequest[]; reservations: ReservationLedger};
+
+const orderPath = '/-/order';
 
 /**
  * Starts a stand-in of a runner that takes requests for its own id only.
@@ -28,6 +31,7 @@
  */
 export const startRunner = async (id: string, handlers: RunnerHandler[] = []): Promise<Runner> => {
 	const received: RunnerRequest[] = [];
+	const reservations = new ReservationLedger();
 	const server = createServer((request, response) => {
 		void serve(request, response);
 	});
@@ -42,6 +46,12 @@
 			return;
 		}
 
+		if (request.url === orderPath) {
+			const status = await reservations.handleOrder(Buffer.concat(parts).toString());
+			response.writeHead(status, {'content-length': 0}).end();
+			return;
+		}
+
 		const runnerRequest: RunnerRequest = {
 			method: request.method ?? '', path: request.url ?? '', headers: request.headers, rawHeaders: request.rawHeaders, body: Buffer.concat(parts),
 			gone: waitForClose(response),
@@ -54,7 +64,7 @@
 	await once(server, 'listening');
 	const {port} = server.address() as AddressInfo;
 	return {
-		id, received,
+		id, received, reservations,
 		address: `${loopbackHost}:${port}`,
 		async close() {
 			server.close();
