Derive bounds from what a deployment publishes instead of the figures of two sites

Cause: some constants fitted these sites only. Slots kept free (1, or 3 for late prompts) left engines with one to three slots unused by short prompts. Prompts counted as short, and engines as idle, up to 60 ms of reading, so that slow engines took every prompt for a long one. A stream was taken for silent after 900 ms, shorter than a pass of slow engines. New streams were refused 2.5 s into a planned stop, however short the stop is. Connections had to open in 150 ms, also over links with a longer round trip. Now: shares of the slots; the reading time of the usual prompt, and a quarter of the target; four passes of a full engine; a share of the planned stop; three round trips of the longest published delay.

--- a/packages/core/src/engine-model/reading-time.ts
+++ b/packages/core/src/engine-model/reading-time.ts
@@ -14,3 +14,7 @@
 /** Time of one decode step with a number of requests that decode, in ms. */
 export const computeStepMs = (profile: EngineProfile, writers: number, contextTokens: number): number =>
 	profile.stepMs + (writers * profile.stepMsPerSequence) + ((contextTokens / tokensPerThousand) * profile.stepMsPerThousandTokens);
+
+/** Duration of a pass without reading on a full engine, in ms: the longest regular pause of its streams. */
+export const computeFullPassMs = (profile: EngineProfile): number =>
+	profile.stepsPerPass * computeStepMs(profile, profile.slots, profile.memoryTokens);
--- a/packages/core/src/placement/placement-plan.ts
+++ b/packages/core/src/placement/placement-plan.ts
@@ -12,8 +12,8 @@
 const orderWeight = 0.03;
 /** Weight of the time to the first token among placements without loss, as a share of the request's value over its target. */
 const timeWeight = 0.02;
-/** Slots of an engine that are left free while others have room: other entries may send to it at the same moment. */
-const spareSlots = 1;
+/** Share of the slots of an engine that are left free while others have room: other entries may send to it at the same moment. */
+const spareShare = 0.1;
 /** Share of an engine's memory that is planned with; answers are often longer than their callers expect. */
 const usableMemoryShare = 0.96;
 /** Time after which an engine without a free slot is expected to have one, in ms. */
@@ -99,7 +99,7 @@
 	const needed = demand.promptTokens + demand.outputTokens;
 	const withMemory = rated.filter(({candidate}) => computeFreeTokens(profile, candidate.load) >= needed);
 	const usable = withMemory.length > 0 ? withMemory : rated.toSorted((a, b) => a.candidate.load.memoryTokens - b.candidate.load.memoryTokens);
-	const free = usable.find(({candidate}) => candidate.load.requests < profile.slots - spareSlots);
+	const free = usable.find(({candidate}) => candidate.load.requests < profile.slots - countSpareSlots(profile));
 	const [best] = usable;
 	return free ?? (best && {...best, endMs: best.endMs + fullPenaltyMs});
 };
@@ -122,6 +122,9 @@
 const computeFreeTokens = (profile: EngineProfile, load: ServerLoad): number =>
 	(profile.memoryTokens * usableMemoryShare) - load.memoryTokens;
 
+/** Slots that are left free while others have room, none on engines with few slots. */
+export const countSpareSlots = ({slots}: EngineProfile): number => Math.floor(slots * spareShare);
+
 /** True when an empty engine keeps a prompt and its answer alone. */
 export const fitsOneEngine = (profile: EngineProfile, demand: PromptDemand): boolean =>
 	demand.promptTokens + demand.outputTokens <= computeFreeTokens(profile, noLoad);
--- a/packages/core/src/placement/placement.test.ts
+++ b/packages/core/src/placement/placement.test.ts
@@ -186,6 +186,44 @@
 		});
 	});
 
+	describe('deployments with other engines', () => {
+		const slow: EngineProfile = {
+			slots: 1, memoryTokens: 40_000, stepMs: 20, stepMsPerSequence: 0.5, stepMsPerThousandTokens: 0.1, readTokensPerMs: 8,
+			pairsMsPerMillion: 0.2, chunkTokens: 512, stepsPerPass: 8, hopMs: 1, usualPromptTokens: 4000, usualAnswerTokens: 300,
+		};
+		const demand: PromptDemand = {
+			promptTokens: 2000, outputTokens: 300, targetMs: 2500, waitedMs: 0, deadlineMs: 30_000,
+		};
+		const oneRequest: Partial<ServerLoad> = {
+			requests: 1, writers: 1, contextTokens: 2000, memoryTokens: 2300,
+		};
+
+		// Guards against slots that are left free although an engine has one or two: no short prompt would ever be placed.
+		it('uses all slots of engines that have few', () => {
+			for (const slots of [1, 2, 3]) {
+				const profiles = {...slow, slots};
+				for (const waitedMs of [0, 1600]) {
+					expect(selectPlacement(profiles, buildCandidates([buildLoad(0)]), {...demand, waitedMs}).type).to.equal('place');
+				}
+			}
+
+			expect(selectPlacement(slow, buildCandidates([buildLoad(0, oneRequest)]), demand).type).to.equal('wait');
+		});
+
+		// Guards against a bound of 60 ms for short prompts, by which slow engines would take all prompts for long ones.
+		it('takes prompts up to the usual length for short on slow engines', () => {
+			const twoSlots = {...slow, slots: 2};
+			const reading = buildLoad(0, {requests: 1, readTokens: 1500, readMs: 200});
+			expect(selectPlacement(twoSlots, buildCandidates([reading]), demand).type).to.equal('place');
+		});
+
+		// Guards against usual prompts that are read alone although that takes most of their time to the first token.
+		it('spreads a usual prompt that one engine reads too slowly', () => {
+			const decision = selectPlacement(slow, buildCandidates(Array.from({length: 6}, () => buildLoad(0))), {...demand, promptTokens: 4000, targetMs: 500});
+			expect(decision.type === 'place' ? decision.placement.helperIds.length : 0).to.be.at.least(1);
+		});
+	});
+
 	describe('LoadTable', () => {
 		const work = {
 			readTokens: 5000, readMs: 20, memoryTokens: 6600, contextTokens: 5000, sentAt: 0, firstTokenAt: 100, isWriting: false, isHelp: false,
--- a/packages/core/src/placement/select-placement.ts
+++ b/packages/core/src/placement/select-placement.ts
@@ -1,21 +1,19 @@
 import type {EngineProfile} from '../engine-model/engine-profile.js';
 import {computeReadMs} from '../engine-model/reading-time.js';
 import {lateShare} from './lateness.js';
-import {buildPlan, fitsOneEngine, type PlacementPlan} from './placement-plan.js';
+import {
+	buildPlan, countSpareSlots, fitsOneEngine, type PlacementPlan,
+} from './placement-plan.js';
 import type {PlacementCandidate, PlacementDecision, PromptDemand} from './placement-types.js';
 
 /** Most engines that one request may name as helpers, from the platform's protocol. */
 const helperLimit = 16;
 /** Numbers of parts that are compared; between them the cost changes little. */
 const partCounts = [1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 17];
-/** Reading time up to which a prompt counts as short, in ms: it hardly lengthens a pass. */
-const shortReadMs = 60;
-/** Reading work on an engine that counts as none, in ms: about that of two short prompts. */
-const idleReadMs = 60;
-/** Slots of an engine that short prompts leave free: other entries may send to it at the same moment. */
-const onTimeSpareSlots = 1;
-/** Slots that are left free by short prompts which are late in any case, for those that can still be on time. */
-const lateSpareSlots = 3;
+/** Share of the target up to which the reading of a short prompt may take: such a prompt needs no helpers to be on time. */
+const shortTargetShare = 0.25;
+/** Share of the slots that are left free by short prompts which are late in any case, for those that can still be on time. */
+const lateSpareShare = 0.28;
 /** Share of the target after which a short prompt that still waits counts as late; reading takes the rest. */
 const shortOnTimeShare = 0.6;
 /** Share of the target within which the first token of a short prompt is predicted to come when it is placed at once. */
@@ -46,11 +44,13 @@
  */
 export const selectPlacement = (profile: EngineProfile, candidates: readonly PlacementCandidate[], demand: PromptDemand): PlacementDecision => {
 	const readMs = computeReadMs(profile, demand.promptTokens);
-	if (readMs <= shortReadMs && fitsOneEngine(profile, demand)) {
+	const usualReadMs = computeReadMs(profile, profile.usualPromptTokens);
+	if (readMs <= Math.min(usualReadMs, demand.targetMs * shortTargetShare) && fitsOneEngine(profile, demand)) {
 		return selectShortPlan(profile, candidates, demand);
 	}
 
-	const idle = candidates.filter(({load}) => load.readMs <= idleReadMs);
+	// The reading of one usual prompt counts as none: few engines are without it, and it ends within about a pass.
+	const idle = candidates.filter(({load}) => load.readMs <= usualReadMs);
 	const plans = partCounts
 		.filter(count => count <= Math.min(idle.length, helperLimit + 1))
 		.map(count => buildPlan(profile, idle, {...demand, isShort: false}, count))
@@ -84,7 +84,7 @@
  */
 const selectShortPlan = (profile: EngineProfile, candidates: readonly PlacementCandidate[], demand: PromptDemand): PlacementDecision => {
 	const isLate = demand.waitedMs > demand.targetMs * shortOnTimeShare;
-	const spareSlots = isLate ? lateSpareSlots : onTimeSpareSlots;
+	const spareSlots = isLate ? Math.floor(profile.slots * lateSpareShare) : countSpareSlots(profile);
 	const free = candidates.filter(({load}) => load.requests < profile.slots - spareSlots);
 	const plan = buildPlan(profile, free, {...demand, isShort: true}, 1);
 	const limitMs = isLate ? demand.targetMs * lateShortTargets : demand.targetMs * shortRiskShare;
--- a/packages/core/src/traffic/traffic-configuration.ts
+++ b/packages/core/src/traffic/traffic-configuration.ts
@@ -48,6 +48,8 @@
 	coldRequestsPerSecond: number;
 	/** Present where the backend servers are model engines. */
 	engine: EngineProfile | undefined;
+	/** Longest published one-way delay between the failure domains of its backend servers, in ms. */
+	longestDelayMs: number;
 };
 
 /** A customer and the credentials that identify its requests. */
--- a/packages/relay/src/exchange/backend-connections.ts
+++ b/packages/relay/src/exchange/backend-connections.ts
@@ -1,8 +1,10 @@
 import {buildConnector, Client, type Dispatcher} from 'undici';
 import {watchReset} from './reset-watch.js';
 
-/** Time to open a connection; several round trips between failure domains, short enough to be on time at another backend server. */
-const connectTimeoutMs = 150;
+/** Least time to open a connection, in ms; short enough to be on time at another backend server. */
+const leastConnectTimeoutMs = 150;
+/** Multiple of the longest one-way delay between failure domains in which a connection must open: three round trips. */
+const connectTimeoutDelays = 6;
 /** Idle time after which a connection is closed when the backend server does not state its own, in ms. */
 const keepAliveMs = 4000;
 /** Part of the idle time stated by a backend server that is left unused, so that a request does not cross its close. */
@@ -24,7 +26,7 @@
 	readonly #idle: OwnedClient[] = [];
 	readonly #all = new Set<OwnedClient>();
 
-	constructor(readonly address: string) {}
+	constructor(readonly address: string, private readonly connectTimeoutMs: number) {}
 
 	/** Takes the connection that was used last, since the others may be about to close. */
 	acquire(): BackendConnection {
@@ -59,7 +61,7 @@
 	}
 
 	#open(): OwnedClient {
-		const client = new OwnedClient(this.address);
+		const client = new OwnedClient(this.address, this.connectTimeoutMs);
 		this.#all.add(client);
 		return client;
 	}
@@ -70,7 +72,7 @@
 	readonly client: Client;
 	wasReset = false;
 
-	constructor(address: string) {
+	constructor(address: string, connectTimeoutMs: number) {
 		const connect = buildConnector({timeout: connectTimeoutMs, keepAlive: true, keepAliveInitialDelay: keepAliveProbeMs});
 		this.client = new Client(`http://${address}`, {
 			pipelining: 1,
@@ -102,11 +104,17 @@
 /** Connections to the backend servers, by id: a restarted server at the same address gets new connections. */
 export class BackendConnections {
 	readonly #servers = new Map<string, ServerConnections>();
+	#connectTimeoutMs = leastConnectTimeoutMs;
+
+	/** Sets the longest one-way delay between failure domains, in ms, for connections to backend servers that are new. */
+	setLongestDelay(delayMs: number): void {
+		this.#connectTimeoutMs = Math.max(leastConnectTimeoutMs, delayMs * connectTimeoutDelays);
+	}
 
 	/** Takes a connection to a backend server; undefined when as many as `limit` are in use. */
 	acquire(server: {id: string; address: string}, limit: number): BackendConnection | undefined {
 		const known = this.#servers.get(server.id);
-		const connections = known?.address === server.address ? known : new ServerConnections(server.address);
+		const connections = known?.address === server.address ? known : new ServerConnections(server.address, this.#connectTimeoutMs);
 		if (known !== undefined && known !== connections) {
 			void known.close();
 		}
--- a/packages/relay/src/front/relay-request.ts
+++ b/packages/relay/src/front/relay-request.ts
@@ -13,8 +13,8 @@
 import {readRequestBody} from './request-body.js';
 import type {RelayServices} from './relay-services.js';
 
-/** Time after a planned stop began from which new streams are refused, since they would not end before the process must. */
-const streamRefusalMs = 2500;
+/** Share of the time of a planned stop after which new streams are refused, since they would not end before the process must. */
+const streamRefusalShare = 0.3;
 /** Period in which a waiting prompt is placed again, in ms; short against the shortest target. */
 const placementRetryMs = 20;
 /** Pause after memory was not free on an engine, in ms; streams end in about this time. */
@@ -84,7 +84,7 @@
 	}
 
 	#admit(): {route: Route; table: RouteTable; workspace: string | undefined} | AnswerReason {
-		const {knowledge, getStoppingMs} = this.#services;
+		const {knowledge, getStoppingMs, bounds} = this.#services;
 		const {table} = knowledge;
 		if (table === undefined || !knowledge.isLoaded) {
 			return 'unconfigured';
@@ -100,7 +100,7 @@
 			return 'unknownRoute';
 		}
 
-		if (route.execution === executionKinds.stream && (getStoppingMs() ?? 0) > streamRefusalMs) {
+		if (route.execution === executionKinds.stream && (getStoppingMs() ?? 0) > bounds.graceMs * streamRefusalShare) {
 			return 'stopping';
 		}
 
--- a/packages/relay/src/front/run-attempt.ts
+++ b/packages/relay/src/front/run-attempt.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
 import {
-	executionKinds, isRepeatable, type Route, type Service,
+	computeFullPassMs, executionKinds, isRepeatable, type Route, type Service,
 } from '@knapweedrack/core';
 import {
 	startAttempt, type AnswerHead, type AttemptEnd, type AttemptListener,
@@ -21,8 +21,10 @@
 /** Factor and addition on the predicted first token after which it is overdue, in ms; predictions are within a pass of it. */
 const firstTokenFactor = 2;
 const firstTokenMarginMs = 500;
-/** Pause within a stream after which its next event is overdue, in ms; the longest passes take about this time. */
-const overduePauseMs = 900;
+/** Least pause within a stream after which its next event is overdue, in ms; reading beside it takes about this time. */
+const leastOverduePauseMs = 900;
+/** Multiple of the pass of a full engine after which an event is overdue. */
+const overduePasses = 4;
 
 /** How an attempt ended for its request. */
 export type AttemptResult = {firstByteMs?: number | undefined; longestPauseMs?: number | undefined} & (
@@ -301,7 +303,7 @@
 		}
 
 		this.#latestEventAt = now;
-		this.#postponeSilence?.(now + overduePauseMs);
+		this.#postponeSilence?.(now + computeOverduePauseMs(this.options.service));
 	}
 
 	/** Records the time to the first byte that the caller gets; a repeated stream has sent it already. */
@@ -349,6 +351,9 @@
 const badGatewayStatus = 502;
 const redirectStatus = 300;
 
+const computeOverduePauseMs = ({engine}: Service): number =>
+	engine === undefined ? leastOverduePauseMs : Math.max(leastOverduePauseMs, computeFullPassMs(engine) * overduePasses);
+
 /** A success without a signature, or with an encoded body, is not the backend server's answer. */
 const isUnusable = ({status, envelope, headers}: AnswerHead): boolean =>
 	status < redirectStatus && (!envelope.isSigned || headers['content-encoding'] !== undefined);
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -67,6 +67,7 @@
 			},
 			notifyConfiguration: table => {
 				this.#front.applyLimits(table.configuration.limits);
+				this.#connections.setLongestDelay(Math.max(0, ...table.configuration.services.map(({longestDelayMs}) => longestDelayMs)));
 			},
 		});
 		this.#placement = new PlacementTask({
