Let an entry that cannot read the store name the entries that it hears of

News between entries now carries the caller address, and an entry without the list of entries names those that it has heard of and that are ready; it names nobody while there are none, so that callers keep the addresses that they have or ask elsewhere. Ruled out: the store itself; other machines read it at the same time.

--- a/packages/relay/src/peers/peer-message.test.ts
+++ b/packages/relay/src/peers/peer-message.test.ts
@@ -6,7 +6,7 @@
 describe('peer messages', () => {
 	it('keeps what was encoded', () => {
 		const message = {
-			entryId: 'a', bootId: 'b', sequence: 3, isReady: true, isStopping: false, version: 9,
+			entryId: 'a', bootId: 'b', sequence: 3, isReady: true, isStopping: false, callerAddress: '127.0.0.1:1', version: 9,
 			loads: [{
 				serverId: 's', load: {
 					...noLoad, requests: 2, writers: 1, readMs: 40, helpMs: 30, pauses: [{targetMs: 200, streams: 2, value: 9}], reads: [{ageMs: 5, targetMs: 300, value: 9}],
--- a/packages/relay/src/peers/peer-message.ts
+++ b/packages/relay/src/peers/peer-message.ts
@@ -19,6 +19,8 @@
 	/** False while the process cannot serve. */
 	isReady: z.boolean(),
 	isStopping: z.boolean(),
+	/** Absent from entries of an earlier version during an upgrade. */
+	callerAddress: z.string().optional(),
 	/** Version of the configuration in force. */
 	version: z.number(),
 	loads: z.array(loadSchema),
@@ -31,6 +33,8 @@
 	sequence: number;
 	isReady: boolean;
 	isStopping: boolean;
+	/** `host:port` of the listener for callers, for entries that cannot read the store. */
+	callerAddress: string | undefined;
 	version: number;
 	loads: Array<{serverId: string; load: ServerLoad}>;
 };
@@ -55,7 +59,7 @@
 /** Decodes a datagram; undefined when it is no message of an entry. */
 export const decodePeerMessage = (bytes: Buffer): PeerMessage | undefined => {
 	const parsed = messageSchema.safeParse(parseJson(bytes.toString('utf8')));
-	return parsed.success ? {...parsed.data, loads: parsed.data.loads.map(load => decodeLoad(load))} : undefined;
+	return parsed.success ? {...parsed.data, callerAddress: parsed.data.callerAddress, loads: parsed.data.loads.map(load => decodeLoad(load))} : undefined;
 };
 
 const decodeLoad = ([serverId, requests, writers, contextTokens, readTokens, readMs, helpMs, memoryTokens, pauses, reads]: z.infer<typeof loadSchema>): PeerMessage['loads'][number] => ({
--- a/packages/relay/src/peers/peer-news-task.ts
+++ b/packages/relay/src/peers/peer-news-task.ts
@@ -17,12 +17,13 @@
 const loadsPerDatagram = 16;
 
 /** State of another entry as last heard. */
-type Peer = {bootId: string; sequence: number; isReady: boolean; isStopping: boolean; heardAt: number};
+type Peer = {bootId: string; sequence: number; isReady: boolean; isStopping: boolean; callerAddress: string | undefined; heardAt: number};
 
 /** What the task needs. */
 export type PeerNewsOptions = {
 	entryId: string;
 	bootId: string;
+	callerAddress: string;
 	/** `host:port` of the datagram socket. */
 	address: {host: string; port: number};
 	timer: TimerService;
@@ -121,6 +122,11 @@
 		return this.isRunning(entryId) && (this.#peers.get(entryId)?.isReady ?? true);
 	}
 
+	/** Caller addresses of the entries that were heard of lately and are ready, whether or not the store lists them. */
+	listServingAddresses(): string[] {
+		return [...this.#peers].filter(([id]) => this.isServing(id)).flatMap(([, {callerAddress}]) => callerAddress ?? []);
+	}
+
 	/** Time since an entry was last heard of, or since it was registered, in ms. */
 	computeSilenceMs(entryId: string): number {
 		const heardAt = this.#peers.get(entryId)?.heardAt ?? this.#registeredAt.get(entryId);
@@ -158,7 +164,8 @@
 		}
 
 		this.#peers.set(message.entryId, {
-			bootId: message.bootId, sequence: message.sequence, isReady: message.isReady, isStopping: message.isStopping, heardAt: now,
+			bootId: message.bootId, sequence: message.sequence, isReady: message.isReady, isStopping: message.isStopping,
+			callerAddress: message.callerAddress, heardAt: now,
 		});
 		for (const {serverId, load} of message.loads) {
 			loads.setPeerLoad(message.entryId, serverId, load, now);
@@ -179,12 +186,12 @@
 	}
 
 	#send(serverIds: readonly string[]): void {
-		const {entryId, bootId, timer, loads, isReady, isStopping, getVersion} = this.#options;
+		const {entryId, bootId, callerAddress, timer, loads, isReady, isStopping, getVersion} = this.#options;
 		const now = timer.now();
 		for (let start = 0; start === 0 || start < serverIds.length; start += loadsPerDatagram) {
 			this.#sequence++;
 			const message: PeerMessage = {
-				entryId, bootId, sequence: this.#sequence, isReady: isReady(), isStopping: isStopping(), version: getVersion(),
+				entryId, bootId, sequence: this.#sequence, isReady: isReady(), isStopping: isStopping(), callerAddress, version: getVersion(),
 				loads: serverIds.slice(start, start + loadsPerDatagram).map(serverId => ({serverId, load: loads.computeOwnLoad(serverId, now)})),
 			};
 			const bytes = encodePeerMessage(message);
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -82,7 +82,7 @@
 		});
 		const bootId = randomBytes(8).toString('hex');
 		this.#peers = new PeerNewsTask({
-			entryId: settings.entryId, bootId, address: parseAddress(settings.peerAddress), timer, log, metrics, loads: this.#placement.loads,
+			entryId: settings.entryId, bootId, callerAddress: settings.callerAddress, address: parseAddress(settings.peerAddress), timer, log, metrics, loads: this.#placement.loads,
 			isReady: () => this.isReady(),
 			isStopping: () => this.#stoppingSince !== undefined,
 			getVersion: () => this.#knowledge.table?.configuration.version ?? 0,
@@ -127,9 +127,14 @@
 	/**
 	 * Addresses at which callers may be served now, this entry's included. While most entries are not ready, for example after
 	 * an outage of the store, all that run are named: those that are ready first could not take the callers of all.
+	 * An entry that has not read the list of entries knows only those that send it news.
 	 */
 	listCallerAddresses(): string[] {
 		const {entryId, callerAddress} = this.#options.settings;
+		if (this.#knowledge.entries.size === 0) {
+			return [...(this.isReady() ? [callerAddress] : []), ...this.#peers.listServingAddresses()];
+		}
+
 		const others = [...this.#knowledge.entries.values()].filter(({id}) => id !== entryId);
 		const running = others.filter(({id}) => this.#peers.isRunning(id)).map(entry => entry.callerAddress);
 		const ready = others.filter(({id}) => this.#peers.isServing(id)).map(entry => entry.callerAddress);
