--- a/packages/core/src/traffic/traffic-configuration.ts
+++ b/packages/core/src/traffic/traffic-configuration.ts
@@ -73,6 +73,8 @@
 	/** Undefined when requests need no credential. */
 	workspaces: TrafficWorkspace[] | undefined;
 	limits: CallerLimits;
+	/** Parts that could not be read and are left out, with what is wrong with each. */
+	unreadParts: string[];
 };
 
 /** True when a request on the route may run more than once. */
--- a/packages/core/src/traffic/traffic.test.ts
+++ b/packages/core/src/traffic/traffic.test.ts
@@ -19,6 +19,7 @@
 			limits: {
 				headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
 			},
+			unreadParts: [],
 		});
 
 		// Guards against a shorter prefix hiding a longer one, and prefixes that match within a path segment.
--- a/packages/relay/src/front/relay-request.ts
+++ b/packages/relay/src/front/relay-request.ts
@@ -332,6 +332,7 @@
 		log.writeRequest('answer', this.#envelope.requestId, {
 			route: this.#route?.name, reason, status, isNotRun, retryAfterMs, afterMs: Math.round(timer.now() - this.#arrivedAt), sentTo: this.#sentTo,
 			configuration: this.#services.knowledge.table?.configuration.version, configurationAgeMs: Math.round(this.#services.knowledge.computeConfigurationAgeMs()),
+			tokens: this.#envelope.prompt?.promptTokens,
 		});
 		this.#writer.writeOwn(status, wire.encodeOwnAnswer({requestId: this.#envelope.requestId, retryAfterMs}));
 	}
--- a/packages/relay/src/knowledge/knowledge-task.ts
+++ b/packages/relay/src/knowledge/knowledge-task.ts
@@ -230,7 +230,11 @@
 			this.#options.notifyConfiguration(this.#table);
 			log.write('configuration.applied', {
 				version: configuration.version, revision: stored.version, routes: configuration.routes.length, workspaces: configuration.workspaces?.length,
+				unreadParts: configuration.unreadParts.length,
 			});
+			for (const part of configuration.unreadParts) {
+				log.write('configuration.part_unread', {version: configuration.version, part});
+			}
 		}
 
 		const now = readClocks();
