Explain a request from log files

On the users' platform `explain` could not ask the entries, and the page told operators to search the logs by hand. With `--log` it shows the lines of a request and, from 10 s before, those about its entries and backend servers, which hold the cause when another entry or the store is at fault. Bad files and unknown requests end with exit codes 2 and 7; unreadable lines and lines left out under load are counted.

--- a/packages/cli/src/commands/explain-command.ts
+++ b/packages/cli/src/commands/explain-command.ts
@@ -1,6 +1,7 @@
 import {createOk, type Result} from '@knapweedrack/core';
 import type {ExplainSteps} from '../entries/entry-client.js';
 import {queryEntries, renderFailed, type EntryAnswers} from '../entries/query-entries.js';
+import {explainFromLogs} from '../logs/explain-from-logs.js';
 import {fetchSessions} from '../fleet/sessions.js';
 import {effects} from '../platform/platform-failure.js';
 import type {CommandContext} from '../program/command-context.js';
@@ -10,8 +11,13 @@
 
 type Answers = EntryAnswers<ExplainSteps | undefined>;
 
-const runExplain = async (context: CommandContext, {args}: CommandInput): Promise<CommandResult> => {
+const runExplain = async (context: CommandContext, {args, options}: CommandInput): Promise<CommandResult> => {
 	const requestId = args[0]!;
+	const files = options.log as string[] | undefined;
+	if (files !== undefined) {
+		return explainFromLogs(requestId, files);
+	}
+
 	if (context.settings.peerSecret.value === undefined) {
 		return createFailure(exitCodes.usage, 'no peer secret is set: use --peer-secret-file, or "peerSecret" in the settings file');
 	}
@@ -71,5 +77,6 @@
 	words: ['explain'],
 	description: 'show the steps of one request, by its x-request-id',
 	args: [{name: '<request>', description: 'request id'}],
+	options: [{flags: '--log <files...>', description: 'read the logs of entries, on the users\' platform too, instead of asking the entries'}],
 	run: runExplain,
 };
--- /dev/null
+++ b/packages/cli/src/logs/explain-from-logs.test.ts
@@ -0,0 +1,58 @@
+import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {expect} from 'chai';
+import {runJson, startRun} from '../commands/cli-fixture.test.js';
+
+const write = (time: number, entry: string, event: string, fields: Record<string, unknown> = {}): string =>
+	JSON.stringify({
+		level: 30, time, entry, event, ...fields,
+	});
+
+const east = [
+	write(1000, 'east-1', 'process.started'),
+	write(95_000, 'east-1', 'store.lost', {watch: 'configuration'}),
+	write(99_000, 'east-1', 'server.gone', {server: 's2'}),
+	write(100_500, 'east-1', 'attempt', {
+		requestId: 'r1', server: 's1', outcome: 'broken', cause: 'ECONNRESET',
+	}),
+	write(100_510, 'east-1', 'answer', {requestId: 'r1', reason: 'serverFailed', status: 502}),
+	write(100_600, 'east-1', 'answer', {requestId: 'r2', reason: 'overloaded', status: 503}),
+];
+const west = [write(100_200, 'west-1', 'server.silent', {server: 's1'}), write(100_300, 'west-1', 'store.lost', {watch: 'servers'}), '{"time":'];
+
+describe('explain from logs', () => {
+	let folder: string;
+	const list = (...names: string[]): string[] => ['--log', ...names.map(name => path.join(folder, name))];
+
+	beforeEach(async () => {
+		folder = await mkdtemp(path.join(tmpdir(), 'logs-'));
+		await writeFile(path.join(folder, 'east.log'), `a line of another program\n${east.map(line => `east-1 | ${line}`).join('\n')}\n`);
+		await writeFile(path.join(folder, 'west.log'), west.join('\n'));
+	});
+	afterEach(async () => {
+		await rm(folder, {recursive: true});
+	});
+
+	// Guards against a cause that is in the log of another entry, or in a line without the id of the request.
+	it('shows the lines of a request and those about its entries and servers before it', async () => {
+		const run = await runJson(['explain', 'r1', ...list('east.log', 'west.log')]);
+		const [lines, surroundings] = [run.lines as Array<{event: string}>, run.surroundings as Array<{event: string}>];
+		expect(lines.map(({event}) => event)).to.deep.equal(['attempt', 'answer']);
+		expect(surroundings.map(({event}) => event)).to.deep.equal(['store.lost', 'server.silent']);
+		expect(run).to.include({read: 8, unreadable: 1});
+	});
+
+	it('renders them in one order of time', async () => {
+		const {out} = await startRun(['explain', 'r1', ...list('east.log', 'west.log')]).done;
+		expect(out.trim().split('\n').slice(1, -1).map(row => row.slice(0, 31))).to.deep.equal([
+			'    -5.500 east-1 store.lost wa', '    -0.300 west-1 server.silent', '*    0.000 east-1 attempt serve', '*    0.010 east-1 answer reason',
+		]);
+		expect(out).to.include('cause="ECONNRESET"').and.include('1 lines could not be read');
+	});
+
+	it('reports an unknown request and files that cannot be read', async () => {
+		expect(await runJson(['explain', 'r9', ...list('east.log')])).to.include({exitCode: 7});
+		expect(await runJson(['explain', 'r1', ...list('nowhere.log')])).to.include({exitCode: 2});
+	});
+});
--- /dev/null
+++ b/packages/cli/src/logs/explain-from-logs.ts
@@ -0,0 +1,38 @@
+import {readFile} from 'node:fs/promises';
+import {createOk} from '@knapweedrack/core';
+import {createFailure, type CommandResult} from '../program/command-result.js';
+import {exitCodes} from '../program/exit-codes.js';
+import {
+	parseLogLines, renderStory, selectStory, type LogLine,
+} from './request-story.js';
+
+/** Explains a request from the log files of entries, without asking them. */
+export const explainFromLogs = async (requestId: string, files: readonly string[]): Promise<CommandResult> => {
+	const lines: LogLine[] = [];
+	let unreadable = 0;
+	for (const file of files) {
+		let text: string;
+		try {
+			text = await readFile(file, 'utf8');
+		} catch (error) {
+			return createFailure(exitCodes.usage, `${file} cannot be read: ${(error as Error).message}`);
+		}
+
+		const parsed = parseLogLines(text);
+		lines.push(...parsed.lines);
+		unreadable += parsed.unreadable;
+	}
+
+	const story = selectStory(lines, requestId);
+	const omitted = lines.filter(({event}) => event === 'log.omitted').length;
+	const data = {
+		requestId, ...story, read: lines.length, unreadable, omitted,
+	};
+	const doubts = [
+		...(unreadable > 0 ? [`${unreadable} lines could not be read`] : []),
+		...(omitted > 0 ? [`in ${omitted} seconds lines were left out under load`] : []),
+	].map(doubt => `\n${doubt}`).join('');
+	return story.lines.length > 0
+		? createOk({text: renderStory(story) + doubts, data})
+		: createFailure(exitCodes.notFound, `request ${requestId} is in none of ${lines.length} lines${doubts}`, data);
+};
--- /dev/null
+++ b/packages/cli/src/logs/request-story.ts
@@ -0,0 +1,82 @@
+import {z} from 'zod';
+
+/** Time before the first line of a request from which lines about its surroundings are shown, in ms; longer than any bound on news. */
+const contextMs = 10_000;
+
+const lineSchema = z.looseObject({
+	/** Wall clock, in ms since 1970. */
+	time: z.number(),
+	event: z.string(),
+	entry: z.string().optional(),
+	requestId: z.string().optional(),
+	server: z.string().optional(),
+});
+
+/** One decision as an entry logged it. */
+export type LogLine = z.infer<typeof lineSchema>;
+
+/** What logs say about one request. */
+export type RequestStory = {
+	/** Lines of the request, in order of time. */
+	lines: LogLine[];
+	/** Lines without a request about its entries and backend servers, shortly before it and during it. */
+	surroundings: LogLine[];
+};
+
+/** Reads log lines; text before the JSON of a line, as collectors add it, is passed over. */
+export const parseLogLines = (text: string): {lines: LogLine[]; unreadable: number} => {
+	const lines: LogLine[] = [];
+	let unreadable = 0;
+	for (const row of text.split('\n')) {
+		const start = row.indexOf('{');
+		if (start === -1) {
+			continue;
+		}
+
+		const parsed = lineSchema.safeParse(parseJson(row.slice(start)));
+		if (parsed.success) {
+			lines.push(parsed.data);
+		} else {
+			unreadable++;
+		}
+	}
+
+	return {lines, unreadable};
+};
+
+/** Selects what explains a request; `lines` may come from any number of entries. */
+export const selectStory = (all: readonly LogLine[], requestId: string): RequestStory => {
+	const lines = sortByTime(all.filter(line => line.requestId === requestId));
+	const [first, last] = [lines.at(0), lines.at(-1)];
+	if (first === undefined || last === undefined) {
+		return {lines: [], surroundings: []};
+	}
+
+	const entries = new Set(lines.map(({entry}) => entry));
+	const servers = new Set(lines.map(({server}) => server));
+	const surroundings = all.filter(({time, requestId: id, entry, server}) => id === undefined && time >= first.time - contextMs && time <= last.time
+		&& (server === undefined ? entries.has(entry) : servers.has(server)));
+	return {lines, surroundings: sortByTime(surroundings)};
+};
+
+/** Renders a story, one line each, with times relative to the first line of the request in seconds. */
+export const renderStory = ({lines, surroundings}: RequestStory): string => {
+	const startedAt = lines[0]!.time;
+	const rows = sortByTime([...lines, ...surroundings]).map(line => {
+		const {time, event, entry, level, requestId, ...inputs} = line;
+		const mark = requestId === undefined ? ' ' : '*';
+		const fields = Object.entries(inputs).map(([name, value]) => ` ${name}=${JSON.stringify(value)}`).join('');
+		return `${mark} ${((time - startedAt) / 1000).toFixed(3).padStart(8)} ${entry ?? '?'} ${event}${fields}`;
+	});
+	return ['lines with * are about the request, the others about its entries and backend servers', ...rows].join('\n');
+};
+
+const sortByTime = (lines: readonly LogLine[]): LogLine[] => lines.toSorted((a, b) => a.time - b.time);
+
+const parseJson = (text: string): unknown => {
+	try {
+		return JSON.parse(text);
+	} catch {
+		return undefined;
+	}
+};
