Pass news between failure domains through one entry of each in large fleets

Cause: each entry told every other of each change. Expected: less traffic and processor time at 30 and 100 entries, no change up to 12. Ruled out: an owner for each engine (a round trip before each first token).

--- a/packages/core/src/placement/load-table.ts
+++ b/packages/core/src/placement/load-table.ts
@@ -67,8 +67,24 @@
 
 	/** Load of a backend server over all entries. */
 	computeLoad(serverId: string, now: number): ServerLoad {
-		let load = this.computeOwnLoad(serverId, now);
-		for (const loads of this.#peers.values()) {
+		return this.#addNews(this.computeOwnLoad(serverId, now), serverId, this.#peers.values(), now);
+	}
+
+	/** Load of a backend server over this entry and some of the others. */
+	computeLoadOf(serverId: string, entryIds: Iterable<string>, now: number): ServerLoad {
+		const tables = [...entryIds].map(id => this.#peers.get(id)).filter(table => table !== undefined);
+		return this.#addNews(this.computeOwnLoad(serverId, now), serverId, tables, now);
+	}
+
+	/** Backend servers on which this entry or some of the others have, or had, work. */
+	listServers(entryIds: Iterable<string>): string[] {
+		const peers = [...entryIds].flatMap(id => [...this.#peers.get(id)?.keys() ?? []]);
+		return [...new Set([...this.#own.keys(), ...peers])];
+	}
+
+	#addNews(own: ServerLoad, serverId: string, tables: Iterable<ReadonlyMap<string, PeerLoad>>, now: number): ServerLoad {
+		let load = own;
+		for (const loads of tables) {
 			const news = loads.get(serverId);
 			if (news !== undefined && now - news.receivedAt <= newsLifetimeMs) {
 				const ageMs = now - news.receivedAt;
--- /dev/null
+++ b/packages/relay/src/peers/news-topology.test.ts
@@ -0,0 +1,43 @@
+import {expect} from 'chai';
+import {directEntryLimit, selectTopology, type PlacedEntry} from './news-topology.js';
+
+const buildEntries = (perDomain: number, domains: readonly string[]): PlacedEntry[] =>
+	domains.flatMap(failureDomain => Array.from({length: perDomain}, (_, index) => ({id: `${failureDomain}-${index + 10}`, failureDomain})));
+
+const isRunning = (): boolean => true;
+
+describe('news topology', () => {
+	it('lets all entries of a small fleet tell one another directly', () => {
+		const [self, ...others] = buildEntries(4, ['east', 'north', 'west']);
+		expect(others.length).to.be.below(directEntryLimit);
+		expect(selectTopology(self!, others, isRunning)).to.deep.equal({memberIds: others.map(({id}) => id), collectorIds: [], isCollector: false});
+	});
+
+	describe('large fleet', () => {
+		const entries = buildEntries(29, ['east', 'north', 'west']);
+		const select = (id: string, isUp: (id: string) => boolean = isRunning) =>
+			selectTopology(entries.find(entry => entry.id === id)!, entries.filter(entry => entry.id !== id), isUp);
+
+		// Guards against datagrams between failure domains that grow with the square of the fleet (87 machines of the grown sites).
+		it('has one collector a failure domain, which alone sends to the others', () => {
+			const collectors = entries.filter(({id}) => select(id).isCollector).map(({id}) => id);
+			expect(collectors).to.deep.equal(['east-10', 'north-10', 'west-10']);
+			expect(select('north-10')).to.deep.include({collectorIds: ['east-10', 'west-10']});
+			expect(select('north-12').memberIds.length).to.equal(28);
+			expect(select('north-12').memberIds.every(id => id.startsWith('north'))).to.equal(true);
+		});
+
+		// Guards against a failure domain without news after its collector has died.
+		it('replaces a collector that does not run', () => {
+			const isUp = (id: string): boolean => id !== 'north-10';
+			expect(select('north-11', isUp).isCollector).to.equal(true);
+			expect(select('north-12', isUp).isCollector).to.equal(false);
+			expect(select('east-10', isUp).collectorIds).to.deep.equal(['north-11', 'west-10']);
+		});
+
+		// Guards against summaries for a failure domain that is gone.
+		it('sends nothing to a failure domain without running entries', () => {
+			expect(select('east-10', id => !id.startsWith('west')).collectorIds).to.deep.equal(['north-10']);
+		});
+	});
+});
--- a/packages/relay/src/peers/peer-message.test.ts
+++ b/packages/relay/src/peers/peer-message.test.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {expect} from 'chai';
 import {noLoad} from '@knapweedrack/core';
-import {decodePeerMessage, encodePeerMessage} from './peer-message.js';
+import {decodePeerDatagram, encodeDomainSummary, encodePeerMessage} from './peer-message.js';
 
 describe('peer messages', () => {
 	it('keeps what was encoded', () => {
@@ -13,12 +13,23 @@
 				},
 			}],
 		};
-		expect(decodePeerMessage(encodePeerMessage(message))).to.deep.equal(message);
+		expect(decodePeerDatagram(encodePeerMessage(message))).to.deep.equal({type: 'entry', message});
+	});
+
+	it('keeps a summary', () => {
+		const summary = {
+			failureDomain: 'north', collectorId: 'a', bootId: 'b', sequence: 4, isRelayed: false,
+			loads: [{serverId: 's', load: {...noLoad, requests: 2, writers: 1}}],
+			entries: [{
+				entryId: 'c', bootId: 'd', isReady: true, isStopping: false, callerAddress: '127.0.0.1:1', version: 9, ageMs: 120,
+			}],
+		};
+		expect(decodePeerDatagram(encodeDomainSummary(summary))).to.deep.equal({type: 'summary', summary});
 	});
 
 	// Guards against datagrams of others that stop the process or are believed.
 	it('drops what is no message', () => {
-		expect(decodePeerMessage(Buffer.from('hello'))).to.equal(undefined);
-		expect(decodePeerMessage(Buffer.from('{"entryId":"a","loads":[["s","many"]]}'))).to.equal(undefined);
+		expect(decodePeerDatagram(Buffer.from('hello'))).to.equal(undefined);
+		expect(decodePeerDatagram(Buffer.from('{"entryId":"a","loads":[["s","many"]]}'))).to.equal(undefined);
 	});
 });
--- a/packages/relay/src/peers/peer-message.ts
+++ b/packages/relay/src/peers/peer-message.ts
@@ -1,75 +1,108 @@
 import {Buffer} from 'node:buffer';
 import {z} from 'zod';
-import type {ServerLoad} from '@knapweedrack/core';
+import {
+	decodeLoad, encodeLoad, loadSchema, type LoadNews,
+} from './load-codec.js';
 
-/** Pause target in ms, streams, value. */
-const pauseSchema = z.tuple([z.number(), z.number(), z.number()]);
-/** Age in ms, first-token target in ms, value. */
-const readSchema = z.tuple([z.number(), z.number(), z.number()]);
-/** Load of one backend server: id, requests, writers, context tokens, tokens to read, reading ms, of it for others, memory tokens, pauses, reads. */
-const loadSchema = z.tuple([
-	z.string(), z.number(), z.number(), z.number(), z.number(), z.number(), z.number(), z.number(), z.array(pauseSchema), z.array(readSchema),
-]);
-
-const messageSchema = z.object({
+const entrySchema = z.object({
 	entryId: z.string(),
 	/** Distinguishes the processes that an instance has run. */
 	bootId: z.string(),
-	sequence: z.number(),
 	/** False while the process cannot serve. */
 	isReady: z.boolean(),
 	isStopping: z.boolean(),
-	/** Absent from entries of an earlier version during an upgrade. */
+	/** `host:port` of the listener for callers, for entries that cannot read the store; absent from earlier versions during an upgrade. */
 	callerAddress: z.string().optional(),
 	/** Version of the configuration in force. */
 	version: z.number(),
+});
+
+const messageSchema = entrySchema.extend({
+	sequence: z.number(),
+	loads: z.array(loadSchema),
+});
+
+const summarySchema = z.object({
+	/** Failure domain whose entries the summary is about. */
+	summaryOf: z.string(),
+	/** Entry that made the summary, with its process and a number that rises. */
+	collectorId: z.string(),
+	bootId: z.string(),
+	sequence: z.number(),
+	/** True once an entry of another failure domain passes it on to its own. */
+	isRelayed: z.boolean(),
 	loads: z.array(loadSchema),
+	entries: z.array(entrySchema.extend({
+		/** Time since the collector heard of the entry, in ms. */
+		ageMs: z.number(),
+	})),
 });
 
-/** News that an entry sends to the others in one datagram. */
-export type PeerMessage = {
+/** State of an entry as it tells others. */
+export type EntryNews = {
 	entryId: string;
 	bootId: string;
-	sequence: number;
 	isReady: boolean;
 	isStopping: boolean;
-	/** `host:port` of the listener for callers, for entries that cannot read the store. */
+	/** `host:port` of the listener for callers. */
 	callerAddress: string | undefined;
 	version: number;
-	loads: Array<{serverId: string; load: ServerLoad}>;
 };
 
-/** Encodes a message; numbers are rounded, since they are estimates. */
+/** News that an entry sends to others in one datagram. */
+export type PeerMessage = EntryNews & {sequence: number; loads: LoadNews[]};
+
+/** State of an entry in a summary. */
+export type CollectedEntry = EntryNews & {ageMs: number};
+
+/** News about all entries of a failure domain, from one of them to the other failure domains. */
+export type DomainSummary = {
+	failureDomain: string;
+	collectorId: string;
+	bootId: string;
+	sequence: number;
+	isRelayed: boolean;
+	loads: LoadNews[];
+	entries: CollectedEntry[];
+};
+
+/** A datagram between entries. */
+export type PeerDatagram = {type: 'entry'; message: PeerMessage} | {type: 'summary'; summary: DomainSummary};
+
+/** Encodes the news of an entry. */
 export const encodePeerMessage = (message: PeerMessage): Buffer => Buffer.from(JSON.stringify({
-	...message,
-	loads: message.loads.map(({serverId, load}) => [
-		serverId,
-		load.requests,
-		load.writers,
-		Math.round(load.contextTokens),
-		Math.round(load.readTokens),
-		Math.round(load.readMs),
-		Math.round(load.helpMs),
-		Math.round(load.memoryTokens),
-		load.pauses.map(({targetMs, streams, value}) => [targetMs, streams, Math.round(value)]),
-		load.reads.map(({ageMs, targetMs, value}) => [Math.round(ageMs), Math.round(targetMs), Math.round(value)]),
-	]),
+	...message, loads: message.loads.map(load => encodeLoad(load)),
 }));
 
-/** Decodes a datagram; undefined when it is no message of an entry. */
-export const decodePeerMessage = (bytes: Buffer): PeerMessage | undefined => {
-	const parsed = messageSchema.safeParse(parseJson(bytes.toString('utf8')));
-	return parsed.success ? {...parsed.data, callerAddress: parsed.data.callerAddress, loads: parsed.data.loads.map(load => decodeLoad(load))} : undefined;
-};
+/** Encodes a summary. */
+export const encodeDomainSummary = ({failureDomain, ...summary}: DomainSummary): Buffer => Buffer.from(JSON.stringify({
+	...summary, summaryOf: failureDomain, loads: summary.loads.map(load => encodeLoad(load)),
+}));
 
-const decodeLoad = ([serverId, requests, writers, contextTokens, readTokens, readMs, helpMs, memoryTokens, pauses, reads]: z.infer<typeof loadSchema>): PeerMessage['loads'][number] => ({
-	serverId,
-	load: {
-		requests, writers, contextTokens, readTokens, readMs, helpMs, memoryTokens,
-		pauses: pauses.map(([targetMs, streams, value]) => ({targetMs, streams, value})),
-		reads: reads.map(([ageMs, targetMs, value]) => ({ageMs, targetMs, value})),
-	},
-});
+/** Decodes a datagram; undefined when it is not from an entry. */
+export const decodePeerDatagram = (bytes: Buffer): PeerDatagram | undefined => {
+	const value = parseJson(bytes.toString('utf8'));
+	const message = messageSchema.safeParse(value);
+	if (message.success) {
+		return {type: 'entry', message: {...message.data, callerAddress: message.data.callerAddress, loads: message.data.loads.map(load => decodeLoad(load))}};
+	}
+
+	const summary = summarySchema.safeParse(value);
+	if (!summary.success) {
+		return undefined;
+	}
+
+	const {summaryOf, loads, entries, ...rest} = summary.data;
+	return {
+		type: 'summary',
+		summary: {
+			...rest,
+			failureDomain: summaryOf,
+			loads: loads.map(load => decodeLoad(load)),
+			entries: entries.map(entry => ({...entry, callerAddress: entry.callerAddress})),
+		},
+	};
+};
 
 const parseJson = (text: string): unknown => {
 	try {
--- /dev/null
+++ b/packages/relay/src/peers/peer-news-task.test.ts
@@ -0,0 +1,111 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {expect} from 'chai';
+import {LoadTable, type ServerWork} from '@knapweedrack/core';
+import {createTimerService} from '@knapweedrack/entry/timer-service';
+import type {RegisteredEntry} from '../contracts.js';
+import type {DecisionLog} from '../logging/decision-log.js';
+import {RelayMetrics} from '../metrics/relay-metrics.js';
+import {PeerNewsTask} from './peer-news-task.js';
+
+const host = '127.0.0.1';
+const basePort = 42_100;
+const log: DecisionLog = {
+	write: () => undefined, writeRequest: () => undefined, getOmitted: () => 0, flush: () => undefined,
+};
+const work: ServerWork = {
+	readTokens: 0, readMs: 0, memoryTokens: 600, contextTokens: 500, sentAt: 0, firstTokenAt: 0, isWriting: true, isHelp: false,
+	pauseTargetMs: 200, targetMs: 300, value: 100,
+};
+
+type Member = {id: string; task: PeerNewsTask; loads: LoadTable; isStopping: boolean};
+
+const waitUntil = async (condition: () => boolean, limitMs = 5000): Promise<void> => {
+	const deadline = Date.now() + limitMs;
+	while (!condition()) {
+		if (Date.now() > deadline) {
+			throw new Error('the condition did not come true in time');
+		}
+
+		await sleep(20);
+	}
+};
+
+describe('news between entries', () => {
+	const timer = createTimerService();
+	let members: Member[] = [];
+
+	const start = async (perDomain: number): Promise<void> => {
+		const entries = ['east', 'north', 'west'].flatMap((failureDomain, domain) => Array.from({length: perDomain}, (_, index): RegisteredEntry => ({
+			id: `${failureDomain}-${index}`, failureDomain, callerAddress: `${host}:1`, peerAddress: `${host}:${basePort + (domain * perDomain) + index}`,
+		})));
+		members = entries.map(entry => {
+			const member: Member = {
+				id: entry.id, loads: new LoadTable(), isStopping: false, task: undefined!,
+			};
+			member.task = new PeerNewsTask({
+				entryId: entry.id, bootId: 'boot', failureDomain: entry.failureDomain, callerAddress: entry.callerAddress,
+				address: {host, port: Number(entry.peerAddress.split(':')[1])}, timer, log, metrics: new RelayMetrics(), loads: member.loads,
+				isReady: () => true, isStopping: () => member.isStopping, getVersion: () => 1,
+			});
+			return member;
+		});
+		for (const {task} of members) {
+			await task.start();
+			task.applyEntries(new Map(entries.map(entry => [entry.id, entry])));
+		}
+	};
+
+	const find = (id: string): Member => members.find(member => member.id === id)!;
+	const countRequests = ({loads}: Member): number => loads.computeLoad('server', timer.now()).requests;
+
+	afterEach(() => {
+		for (const {task} of members) {
+			task.close();
+		}
+	});
+	after(() => {
+		timer.stop();
+	});
+
+	const describeFleet = (name: string, perDomain: number): void => {
+		describe(name, () => {
+			// Guards against load that an entry does not hear of, or counts twice, because it arrives by two ways.
+			it('lets every entry know the load of all, once', async () => {
+				await start(perDomain);
+				const keys = members.map(({loads, task}) => {
+					const key = loads.add('server', {...work});
+					task.notifyLoad('server');
+					return key;
+				});
+				await waitUntil(() => members.every(member => countRequests(member) === members.length));
+				await sleep(700);
+				expect(members.map(member => countRequests(member))).to.deep.equal(members.map(() => members.length));
+				for (const [index, {loads, task}] of members.entries()) {
+					loads.remove('server', keys[index]!);
+					task.notifyLoad('server');
+				}
+
+				await waitUntil(() => members.every(member => countRequests(member) === 0), 1500);
+			});
+
+			// Guards against entries that stop, or have died, and are still named to callers.
+			it('lets every entry know who stops and who has died', async () => {
+				await start(perDomain);
+				const [stopping, dead, observer] = [find('north-1'), find('east-0'), find('west-1')];
+				await waitUntil(() => observer.task.listServingAddresses().length === members.length - 1, 2000);
+				stopping.isStopping = true;
+				stopping.task.notifyState();
+				await waitUntil(() => !observer.task.isRunning('north-1'), 1000);
+				dead.task.close();
+				members = members.filter(member => member !== dead);
+				await waitUntil(() => !observer.task.isRunning('east-0'), 6000);
+				// The collector of its failure domain has died; the news of the others goes on.
+				await sleep(4500);
+				expect(observer.task.isServing('east-1')).to.equal(true);
+			}).timeout(20_000);
+		});
+	};
+
+	describeFleet('small fleet', 2);
+	describeFleet('large fleet, through collectors', 5);
+});
--- a/packages/relay/src/peers/peer-news-task.ts
+++ b/packages/relay/src/peers/peer-news-task.ts
@@ -5,24 +5,29 @@
 import type {RegisteredEntry} from '../contracts.js';
 import type {DecisionLog} from '../logging/decision-log.js';
 import type {RelayMetrics} from '../metrics/relay-metrics.js';
-import {decodePeerMessage, encodePeerMessage, type PeerMessage} from './peer-message.js';
+import type {LoadNews} from './load-codec.js';
+import {selectTopology, type NewsTopology} from './news-topology.js';
+import {
+	decodePeerDatagram, encodeDomainSummary, encodePeerMessage, type DomainSummary, type EntryNews, type PeerMessage,
+} from './peer-message.js';
+import {newsEffects, PeerStates, type NewsEffect} from './peer-states.js';
 
-/** Period in which an entry repeats all its news; also its heartbeat. */
+/** Period in which an entry repeats all its news, in ms; also its heartbeat. */
 const heartbeatMs = 500;
-/** Time without news after which another entry is left out of the list for callers; five lost heartbeats. */
-const silenceMs = 2500;
-/** Time after a change before it is sent, so that the changes of one moment share a datagram. */
+/** Time after a change before it is sent, in ms, so that the changes of one moment share a datagram. */
 const coalesceMs = 1;
-/** Backend servers in one datagram, so that it is not fragmented on an Ethernet path. */
-const loadsPerDatagram = 16;
-
-/** State of another entry as last heard. */
-type Peer = {bootId: string; sequence: number; isReady: boolean; isStopping: boolean; callerAddress: string | undefined; heardAt: number};
+/** Period of the summaries between failure domains, in ms; a compromise of their bytes and the age of the loads. */
+const summaryMs = 200;
+/** Summaries that still name a backend server without load, so that a lost datagram does not leave the former load in force. */
+const emptySummaries = 3;
+/** Backend servers, or entries, in one datagram, so that it is not fragmented on an Ethernet path. */
+const itemsPerDatagram = 16;
 
 /** What the task needs. */
 export type PeerNewsOptions = {
 	entryId: string;
 	bootId: string;
+	failureDomain: string;
 	callerAddress: string;
 	/** `host:port` of the datagram socket. */
 	address: {host: string; port: number};
@@ -42,16 +47,21 @@
 export class PeerNewsTask {
 	readonly #options: PeerNewsOptions;
 	readonly #socket: Socket;
-	readonly #peers = new Map<string, Peer>();
+	readonly #states: PeerStates;
 	readonly #changed = new Set<string>();
-	#targets: Array<{id: string; host: string; port: number}> = [];
-	#registeredAt = new Map<string, number>();
+	/** Backend servers in the summaries of the own failure domain, with the number of summaries that still name them. */
+	readonly #summarized = new Map<string, number>();
+	/** Last summary of each failure domain and collector. */
+	readonly #summarySequences = new Map<string, {bootId: string; sequence: number}>();
+	readonly #unsubscribes: Array<() => void> = [];
+	#others = new Map<string, RegisteredEntry>();
+	#topology: NewsTopology = {memberIds: [], collectorIds: [], isCollector: false};
 	#sequence = 0;
 	#isScheduled = false;
-	#unsubscribe: (() => void) | undefined;
 
 	constructor(options: PeerNewsOptions) {
 		this.#options = options;
+		this.#states = new PeerStates(() => options.timer.now());
 		this.#socket = createSocket('udp4');
 		this.#socket.on('message', bytes => {
 			this.#accept(bytes);
@@ -66,14 +76,22 @@
 		await new Promise<void>(resolve => {
 			this.#socket.bind(port, host, resolve);
 		});
-		this.#unsubscribe = timer.subscribe(heartbeatMs, () => {
-			this.#sendAll();
-		});
+		this.#unsubscribes.push(
+			timer.subscribe(heartbeatMs, () => {
+				this.#updateTopology();
+				this.#sendAll();
+				this.#sendEntries();
+			}),
+			timer.subscribe(summaryMs, () => {
+				this.#sendSummary();
+			}),
+		);
 	}
 
 	/** Sends the last news at once, for example that the process stops. */
 	notifyState(): void {
 		this.#sendAll();
+		this.#sendEntries();
 	}
 
 	/** Notes that the own load of a backend server has changed. */
@@ -90,85 +108,112 @@
 
 	/** Applies the list of entries in the store. */
 	applyEntries(entries: ReadonlyMap<string, RegisteredEntry>): void {
-		const {entryId, timer, loads} = this.#options;
-		const others = [...entries.values()].filter(entry => entry.id !== entryId);
-		const now = timer.now();
-		this.#registeredAt = new Map(others.map(({id}) => [id, this.#registeredAt.get(id) ?? now]));
-		this.#targets = others.map(({id, peerAddress}) => {
-			const [host = '', port = '0'] = peerAddress.split(':');
-			return {id, host, port: Number(port)};
-		});
-		for (const id of this.#peers.keys()) {
-			if (!this.#registeredAt.has(id)) {
-				this.#peers.delete(id);
-				loads.removePeer(id);
-			}
+		const {entryId, loads} = this.#options;
+		this.#others = new Map([...entries].filter(([id]) => id !== entryId));
+		for (const id of this.#states.applyRegistered([...this.#others.keys()])) {
+			loads.removePeer(id);
 		}
+
+		this.#updateTopology();
 	}
 
 	/** True while another entry runs and is not stopping: heard of lately, or too new to have been heard of. */
 	isRunning(entryId: string): boolean {
-		const now = this.#options.timer.now();
-		const peer = this.#peers.get(entryId);
-		if (peer === undefined) {
-			return now - (this.#registeredAt.get(entryId) ?? Number.NEGATIVE_INFINITY) <= silenceMs;
-		}
-
-		return !peer.isStopping && now - peer.heardAt <= silenceMs;
+		return this.#states.isRunning(entryId);
 	}
 
 	/** True while another entry runs and is ready for callers. */
 	isServing(entryId: string): boolean {
-		return this.isRunning(entryId) && (this.#peers.get(entryId)?.isReady ?? true);
+		return this.#states.isServing(entryId);
 	}
 
 	/** Caller addresses of the entries that were heard of lately and are ready, whether or not the store lists them. */
 	listServingAddresses(): string[] {
-		return [...this.#peers].filter(([id]) => this.isServing(id)).flatMap(([, {callerAddress}]) => callerAddress ?? []);
+		return this.#states.listServingAddresses();
 	}
 
 	/** Time since an entry was last heard of, or since it was registered, in ms. */
 	computeSilenceMs(entryId: string): number {
-		const heardAt = this.#peers.get(entryId)?.heardAt ?? this.#registeredAt.get(entryId);
-		return heardAt === undefined ? 0 : this.#options.timer.now() - heardAt;
+		return this.#states.computeSilenceMs(entryId);
 	}
 
 	close(): void {
-		this.#unsubscribe?.();
+		for (const unsubscribe of this.#unsubscribes) {
+			unsubscribe();
+		}
+
 		this.#socket.close();
 	}
 
+	#updateTopology(): void {
+		const {entryId, failureDomain} = this.#options;
+		const others = [...this.#others.values()];
+		this.#topology = selectTopology({id: entryId, failureDomain}, others, id => this.#states.isRunning(id));
+		const members = new Set(this.#topology.memberIds);
+		this.#states.setCollected(new Set(others.map(({id}) => id).filter(id => !members.has(id))));
+	}
+
 	#accept(bytes: Buffer): void {
-		const {timer, metrics, loads, log} = this.#options;
-		const message = decodePeerMessage(bytes);
-		if (message === undefined) {
-			metrics.countEvent('peers.unreadable');
+		const datagram = decodePeerDatagram(bytes);
+		if (datagram === undefined) {
+			this.#options.metrics.countEvent('peers.unreadable');
+		} else if (datagram.type === 'entry') {
+			this.#acceptMessage(datagram.message);
+		} else {
+			this.#acceptSummary(datagram.summary);
+		}
+	}
+
+	#acceptMessage(message: PeerMessage): void {
+		const {timer, loads} = this.#options;
+		const effect = this.#states.record(message, message.sequence);
+		if (effect === newsEffects.stale) {
 			return;
 		}
 
-		const known = this.#peers.get(message.entryId);
-		const isRestarted = known !== undefined && known.bootId !== message.bootId;
-		if (known !== undefined && !isRestarted && message.sequence <= known.sequence) {
+		this.#reportNews(message, effect);
+		if (effect === newsEffects.restarted) {
+			loads.removePeer(message.entryId);
+		}
+
+		const now = timer.now();
+		for (const {serverId, load} of message.loads) {
+			loads.setPeerLoad(message.entryId, serverId, load, now);
+		}
+	}
+
+	#acceptSummary(summary: DomainSummary): void {
+		const {failureDomain, timer, loads, entryId} = this.#options;
+		const source = `${summary.failureDomain}/${summary.collectorId}`;
+		const known = this.#summarySequences.get(source);
+		const isStale = known?.bootId === summary.bootId && summary.sequence <= known.sequence;
+		if (summary.failureDomain === failureDomain || isStale) {
 			return;
 		}
 
+		this.#summarySequences.set(source, {bootId: summary.bootId, sequence: summary.sequence});
 		const now = timer.now();
-		if (known === undefined || isRestarted || known.isReady !== message.isReady || now - known.heardAt > silenceMs) {
-			log.write('peer.heard', {
-				peer: message.entryId, isReady: message.isReady, isRestarted, version: message.version,
-			});
+		for (const {serverId, load} of summary.loads) {
+			loads.setPeerLoad(nameDomainLoad(summary.failureDomain), serverId, load, now);
 		}
 
-		if (isRestarted) {
-			loads.removePeer(message.entryId);
+		for (const {ageMs, ...news} of summary.entries) {
+			if (news.entryId !== entryId) {
+				this.#reportNews(news, this.#states.recordCollected(news, ageMs));
+			}
 		}
 
-		this.#peers.set(message.entryId, {
-			bootId: message.bootId, sequence: message.sequence, isReady: message.isReady, isStopping: message.isStopping,
-			callerAddress: message.callerAddress, heardAt: now,
-		});
-		for (const {serverId, load} of message.loads) {
-			loads.setPeerLoad(message.entryId, serverId, load, now);
+		// Whoever a summary is addressed to passes it on, also when it no longer takes itself for the collector.
+		if (!summary.isRelayed) {
+			this.#sendTo(this.#topology.memberIds, encodeDomainSummary({...summary, isRelayed: true}));
+		}
+	}
+
+	#reportNews({entryId, isReady, version}: EntryNews, effect: NewsEffect): void {
+		if (effect === newsEffects.changed || effect === newsEffects.restarted) {
+			this.#options.log.write('peer.heard', {
+				peer: entryId, isReady, isRestarted: effect === newsEffects.restarted, version,
+			});
 		}
 	}
 
@@ -186,22 +231,99 @@
 	}
 
 	#send(serverIds: readonly string[]): void {
-		const {entryId, bootId, callerAddress, timer, loads, isReady, isStopping, getVersion} = this.#options;
+		const {timer, loads} = this.#options;
 		const now = timer.now();
-		for (let start = 0; start === 0 || start < serverIds.length; start += loadsPerDatagram) {
+		for (const ids of splitList(serverIds)) {
 			this.#sequence++;
-			const message: PeerMessage = {
-				entryId, bootId, sequence: this.#sequence, isReady: isReady(), isStopping: isStopping(), callerAddress, version: getVersion(),
-				loads: serverIds.slice(start, start + loadsPerDatagram).map(serverId => ({serverId, load: loads.computeOwnLoad(serverId, now)})),
-			};
-			const bytes = encodePeerMessage(message);
-			for (const {host, port} of this.#targets) {
-				this.#socket.send(bytes, port, host, error => {
-					if (error) {
-						this.#options.metrics.countEvent('peers.send_failed');
-					}
-				});
+			this.#sendTo(this.#topology.memberIds, encodePeerMessage({
+				...this.#buildOwnNews(), sequence: this.#sequence,
+				loads: ids.map(serverId => ({serverId, load: loads.computeOwnLoad(serverId, now)})),
+			}));
+		}
+	}
+
+	/** Sends the loads of the own failure domain to the collectors of the others. */
+	#sendSummary(): void {
+		const {collectorIds, isCollector} = this.#topology;
+		if (!isCollector || collectorIds.length === 0) {
+			return;
+		}
+
+		const loads = this.#collectLoads();
+		if (loads.length > 0) {
+			for (const part of splitList(loads)) {
+				this.#sendTo(collectorIds, this.#encodeSummary(part, []));
 			}
 		}
 	}
+
+	/** Sends the state of the entries of the own failure domain to the collectors of the others. */
+	#sendEntries(): void {
+		const {collectorIds, isCollector, memberIds} = this.#topology;
+		if (!isCollector || collectorIds.length === 0) {
+			return;
+		}
+
+		for (const part of splitList([{...this.#buildOwnNews(), ageMs: 0}, ...this.#states.listHeard(memberIds)])) {
+			this.#sendTo(collectorIds, this.#encodeSummary([], part));
+		}
+	}
+
+	/** Loads of the own failure domain; the ages of prompts that wait are left out, since they would be old on arrival. */
+	#collectLoads(): LoadNews[] {
+		const {loads, timer} = this.#options;
+		const members = new Set(this.#topology.memberIds);
+		const now = timer.now();
+		const collected: LoadNews[] = [];
+		for (const serverId of loads.listServers(members)) {
+			const load = loads.computeLoadOf(serverId, members, now);
+			const isEmpty = load.requests === 0 && load.memoryTokens === 0 && load.readMs === 0;
+			const left = isEmpty ? (this.#summarized.get(serverId) ?? 0) - 1 : emptySummaries;
+			this.#summarized.set(serverId, left);
+			if (left >= 0) {
+				collected.push({serverId, load: {...load, reads: []}});
+			}
+		}
+
+		return collected;
+	}
+
+	#encodeSummary(loads: LoadNews[], entries: DomainSummary['entries']): Buffer {
+		const {failureDomain, entryId, bootId} = this.#options;
+		this.#sequence++;
+		return encodeDomainSummary({
+			failureDomain, collectorId: entryId, bootId, sequence: this.#sequence, isRelayed: false, loads, entries,
+		});
+	}
+
+	#buildOwnNews(): EntryNews {
+		const {entryId, bootId, callerAddress, isReady, isStopping, getVersion} = this.#options;
+		return {
+			entryId, bootId, callerAddress, isReady: isReady(), isStopping: isStopping(), version: getVersion(),
+		};
+	}
+
+	#sendTo(entryIds: readonly string[], bytes: Buffer): void {
+		for (const id of entryIds) {
+			const [host = '', port = '0'] = this.#others.get(id)?.peerAddress.split(':') ?? [];
+			this.#socket.send(bytes, Number(port), host, error => {
+				if (error) {
+					this.#options.metrics.countEvent('peers.send_failed');
+				}
+			});
+		}
+	}
 }
+
+/** Name under which the loads of another failure domain are kept; ids of entries hold no slash. */
+const nameDomainLoad = (failureDomain: string): string => `domain/${failureDomain}`;
+
+/** Splits a list into parts for a datagram each; an empty list is one part, since it still is a sign of life. */
+const splitList = <Item>(items: readonly Item[]): Item[][] => {
+	const parts: Item[][] = [];
+	for (let start = 0; start === 0 || start < items.length; start += itemsPerDatagram) {
+		parts.push(items.slice(start, start + itemsPerDatagram));
+	}
+
+	return parts;
+};
--- /dev/null
+++ b/packages/relay/src/peers/peer-states.ts
@@ -0,0 +1,122 @@
+import type {EntryNews} from './peer-message.js';
+
+/** Time without news after which another entry is left out of the list for callers, in ms; five lost heartbeats. */
+const silenceMs = 2500;
+/**
+ * The same for entries that are heard of through summaries, in ms: a summary may be late by a heartbeat, and the change of a
+ * collector takes as long as its silence is noticed.
+ */
+const collectedSilenceMs = 4000;
+
+/** State of another entry as last heard. */
+type PeerState = EntryNews & {sequence: number; heardAt: number};
+
+/** What became of a piece of news. */
+export const newsEffects = {
+	/** Older than what is known. */
+	stale: 'stale',
+	/** Heard of before, in the same process and state. */
+	known: 'known',
+	/** New, back after silence, or ready or not where it was the opposite. */
+	changed: 'changed',
+	/** Another process of the same entry. */
+	restarted: 'restarted',
+} as const;
+export type NewsEffect = (typeof newsEffects)[keyof typeof newsEffects];
+
+/** What is known of the other entries: those that the store lists, and those that were heard of. */
+export class PeerStates {
+	readonly #states = new Map<string, PeerState>();
+	#registeredAt = new Map<string, number>();
+	#collectedIds: ReadonlySet<string> = new Set();
+
+	/** `getNow` reads the steady clock in ms. */
+	constructor(private readonly getNow: () => number) {}
+
+	/** Applies the ids that the store lists; returns those that are gone. */
+	applyRegistered(ids: readonly string[]): string[] {
+		const now = this.getNow();
+		this.#registeredAt = new Map(ids.map(id => [id, this.#registeredAt.get(id) ?? now]));
+		const gone = [...this.#states.keys()].filter(id => !this.#registeredAt.has(id));
+		for (const id of gone) {
+			this.#states.delete(id);
+		}
+
+		return gone;
+	}
+
+	/** Sets the entries that are heard of through summaries. */
+	setCollected(ids: ReadonlySet<string>): void {
+		this.#collectedIds = ids;
+	}
+
+	/** Records news of an entry itself. */
+	record(news: EntryNews, sequence: number): NewsEffect {
+		const known = this.#states.get(news.entryId);
+		const isRestarted = known !== undefined && known.bootId !== news.bootId;
+		return known !== undefined && !isRestarted && sequence <= known.sequence ? newsEffects.stale : this.#set(news, sequence, this.getNow());
+	}
+
+	/** Records what a summary says of an entry. */
+	recordCollected(news: EntryNews, ageMs: number): NewsEffect {
+		const heardAt = this.getNow() - ageMs;
+		const known = this.#states.get(news.entryId);
+		return known !== undefined && heardAt <= known.heardAt ? newsEffects.stale : this.#set(news, known?.sequence ?? 0, heardAt);
+	}
+
+	/** True while another entry runs and is not stopping: heard of lately, or too new to have been heard of. */
+	isRunning(id: string): boolean {
+		const now = this.getNow();
+		const limitMs = this.#collectedIds.has(id) ? collectedSilenceMs : silenceMs;
+		const state = this.#states.get(id);
+		if (state === undefined) {
+			return now - (this.#registeredAt.get(id) ?? Number.NEGATIVE_INFINITY) <= limitMs;
+		}
+
+		return !state.isStopping && now - state.heardAt <= limitMs;
+	}
+
+	/** True while another entry runs and is ready for callers. */
+	isServing(id: string): boolean {
+		return this.isRunning(id) && (this.#states.get(id)?.isReady ?? true);
+	}
+
+	/** Caller addresses of the entries that were heard of lately and are ready, whether or not the store lists them. */
+	listServingAddresses(): string[] {
+		return [...this.#states].filter(([id]) => this.isServing(id)).flatMap(([, {callerAddress}]) => callerAddress ?? []);
+	}
+
+	/** Entries that were heard of, of those with the given ids, with the time since then in ms. */
+	listHeard(ids: readonly string[]): Array<EntryNews & {ageMs: number}> {
+		const now = this.getNow();
+		return ids.map(id => this.#states.get(id)).filter(state => state !== undefined).map(({heardAt, sequence, ...news}) => ({...news, ageMs: Math.round(now - heardAt)}));
+	}
+
+	/** Time since an entry was last heard of, or since it was registered, in ms. */
+	computeSilenceMs(id: string): number {
+		const heardAt = this.#states.get(id)?.heardAt ?? this.#registeredAt.get(id);
+		return heardAt === undefined ? 0 : this.getNow() - heardAt;
+	}
+
+	#set(news: EntryNews, sequence: number, heardAt: number): NewsEffect {
+		const known = this.#states.get(news.entryId);
+		const effect = this.#classify(known, news, heardAt);
+		const {entryId, bootId, isReady, isStopping, callerAddress, version} = news;
+		this.#states.set(entryId, {
+			entryId, bootId, isReady, isStopping, callerAddress, version, sequence: effect === newsEffects.restarted ? sequence : Math.max(sequence, known?.sequence ?? 0), heardAt,
+		});
+		return effect;
+	}
+
+	#classify(known: PeerState | undefined, news: EntryNews, heardAt: number): NewsEffect {
+		if (known === undefined) {
+			return newsEffects.changed;
+		}
+
+		if (known.bootId !== news.bootId) {
+			return newsEffects.restarted;
+		}
+
+		return known.isReady !== news.isReady || heardAt - known.heardAt > silenceMs ? newsEffects.changed : newsEffects.known;
+	}
+}
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -82,7 +82,8 @@
 		});
 		const bootId = randomBytes(8).toString('hex');
 		this.#peers = new PeerNewsTask({
-			entryId: settings.entryId, bootId, callerAddress: settings.callerAddress, address: parseAddress(settings.peerAddress), timer, log, metrics, loads: this.#placement.loads,
+			entryId: settings.entryId, bootId, failureDomain: settings.failureDomain, callerAddress: settings.callerAddress,
+			address: parseAddress(settings.peerAddress), timer, log, metrics, loads: this.#placement.loads,
 			isReady: () => this.isReady(),
 			isStopping: () => this.#stoppingSince !== undefined,
 			getVersion: () => this.#knowledge.table?.configuration.version ?? 0,
