Find free ports for the tests of news

Cause: the test used fixed ports, which another program may hold, so that its verdict could depend on the machine.

--- a/packages/relay/src/peers/peer-news-task.test.ts
+++ b/packages/relay/src/peers/peer-news-task.test.ts
@@ -1,3 +1,5 @@
+import {createSocket} from 'node:dgram';
+import {once} from 'node:events';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
 import {LoadTable, type ServerWork} from '@knapweedrack/core';
@@ -8,7 +10,6 @@
 import {PeerNewsTask} from './peer-news-task.js';
 
 const host = '127.0.0.1';
-const basePort = 42_100;
 const log: DecisionLog = {
 	write: () => undefined, writeRequest: () => undefined, getOmitted: () => 0, flush: () => undefined,
 };
@@ -30,13 +31,29 @@
 	}
 };
 
+/** Ports that are free for datagrams; all are bound at the same time, so that none is found twice. */
+const findFreePorts = async (count: number): Promise<number[]> => {
+	const sockets = Array.from({length: count}, () => createSocket('udp4'));
+	const ports = await Promise.all(sockets.map(async socket => {
+		socket.bind(0, host);
+		await once(socket, 'listening');
+		return socket.address().port;
+	}));
+	await Promise.all(sockets.map(async socket => {
+		socket.close();
+		await once(socket, 'close');
+	}));
+	return ports;
+};
+
 describe('news between entries', () => {
 	const timer = createTimerService();
 	let members: Member[] = [];
 
 	const start = async (perDomain: number): Promise<void> => {
+		const ports = await findFreePorts(perDomain * 3);
 		const entries = ['east', 'north', 'west'].flatMap((failureDomain, domain) => Array.from({length: perDomain}, (_, index): RegisteredEntry => ({
-			id: `${failureDomain}-${index}`, failureDomain, callerAddress: `${host}:1`, peerAddress: `${host}:${basePort + (domain * perDomain) + index}`,
+			id: `${failureDomain}-${index}`, failureDomain, callerAddress: `${host}:1`, peerAddress: `${host}:${ports[(domain * perDomain) + index]}`,
 		})));
 		members = entries.map(entry => {
 			const member: Member = {
