--- a/packages/relay/src/exchange/memory-reservation.ts
+++ b/packages/relay/src/exchange/memory-reservation.ts
@@ -46,7 +46,17 @@
 		return connection === undefined ? 'refused' : sendOrder(connection, orders, {serverId: server.id, body});
 	};
 
+	/** Renewals that are on their way. */
 	const renewals = new Map<ReservedPart, Promise<OrderResult>>();
+	const renew = async (part: ReservedPart): Promise<void> => {
+		const renewal = order(part, orders.encodeReservation({id, tokens: part.tokens, holdMs: leaseMs}));
+		renewals.set(part, renewal);
+		await renewal;
+		if (renewals.get(part) === renewal) {
+			renewals.delete(part);
+		}
+	};
+
 	const release = (): void => {
 		for (const part of held) {
 			void releasePart(part, order, {body: orders.encodeRelease(id), renewal: renewals.get(part)}, result => {
@@ -73,7 +83,7 @@
 
 	const unsubscribe = timer.subscribe(Math.round(leaseMs * renewShare), () => {
 		for (const part of held) {
-			renewals.set(part, order(part, orders.encodeReservation({id, tokens: part.tokens, holdMs: leaseMs})));
+			void renew(part);
 		}
 	});
 	return {
