Ask callers to come back within a third of the time that they have left

Cause: the time to come back of an overloaded refusal held the whole target of the route, also where that is most of the caller's time or more; callers heed a third of it only. After: at most a third of what is left, at least 0.15 s.

--- a/packages/relay/src/front/relay-request.ts
+++ b/packages/relay/src/front/relay-request.ts
@@ -24,6 +24,8 @@
 const noReservation: MemoryReservation = {ids: new Map(), release: () => undefined};
 /** Range of the time after which a caller may come back when no better estimate exists, in ms. */
 const comeBackMs = {least: 150, most: 600};
+/** Longest such time as a share of what the caller has left; callers do not heed a longer one, from the platform's protocol. */
+const comeBackShare = 1 / 3;
 
 /** What all attempts of a request share. */
 type RequestWork = {route: Route; table: RouteTable; workspace: string | undefined; body: Buffer | undefined};
@@ -316,7 +318,9 @@
 	#computeRetryAfterMs(reason: AnswerReason): number {
 		const {least, most} = comeBackMs;
 		const spreadMs = least + (this.#services.random() * (most - least));
-		return reason === 'overloaded' ? spreadMs + (this.#route?.targetMs ?? 0) : spreadMs;
+		const dueMs = reason === 'overloaded' ? spreadMs + (this.#route?.targetMs ?? 0) : spreadMs;
+		const callerLeftMs = (this.#envelope.deadlineMs ?? Number.POSITIVE_INFINITY) - (this.#services.timer.now() - this.#arrivedAt);
+		return Math.min(dueMs, Math.max(least, callerLeftMs * comeBackShare));
 	}
 
 	/** Ends the request with an answer of the entry itself. */
