Rename crash news to crash reports

Cause: the messages were called news; the field's words are report and send. The field `crashNewsOf` of the datagram stays, so that entries of two builds understand each other during a roll. Nothing else changes.

--- a/packages/relay/src/peers/peer-message.ts
+++ b/packages/relay/src/peers/peer-message.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {z} from 'zod';
-import {decodeCrashNews, type CrashNews} from '../quarantine/crash-news.js';
+import {decodeCrashReport, type CrashReport} from '../quarantine/crash-report.js';
 import {
 	decodeLoad, encodeLoad, loadSchema, type ReportedLoad,
 } from './load-codec.js';
@@ -68,7 +68,7 @@
 };
 
 /** A decoded datagram from a peer. */
-export type PeerDatagram = {type: 'entry'; message: PeerMessage} | {type: 'summary'; summary: DomainSummary} | {type: 'crash_news'; news: CrashNews};
+export type PeerDatagram = {type: 'entry'; message: PeerMessage} | {type: 'summary'; summary: DomainSummary} | {type: 'crash_report'; report: CrashReport};
 
 /** Encodes a load report as JSON. */
 export const encodePeerMessage = (message: PeerMessage): Buffer => Buffer.from(JSON.stringify({
@@ -80,7 +80,7 @@
 	...summary, summaryOf: failureDomain, loads: summary.loads.map(load => encodeLoad(load)),
 }));
 
-/** Decodes a datagram; returns undefined when it is no load report, summary or crash news. */
+/** Decodes a datagram; returns undefined when it is no load report, summary or crash report. */
 export const decodePeerDatagram = (bytes: Buffer): PeerDatagram | undefined => {
 	const value = parseJson(bytes.toString('utf8'));
 	const message = messageSchema.safeParse(value);
@@ -90,8 +90,8 @@
 
 	const summary = summarySchema.safeParse(value);
 	if (!summary.success) {
-		const news = decodeCrashNews(value);
-		return news && {type: 'crash_news', news};
+		const report = decodeCrashReport(value);
+		return report && {type: 'crash_report', report};
 	}
 
 	const {summaryOf, loads, entries, ...rest} = summary.data;
--- a/packages/relay/src/peers/peer-report-task.test.ts
+++ b/packages/relay/src/peers/peer-report-task.test.ts
@@ -50,7 +50,7 @@
 	return ports;
 };
 
-describe('news between entries', () => {
+describe('reports between entries', () => {
 	const timer = createTimerService();
 	let members: Member[] = [];
 	let storeWrites: string[] = [];
@@ -69,8 +69,8 @@
 			detection: new CrashDetectionTask({
 				timer, metrics, connections: new BackendConnections(), findServer: () => undefined, notifyCrash: () => undefined,
 			}),
-			sendNews(news, recipientId) {
-				task.sendNews(news, recipientId);
+			sendCrashReport(report, recipientId) {
+				task.sendCrashReport(report, recipientId);
 			},
 			isForwarder: origin => task.isForwarder(origin),
 			isFirstServing: () => id === 'east-0',
@@ -91,8 +91,8 @@
 				entryId: entry.id, bootId: 'boot', failureDomain: entry.failureDomain, callerAddress: entry.callerAddress,
 				address: {host, port: Number(entry.peerAddress.split(':')[1])}, timer, log, metrics: new RelayMetrics(), loads: member.loads,
 				isReady: () => true, isStopping: () => member.isStopping, getVersion: () => 1,
-				acceptNews(news) {
-					member.quarantine.acceptNews(news);
+				acceptCrashReport(report) {
+					member.quarantine.acceptCrashReport(report);
 				},
 			});
 			member.quarantine = buildQuarantine(entry.id, entry.failureDomain, member.task);
--- a/packages/relay/src/peers/peer-report-task.ts
+++ b/packages/relay/src/peers/peer-report-task.ts
@@ -5,7 +5,7 @@
 import type {RegisteredEntry} from '../contracts.js';
 import type {DecisionLog} from '../logging/decision-log.js';
 import type {RelayMetrics} from '../metrics/relay-metrics.js';
-import {encodeCrashNews, type CrashNews} from '../quarantine/crash-news.js';
+import {encodeCrashReport, type CrashReport} from '../quarantine/crash-report.js';
 import type {ReportedLoad} from './load-codec.js';
 import {selectTopology, type ReportTopology} from './report-topology.js';
 import {
@@ -42,8 +42,8 @@
 	isReady: () => boolean;
 	isStopping: () => boolean;
 	getVersion: () => number;
-	/** Called with the crash news of other entries. */
-	acceptNews: (news: CrashNews) => void;
+	/** Called with the crash reports of other entries. */
+	acceptCrashReport: (report: CrashReport) => void;
 };
 
 /**
@@ -112,16 +112,16 @@
 		}
 	}
 
-	/** Sends crash news to one entry, or to all entries that this one reports to. */
-	sendNews(news: CrashNews, recipientId?: string): void {
+	/** Sends crash reports to one entry, or to all entries that this one reports to. */
+	sendCrashReport(report: CrashReport, recipientId?: string): void {
 		const {memberIds, collectorIds, isCollector} = this.#topology;
 		const recipientIds = recipientId === undefined ? [...memberIds, ...(isCollector ? collectorIds : [])] : [recipientId];
-		for (const datagram of encodeCrashNews(news)) {
+		for (const datagram of encodeCrashReport(report)) {
 			this.#sendTo(recipientIds, datagram);
 		}
 	}
 
-	/** True when the entries that this one reports to do not all receive the news of a failure domain from its sender. */
+	/** True when the entries that this one reports to do not all receive the crash reports of a failure domain from its sender. */
 	isForwarder(failureDomain: string): boolean {
 		const {collectorIds, isCollector} = this.#topology;
 		return collectorIds.length > 0 && (isCollector || failureDomain !== this.#options.failureDomain);
@@ -180,8 +180,8 @@
 			this.#options.metrics.countEvent('peers.unreadable');
 		} else if (datagram.type === 'entry') {
 			this.#acceptMessage(datagram.message);
-		} else if (datagram.type === 'crash_news') {
-			this.#options.acceptNews(datagram.news);
+		} else if (datagram.type === 'crash_report') {
+			this.#options.acceptCrashReport(datagram.report);
 		} else {
 			this.#acceptSummary(datagram.summary);
 		}
--- a/packages/relay/src/quarantine/crash-news.ts
+++ b/packages/relay/src/quarantine/crash-report.ts
@@ -6,8 +6,8 @@
 /** Maximum size of the records in one datagram, so that it is not fragmented on an Ethernet path. */
 const recordBytesPerDatagram = 1100;
 
-const newsSchema = z.object({
-	/** Entry that sends the news. */
+const crashReportSchema = z.object({
+	/** Entry that sends the report. The name of this field is kept for entries of earlier versions. */
 	crashNewsOf: z.string(),
 	failureDomain: z.string(),
 	records: z.array(fingerprintRecordSchema),
@@ -15,16 +15,16 @@
 });
 
 /** Crashes that an entry knows of, and fingerprints that a completed run has cleared. */
-export type CrashNews = {
+export type CrashReport = {
 	entryId: string;
 	failureDomain: string;
 	records: FingerprintRecord[];
 	cleared: string[];
 };
 
-/** Encodes news as JSON in datagrams; the field `crashNewsOf` distinguishes them from load reports. */
-export const encodeCrashNews = ({entryId, failureDomain, records, cleared}: CrashNews): Buffer[] => {
-	const encode = (part: Pick<CrashNews, 'records' | 'cleared'>): Buffer => Buffer.from(JSON.stringify({crashNewsOf: entryId, failureDomain, ...part}));
+/** Encodes a crash report as JSON in datagrams; the field `crashNewsOf` distinguishes them from load reports. */
+export const encodeCrashReport = ({entryId, failureDomain, records, cleared}: CrashReport): Buffer[] => {
+	const encode = (part: Pick<CrashReport, 'records' | 'cleared'>): Buffer => Buffer.from(JSON.stringify({crashNewsOf: entryId, failureDomain, ...part}));
 	const datagrams = cleared.length === 0 ? [] : [encode({records: [], cleared})];
 	let part: FingerprintRecord[] = [];
 	let bytes = 0;
@@ -43,13 +43,13 @@
 	return part.length === 0 ? datagrams : [...datagrams, encode({records: part, cleared: []})];
 };
 
-/** Decodes parsed JSON; returns undefined when it is no news. */
-export const decodeCrashNews = (value: unknown): CrashNews | undefined => {
-	const parsed = newsSchema.safeParse(value);
+/** Decodes parsed JSON; returns undefined when it is no crash report. */
+export const decodeCrashReport = (value: unknown): CrashReport | undefined => {
+	const parsed = crashReportSchema.safeParse(value);
 	if (!parsed.success) {
 		return undefined;
 	}
 
-	const {crashNewsOf, ...news} = parsed.data;
-	return {entryId: crashNewsOf, ...news};
+	const {crashNewsOf, ...report} = parsed.data;
+	return {entryId: crashNewsOf, ...report};
 };
--- a/packages/relay/src/quarantine/quarantine-model.test.ts
+++ b/packages/relay/src/quarantine/quarantine-model.test.ts
@@ -8,7 +8,7 @@
 import type {DecisionLog} from '../logging/decision-log.js';
 import {RelayMetrics} from '../metrics/relay-metrics.js';
 import {crashEvidence} from './crash-detection-task.js';
-import type {CrashNews} from './crash-news.js';
+import type {CrashReport} from './crash-report.js';
 import {QuarantineTask} from './quarantine-task.js';
 
 const settleMs = 3000;
@@ -17,7 +17,7 @@
 /** Time from the end of a server until its attempts are settled, in ms. */
 const detectionMs = 25;
 const attemptLimit = 2;
-const newsDelayMs = 20;
+const reportDelayMs = 20;
 const stepMs = 5;
 const content = 'c0ffee';
 const log: DecisionLog = {
@@ -143,7 +143,7 @@
 		const store: Pick<ObjectStore, 'put'> = {
 			put: async (key, value) => {
 				this.stored.set(key, value as StoredQuarantine);
-				this.clock.scheduleIn(newsDelayMs, () => {
+				this.clock.scheduleIn(reportDelayMs, () => {
 					for (const each of this.processes.filter(({isAlive}) => isAlive)) {
 						each.quarantine.applyStored([...this.stored.values()]);
 					}
@@ -155,8 +155,8 @@
 		return new QuarantineTask({
 			entryId: process.entryId, failureDomain: 'east', timer: this.#timer, log, metrics: new RelayMetrics(), store: store as ObjectStore, codec: codec as StoreCodec,
 			detection: {listUnsettled: fingerprint => process.lost.listUnsettled(fingerprint)},
-			sendNews: (news, recipientId) => {
-				this.#sendNews(process, news, recipientId);
+			sendCrashReport: (report, recipientId) => {
+				this.#sendCrashReport(process, report, recipientId);
 			},
 			isForwarder: () => false,
 			isFirstServing: () => this.processes.filter(({isAlive}) => isAlive).every(({entryId}) => process.entryId <= entryId),
@@ -164,12 +164,12 @@
 		});
 	}
 
-	#sendNews(sender: Process, news: CrashNews, recipientId: string | undefined): void {
+	#sendCrashReport(sender: Process, report: CrashReport, recipientId: string | undefined): void {
 		for (const {entryId} of this.processes.filter(({isAlive}) => isAlive)) {
 			const isRecipient = entryId !== sender.entryId && (recipientId ?? entryId) === entryId;
 			if (isRecipient && !this.isLost()) {
-				this.clock.scheduleIn(newsDelayMs, () => {
-					this.find(entryId)?.quarantine.acceptNews(news);
+				this.clock.scheduleIn(reportDelayMs, () => {
+					this.find(entryId)?.quarantine.acceptCrashReport(report);
 				});
 			}
 		}
@@ -177,7 +177,7 @@
 }
 
 describe('quarantine of entries that restart and lose datagrams', () => {
-	// Guards against content that reaches servers too often because copies run at the same time, news is lost or the entry that saw a crash ends.
+	// Guards against content that reaches servers too often because copies run at the same time, reports are lost or the entry that saw a crash ends.
 	it('keeps the bound on late retries of content that ends servers', async function () {
 		this.timeout(60_000);
 		const entry = fc.integer({min: 0, max: 4});
--- a/packages/relay/src/quarantine/quarantine-task.test.ts
+++ b/packages/relay/src/quarantine/quarantine-task.test.ts
@@ -5,7 +5,7 @@
 import type {StoreCodec} from '../contracts.js';
 import {RelayMetrics} from '../metrics/relay-metrics.js';
 import {crashEvidence} from './crash-detection-task.js';
-import type {CrashNews} from './crash-news.js';
+import type {CrashReport} from './crash-report.js';
 import {QuarantineTask} from './quarantine-task.js';
 
 const buildAttempt = (server: number, chainLength: number): LostAttempt => ({
@@ -18,13 +18,13 @@
 	let timer: ProcessTimer;
 	let task: QuarantineTask;
 	let unsettled: LostAttempt[];
-	let news: CrashNews[];
+	let reports: CrashReport[];
 	let isFirstServing: boolean;
 
 	beforeEach(() => {
 		timer = createTimerService();
 		unsettled = [];
-		news = [];
+		reports = [];
 		isFirstServing = true;
 		task = new QuarantineTask({
 			entryId: 'e1', failureDomain: 'east', store: store as ObjectStore, codec: codec as StoreCodec, timer,
@@ -33,8 +33,8 @@
 			},
 			metrics: new RelayMetrics(), detection: {listUnsettled: () => unsettled}, isForwarder: () => false, isFirstServing: () => isFirstServing,
 			readWallClock: Date.now,
-			sendNews(sent) {
-				news.push(sent);
+			sendCrashReport(sent) {
+				reports.push(sent);
 			},
 		});
 	});
@@ -68,7 +68,7 @@
 			isFirstServing = false;
 			task.recordCompletion('x');
 			expect(task.isRefused('x')).to.equal(false);
-			expect(news.at(-1)).to.deep.include({cleared: ['x']});
+			expect(reports.at(-1)).to.deep.include({cleared: ['x']});
 		});
 	});
 
--- a/packages/relay/src/quarantine/quarantine-task.ts
+++ b/packages/relay/src/quarantine/quarantine-task.ts
@@ -9,11 +9,11 @@
 import type {DecisionLog} from '../logging/decision-log.js';
 import type {RelayMetrics} from '../metrics/relay-metrics.js';
 import type {CrashDetectionTask, CrashEvidence} from './crash-detection-task.js';
-import type {CrashNews} from './crash-news.js';
+import type {CrashReport} from './crash-report.js';
 
-/** Interval at which news is sent again, in ms. */
+/** Interval at which crash reports are sent again, in ms. */
 const resendMs = 500;
-/** Number of repetitions of news, since datagrams may be lost: of a first crash, which most requests never follow by another, and of more. */
+/** Number of repetitions of a crash report, since datagrams may be lost: of a first crash, which most requests never follow by another, and of more. */
 const resendCounts = {firstCrash: 1, moreCrashes: 4};
 /** Delay before a record is written to the store, in ms, in which entries that have seen the content complete can clear it. */
 const writeDelayMs = 300;
@@ -32,9 +32,9 @@
 	log: DecisionLog;
 	metrics: RelayMetrics;
 	detection: Pick<CrashDetectionTask, 'listUnsettled'>;
-	/** Sends news to one entry, or to all that this entry reports to. */
-	sendNews: (news: CrashNews, recipientId?: string) => void;
-	/** True when this entry passes the news of a failure domain on to other entries. */
+	/** Sends a crash report to one entry, or to all that this entry reports to. */
+	sendCrashReport: (report: CrashReport, recipientId?: string) => void;
+	/** True when this entry passes the crash reports of a failure domain on to other entries. */
 	isForwarder: (failureDomain: string) => boolean;
 	/** True at one of the entries that are serving. */
 	isFirstServing: () => boolean;
@@ -46,7 +46,7 @@
 export class QuarantineTask {
 	readonly #options: QuarantineOptions;
 	readonly #register = new CrashRegister();
-	/** Remaining repetitions of news, by fingerprint. */
+	/** Remaining repetitions of a crash report, by fingerprint. */
 	readonly #resends = new Map<string, number>();
 	/** Records in the store, by fingerprint. */
 	#stored = new Map<string, StoredQuarantine>();
@@ -149,8 +149,8 @@
 		}
 	}
 
-	/** Merges the news of another entry. */
-	acceptNews({entryId: sender, failureDomain, records, cleared}: CrashNews): void {
+	/** Merges the crash report of another entry. */
+	acceptCrashReport({entryId: sender, failureDomain, records, cleared}: CrashReport): void {
 		const {isForwarder, log, timer} = this.#options;
 		for (const fingerprint of cleared) {
 			if (this.#register.recordCompletion(fingerprint, timer.now())) {
@@ -200,7 +200,7 @@
 
 		const effect = this.#register.mergeRecord(received, timer.now());
 		if (effect.isChanged) {
-			log.writeRequest('content.crash_heard', undefined, {content: fingerprint, source, crashes: describeCrashes(effect.record)});
+			log.writeRequest('content.crash_received', undefined, {content: fingerprint, source, crashes: describeCrashes(effect.record)});
 			this.#handleChange(effect, source);
 		}
 
@@ -318,8 +318,8 @@
 	}
 
 	#send(records: FingerprintRecord[], cleared: string[], recipientId?: string): void {
-		const {entryId, failureDomain, sendNews} = this.#options;
-		sendNews({
+		const {entryId, failureDomain, sendCrashReport} = this.#options;
+		sendCrashReport({
 			entryId, failureDomain, records, cleared,
 		}, recipientId);
 	}
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -98,8 +98,8 @@
 			isReady: () => this.isReady(),
 			isStopping: () => this.#stoppingSince !== undefined,
 			getVersion: () => this.#storeState.table?.configuration.version ?? 0,
-			acceptNews: news => {
-				this.#quarantine.acceptNews(news);
+			acceptCrashReport: report => {
+				this.#quarantine.acceptCrashReport(report);
 			},
 		});
 		const self: RegisteredEntry = {
@@ -116,8 +116,8 @@
 		});
 		this.#quarantine = new QuarantineTask({
 			entryId: settings.entryId, failureDomain: settings.failureDomain, store, codec, timer, log, metrics, detection: this.#crashDetection,
-			sendNews: (news, recipientId) => {
-				this.#peers.sendNews(news, recipientId);
+			sendCrashReport: (report, recipientId) => {
+				this.#peers.sendCrashReport(report, recipientId);
 			},
 			isForwarder: failureDomain => this.#peers.isForwarder(failureDomain),
 			isFirstServing: () => this.#registration.isFirstServing(),
