Log the shared parts of prompts with attempts and answers

Change: the platform adapter decodes the model and the parts of a prompt but the last, which belongs to the request; `attempt` and `answer` lines name a fingerprint of each. No decision uses them.

--- a/packages/relay/src/contracts.ts
+++ b/packages/relay/src/contracts.ts
@@ -45,8 +45,12 @@
 	encodeQuarantine: (quarantine: StoredQuarantine) => unknown;
 };
 
-/** Size of a prompt as stated by the caller. */
+/** Size and parts of a prompt as stated by the caller. */
 export type PromptEnvelope = {
+	/** Name of the model; undefined when the caller names none. */
+	model: string | undefined;
+	/** Ids of the parts that other prompts may share, in the order of the prompt. */
+	sharedPartIds: string[];
 	promptTokens: number;
 	/** Maximum length of the answer in tokens. */
 	outputTokens: number;
--- a/packages/relay/src/front/hash-content.test.ts
+++ b/packages/relay/src/front/hash-content.test.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {expect} from 'chai';
-import {hashContent, type RequestContent} from './hash-content.js';
+import {hashContent, hashPart, type RequestContent} from './hash-content.js';
 
 const content: RequestContent = {
 	workspace: 'mill', method: 'POST', path: '/look/x?a=1', body: Buffer.from('text'),
@@ -18,3 +18,11 @@
 		expect(new Set(fingerprints).size).to.equal(fingerprints.length);
 	});
 });
+
+describe('hashPart', () => {
+	it('tells models and parts apart', () => {
+		const fingerprints = [hashPart('m', '5c1e07a2'), hashPart('n', '5c1e07a2'), hashPart('m', '91bd3f06'), hashPart(undefined, '5c1e07a2')];
+		expect(new Set(fingerprints).size).to.equal(fingerprints.length);
+		expect(fingerprints[0]).to.equal(hashPart('m', '5c1e07a2')).and.to.match(/^part-[\da-f]{16}$/v);
+	});
+});
--- a/packages/relay/src/front/hash-content.ts
+++ b/packages/relay/src/front/hash-content.ts
@@ -11,8 +11,12 @@
 	body: Buffer | undefined;
 };
 
-/** Length of a fingerprint in hexadecimal digits. */
+/** Length of the fingerprint of a whole request in hexadecimal digits. */
 const fingerprintLength = 32;
+/** Start of the fingerprint of a part, which tells it from that of a whole request. */
+const partPrefix = 'part-';
+/** Length of the digest of a part in hexadecimal digits. */
+const partDigestLength = 16;
 
 /** Computes the fingerprint of a request's content: the start of a SHA-256 digest, in hexadecimal. */
 export const hashContent = ({workspace = '', method, path, body}: RequestContent): string => {
@@ -23,3 +27,7 @@
 
 	return hash.digest('hex').slice(0, fingerprintLength);
 };
+
+/** Computes the fingerprint of a part of a prompt for a model; it does not depend on the rest of the request or its caller. */
+export const hashPart = (model: string | undefined, partId: string): string =>
+	partPrefix + createHash('sha256').update(`${model ?? ''}\0${partId}`).digest('hex').slice(0, partDigestLength);
--- a/packages/relay/src/front/relay-request.ts
+++ b/packages/relay/src/front/relay-request.ts
@@ -10,7 +10,7 @@
 import {answerReasons, type AnswerReason} from './answer-reasons.js';
 import {AnswerWriter} from './answer-writer.js';
 import {computeRetryDelayMs} from './compute-retry-delay.js';
-import {hashContent} from './hash-content.js';
+import {hashContent, hashPart} from './hash-content.js';
 import {recordCrashEvidence} from './record-crash-evidence.js';
 import {runAttempt, type AttemptResult, type StreamProgress} from './run-attempt.js';
 import {readRequestBody} from './request-body.js';
@@ -50,6 +50,8 @@
 	#route: Route | undefined;
 	/** Fingerprint of the content; undefined until the whole request was read. */
 	#fingerprint: string | undefined;
+	/** Fingerprints of the parts of the prompt that other requests may share. */
+	#partFingerprints: string[] = [];
 
 	constructor(services: RelayServices, request: IncomingMessage, response: ServerResponse) {
 		this.#services = services;
@@ -79,6 +81,8 @@
 		this.#fingerprint = hashContent({
 			workspace, method: this.#request.method ?? '', path: this.#request.url ?? '', body: body.body,
 		});
+		const {model, sharedPartIds = []} = this.#envelope.prompt ?? {};
+		this.#partFingerprints = [...new Set(sharedPartIds.map(id => hashPart(model, id)))];
 		const cancelTimeout = this.#services.timer.schedule(Math.max(0, this.#computeRemainingMs(route)), () => {
 			this.#handleTimeout();
 		});
@@ -263,7 +267,7 @@
 			longestPauseMs: result.longestPauseMs === undefined ? undefined : Math.round(result.longestPauseMs),
 			waitedMs: Math.round(sentAt - this.#arrivedAt),
 			durationMs: Math.round(timer.now() - sentAt), configuration: this.#services.storeState.table?.configuration.version,
-			tokens: this.#envelope.prompt?.promptTokens, content: this.#fingerprint,
+			tokens: this.#envelope.prompt?.promptTokens, content: this.#fingerprint, parts: this.#partFingerprints,
 		});
 		return result;
 	}
@@ -372,7 +376,7 @@
 		log.writeRequest('answer', this.#envelope.requestId, {
 			route: this.#route?.name, reason, status, isNotRun, retryAfterMs, afterMs: Math.round(timer.now() - this.#arrivedAt), sentTo: this.#sentAttempts,
 			configuration: this.#services.storeState.table?.configuration.version, configurationAgeMs: Math.round(this.#services.storeState.computeConfigurationAgeMs()),
-			tokens: this.#envelope.prompt?.promptTokens, content: this.#fingerprint,
+			tokens: this.#envelope.prompt?.promptTokens, content: this.#fingerprint, parts: this.#partFingerprints,
 			...(reason === 'quarantined' && {crashes: this.#services.quarantine.describeCrashes(this.#fingerprint!)}),
 		});
 		this.#writer.writeOwnAnswer(status, wire.encodeOwnAnswer({requestId: this.#envelope.requestId, retryAfterMs}));
