Remember the parts of prompts under which backend servers end

What callers saw: 502 or a stream that broke off, for request after request with one bad part in its prompt, and for the sound requests that were lost with the same servers.

Cause: crashes were remembered by one fingerprint of the whole request, so that two requests with one part had nothing in common; and each fingerprint was judged alone, although a server that ends takes all its requests with it.

Change: a request is known by the fingerprint of its content and those of the shared parts of its prompt; an attempt that is lost with its server counts for all of them, one that completes clears all. `findCrashCauses` looks for the fewest fingerprints that explain the ends of servers: the one with most servers first, then what is left of the others without those servers. A request is refused when it has all fingerprints of a cause with a chain of three; with some of several that always came together it is tried, once at a time at one entry. A completion that another entry reported is not passed on as one's own, since that would prolong it without end. The log of a refusal names the fingerprint, those it cannot be told from, the chain, its last completion and the crashes.

Why it works: the bad part is in each crash and never completes, every other part is missing from a crash or completes somewhere; both are known at all entries within one datagram.

Tests of the register name the standing instead of a flag that is gone, and the lost attempts list all unsettled ones; both are as strict as before.

--- a/packages/core/src/quarantine/crash-register.test.ts
+++ b/packages/core/src/quarantine/crash-register.test.ts
@@ -19,7 +19,7 @@
 	describe('recordCrash', () => {
 		it('quarantines a fingerprint after a chain of crashes', () => {
 			const effects = [1, 2, 3].map(chainLength => register.recordCrash('x', buildCrash(`s${chainLength}`, chainLength), chainLength));
-			expect(effects.map(({isNewlyQuarantined}) => isNewlyQuarantined)).to.deep.equal([false, false, true]);
+			expect(effects.map(({record}) => record!.standing)).to.deep.equal(['suspect', 'suspect', 'quarantined']);
 			expect(register.getRecord('x', 3)!.standing).to.equal('quarantined');
 		});
 
@@ -58,14 +58,15 @@
 			}
 
 			register.recordCrash('x', buildCrash('t', 2), 0);
-			expect(register.recordCrash('x', buildCrash('u', 3), 0).isNewlyQuarantined).to.equal(true);
+			expect(register.getRecord('x', 0)!.standing).to.equal('suspect');
+			expect(register.recordCrash('x', buildCrash('u', 3), 0).record!.standing).to.equal('quarantined');
 		});
 	});
 
 	describe('recordCompletion', () => {
 		it('clears a fingerprint and ignores crashes that follow soon', () => {
 			register.recordCrash('x', buildCrash('s1', 1), 0);
-			expect(register.recordCompletion('x', 10)).to.equal(true);
+			expect(register.recordCompletion('x', 10, {isObserved: true})).to.equal(true);
 			expect(register.recordCrash('x', buildCrash('s2', 1), 20).isChanged).to.equal(false);
 			expect(register.mergeRecord({fingerprint: 'x', standing: 'quarantined', crashes: [1, 2, 3].map(length => buildCrash(`s${length}`, length))}, 30).isChanged).to.equal(false);
 			expect(register.getRecord('x', 30)).to.equal(undefined);
@@ -73,7 +74,7 @@
 
 		// Guards against content that completed once and may end servers for ever after, for example after a release.
 		it('counts crashes again some time after a completion', () => {
-			register.recordCompletion('x', 0);
+			register.recordCompletion('x', 0, {isObserved: true});
 			expect(register.recordCrash('x', buildCrash('s1', 1), 10_001).isChanged).to.equal(true);
 		});
 	});
@@ -96,8 +97,8 @@
 			expect(register.size).to.equal(2);
 			expect(register.getRecord('bad', 0)).to.not.equal(undefined);
 			expect(register.getRecord('x', 0)).to.equal(undefined);
-			register.recordCompletion('p', 0);
-			register.recordCompletion('q', 0);
+			register.recordCompletion('p', 0, {isObserved: true});
+			register.recordCompletion('q', 0, {isObserved: true});
 			expect([register.hasCompletedRecently('p', 1), register.hasCompletedRecently('q', 1)]).to.deep.equal([false, true]);
 		});
 	});
--- a/packages/core/src/quarantine/crash-register.ts
+++ b/packages/core/src/quarantine/crash-register.ts
@@ -26,30 +26,43 @@
 	record: FingerprintRecord | undefined;
 	/** True when the record has crashes that it did not have before. */
 	isChanged: boolean;
-	/** True when the change quarantined the fingerprint. */
-	isNewlyQuarantined: boolean;
 };
 
+/** Completion of a run with a fingerprint; `isObserved` when this entry saw it. */
+type Completion = {at: number; isObserved: boolean};
+
 type KeptRecord = {record: FingerprintRecord; changedAt: number};
 
 /**
- * Crashes by fingerprint as this entry knows them. The registers of all entries converge by merging each other's records, so no
- * entry owns a fingerprint and none of them is needed to decide. A completed run clears a fingerprint: content that ends its
- * server never completes, whereas other requests that were lost with a server complete when they run again.
+ * Crashes by fingerprint, of a whole request or of one part, as this entry knows them. The registers of all entries converge by merging
+ * each other's records, so no entry owns a fingerprint and none of them is needed to decide. A completed run clears a fingerprint: content
+ * that ends its server never completes, whereas other requests that were lost with a server complete when they run again.
  */
 export class CrashRegister {
 	/** Records, least recently changed first. */
 	readonly #records = new Map<string, KeptRecord>();
-	/** Time of the last completion by fingerprint, least recent first. */
-	readonly #completedAt = new Map<string, number>();
+	/** Last completion by fingerprint, least recent first. */
+	readonly #completions = new Map<string, Completion>();
 	readonly #recordLimit: number;
 	readonly #completedLimit: number;
+	/** Changes whenever a record does. */
+	#version = 0;
 
 	constructor({recordLimit = defaultRecordLimit, completedLimit = defaultCompletedLimit}: CrashRegisterOptions = {}) {
 		this.#recordLimit = recordLimit;
 		this.#completedLimit = completedLimit;
 	}
 
+	/** Number that changes whenever a record does. */
+	get version(): number {
+		return this.#version;
+	}
+
+	/** Records with crashes on enough servers to restrict runs. */
+	listRestricting(now: number): FingerprintRecord[] {
+		return [...this.#records.keys()].map(fingerprint => this.getRecord(fingerprint, now)).filter(record => record !== undefined && countCrashedServers(record.crashes) >= trialLimit) as FingerprintRecord[];
+	}
+
 	/** Number of fingerprints with a record. */
 	get size(): number {
 		return this.#records.size;
@@ -59,7 +72,7 @@
 	getRecord(fingerprint: string, now: number): FingerprintRecord | undefined {
 		const kept = this.#records.get(fingerprint);
 		if (kept !== undefined && now - kept.changedAt > crashRecordMs) {
-			this.#records.delete(fingerprint);
+			this.#delete(fingerprint);
 			return undefined;
 		}
 
@@ -68,7 +81,18 @@
 
 	/** True when a run of the content completed so recently that a crash now has another cause. */
 	hasCompletedRecently(fingerprint: string, now: number): boolean {
-		return now - (this.#completedAt.get(fingerprint) ?? Number.NEGATIVE_INFINITY) <= completionValidMs;
+		return (this.getCompletionAgeMs(fingerprint, now) ?? Number.POSITIVE_INFINITY) <= completionValidMs;
+	}
+
+	/** True when this entry itself saw such a recent completion. */
+	hasObservedCompletion(fingerprint: string, now: number): boolean {
+		return this.hasCompletedRecently(fingerprint, now) && this.#completions.get(fingerprint)!.isObserved;
+	}
+
+	/** Time since a run of the content completed, in ms; undefined when none is known. */
+	getCompletionAgeMs(fingerprint: string, now: number): number | undefined {
+		const completion = this.#completions.get(fingerprint);
+		return completion && now - completion.at;
 	}
 
 	/** Adds a crash unless the content has completed recently. */
@@ -81,36 +105,46 @@
 		return this.#addCrashes(fingerprint, crashes, now);
 	}
 
-	/** Records that a run of the content has completed, here or at another entry; returns whether that removed a record. */
-	recordCompletion(fingerprint: string, now: number): boolean {
-		this.#completedAt.delete(fingerprint);
-		this.#completedAt.set(fingerprint, now);
-		if (this.#completedAt.size > this.#completedLimit) {
-			const [oldest] = this.#completedAt.keys();
-			this.#completedAt.delete(oldest!);
+	/** Records that a run of the content has completed, here (`isObserved`) or at another entry; returns whether that removed a record. */
+	recordCompletion(fingerprint: string, now: number, {isObserved}: {isObserved: boolean}): boolean {
+		this.#completions.delete(fingerprint);
+		this.#completions.set(fingerprint, {at: now, isObserved});
+		if (this.#completions.size > this.#completedLimit) {
+			const [oldest] = this.#completions.keys();
+			this.#completions.delete(oldest!);
 		}
 
-		return this.#records.delete(fingerprint);
+		return this.#delete(fingerprint);
 	}
 
 	#addCrashes(fingerprint: string, crashes: readonly FingerprintCrash[], now: number): RegisterEffect {
 		const known = this.getRecord(fingerprint, now);
 		if (this.hasCompletedRecently(fingerprint, now)) {
-			return {record: known, isChanged: false, isNewlyQuarantined: false};
+			return {record: known, isChanged: false};
 		}
 
 		const merged = mergeCrashes(known?.crashes ?? [], crashes);
 		if (merged === known?.crashes || merged.length === 0) {
-			return {record: known, isChanged: false, isNewlyQuarantined: false};
+			return {record: known, isChanged: false};
 		}
 
 		const standing = computeChainLength(merged) >= chainLimit ? 'quarantined' : 'suspect';
 		const record: FingerprintRecord = {fingerprint, standing, crashes: merged};
 		this.#keep(record, now);
-		return {record, isChanged: true, isNewlyQuarantined: standing === 'quarantined' && known?.standing !== 'quarantined'};
+		return {record, isChanged: true};
+	}
+
+	#delete(fingerprint: string): boolean {
+		const isDeleted = this.#records.delete(fingerprint);
+		if (isDeleted) {
+			this.#version++;
+		}
+
+		return isDeleted;
 	}
 
 	#keep(record: FingerprintRecord, now: number): void {
+		this.#version++;
 		this.#records.delete(record.fingerprint);
 		this.#records.set(record.fingerprint, {record, changedAt: now});
 		if (this.#records.size > this.#recordLimit) {
@@ -127,7 +161,10 @@
 
 /** Number of servers, counting each incarnation, that ended in crashes. */
 export const countCrashedServers = (crashes: readonly FingerprintCrash[]): number =>
-	new Set(crashes.map(({serverId, bootId}) => `${serverId} ${bootId}`)).size;
+	new Set(crashes.map(crash => formatServer(crash))).size;
+
+/** Key of the incarnation of a server that ended in a crash. */
+export const formatServer = ({serverId, bootId}: FingerprintCrash): string => `${serverId} ${bootId}`;
 
 /** True when a record shows more than another one about the same fingerprint. */
 export const hasMoreCrashes = (a: FingerprintRecord, b: FingerprintRecord): boolean => {
--- a/packages/core/src/quarantine/lost-attempts.test.ts
+++ b/packages/core/src/quarantine/lost-attempts.test.ts
@@ -2,7 +2,7 @@
 import {LostAttempts, type LostAttempt} from './lost-attempts.js';
 
 const buildAttempt = (changes: Partial<LostAttempt> = {}): LostAttempt => ({
-	fingerprint: 'x', attemptId: 'a1', serverId: 's1', bootId: 'b1', chainLength: 1, ...changes,
+	positions: [{fingerprint: 'x', chainLength: 1}], attemptId: 'a1', serverId: 's1', bootId: 'b1', ...changes,
 });
 
 describe('LostAttempts', () => {
@@ -39,11 +39,13 @@
 
 	it('lists attempts as unsettled until their server was checked', () => {
 		const settle = lost.add(buildAttempt(), 0);
-		lost.add(buildAttempt({fingerprint: 'y'}), 0);
-		expect(lost.listUnsettled('x')).to.have.length(1);
+		lost.add(buildAttempt({attemptId: 'a2'}), 0);
+		expect(lost.listUnsettled().map(({attemptId}) => attemptId)).to.deep.equal(['a1', 'a2']);
 		settle();
-		expect(lost.listUnsettled('x')).to.have.length(0);
+		expect(lost.listUnsettled().map(({attemptId}) => attemptId)).to.deep.equal(['a2']);
 		expect(lost.listServers()).to.deep.equal(new Set(['s1']));
+		lost.removeEnded('s1', 1);
+		expect(lost.listUnsettled()).to.deep.equal([]);
 	});
 
 	// Guards against memory that grows with the number of lost attempts, and against old losses that count when a server leaves.
--- a/packages/core/src/quarantine/lost-attempts.ts
+++ b/packages/core/src/quarantine/lost-attempts.ts
@@ -1,12 +1,14 @@
+/** Length of the chain of crashes under a fingerprint that an attempt ends when its server has ended. */
+export type ChainPosition = {fingerprint: string; chainLength: number};
+
 /** An attempt that ended without an answer, on one incarnation of a backend server. */
 export type LostAttempt = {
-	fingerprint: string;
+	/** Fingerprints of the whole request and of the shared parts of its prompt. */
+	positions: ChainPosition[];
 	attemptId: string;
 	serverId: string;
 	/** Incarnation of the server; undefined when the server does not state it. */
 	bootId: string | undefined;
-	/** Length of the chain of crashes of its content that the attempt ends when its server has ended. */
-	chainLength: number;
 };
 
 /** Time after which a lost attempt no longer counts when its server ends, in ms; the store removes a silent server sooner. */
@@ -14,7 +16,7 @@
 /** Most lost attempts kept; the oldest are dropped. */
 const lostAttemptLimit = 2048;
 
-type KeptAttempt = LostAttempt & {lostAt: number; isUnsettled: boolean};
+type KeptAttempt = LostAttempt & {lostAt: number};
 
 /**
  * Attempts that ended without an answer while it is unknown whether their server has ended. Only an attempt whose server ended
@@ -22,6 +24,7 @@
  */
 export class LostAttempts {
 	readonly #attempts = new Set<KeptAttempt>();
+	readonly #unsettled = new Set<KeptAttempt>();
 
 	get size(): number {
 		return this.#attempts.size;
@@ -33,21 +36,22 @@
 	 */
 	add(attempt: LostAttempt, now: number): () => void {
 		this.#removeOld(now);
-		const kept: KeptAttempt = {...attempt, lostAt: now, isUnsettled: true};
+		const kept: KeptAttempt = {...attempt, lostAt: now};
 		this.#attempts.add(kept);
+		this.#unsettled.add(kept);
 		if (this.#attempts.size > lostAttemptLimit) {
 			const [oldest] = this.#attempts;
 			this.#attempts.delete(oldest!);
 		}
 
 		return () => {
-			kept.isUnsettled = false;
+			this.#unsettled.delete(kept);
 		};
 	}
 
-	/** Lost attempts with the content whose servers are being checked. */
-	listUnsettled(fingerprint: string): LostAttempt[] {
-		return [...this.#attempts].filter(attempt => attempt.isUnsettled && attempt.fingerprint === fingerprint);
+	/** Lost attempts whose servers are being checked. */
+	listUnsettled(): LostAttempt[] {
+		return [...this.#unsettled].filter(attempt => this.#attempts.has(attempt));
 	}
 
 	/** Ids of the servers that lost attempts. */
--- a/packages/relay/src/front/record-crash-evidence.ts
+++ b/packages/relay/src/front/record-crash-evidence.ts
@@ -1,4 +1,5 @@
 import {randomUUID} from 'node:crypto';
+import type {ChainPosition} from '@knapweedrack/core';
 import type {RegisteredServer} from '../contracts.js';
 import {crashEvidence, lossKinds, type LossKind} from '../quarantine/crash-detection-task.js';
 import type {RelayServices} from './relay-services.js';
@@ -12,20 +13,19 @@
 
 /** An attempt that has ended. */
 export type EndedAttempt = {
-	fingerprint: string;
+	/** Fingerprints of the request, with the positions in chains of crashes that they take if the backend server has ended. */
+	positions: ChainPosition[];
 	requestId: string | undefined;
 	/** Number of attempts of the request up to this one. */
 	attempt: number;
 	server: RegisteredServer;
-	/** Length of the chain of crashes that the attempt ends if its backend server has ended. */
-	chainLength: number;
 	/** Time at which the attempt began, on the clock of the timer service, in ms. */
 	sentAt: number;
 };
 
 /** Passes on what the result of an attempt tells about its content, and about whether its backend server has ended. */
 export const recordCrashEvidence = (services: RelayServices, ended: EndedAttempt, result: AttemptResult): void => {
-	services.quarantine.endRun(ended.fingerprint);
+	services.quarantine.endRun(listFingerprints(ended));
 	if (result.hasHead && !isMisdirected(result)) {
 		services.crashDetection.recordAnswer(ended.server.id, ended.sentAt);
 	}
@@ -35,14 +35,16 @@
 
 const isMisdirected = (result: AttemptResult): boolean => result.type === 'not_run' && result.status === misdirectedStatus;
 
-const recordCompletion = ({quarantine}: RelayServices, {fingerprint}: EndedAttempt): void => {
-	quarantine.recordCompletion(fingerprint);
+const listFingerprints = ({positions}: EndedAttempt): string[] => positions.map(({fingerprint}) => fingerprint);
+
+const recordCompletion = ({quarantine}: RelayServices, ended: EndedAttempt): void => {
+	quarantine.recordCompletion(listFingerprints(ended));
 };
 
-const recordLoss = ({crashDetection}: RelayServices, {fingerprint, requestId, attempt, server, chainLength}: EndedAttempt, kind: LossKind): void => {
+const recordLoss = ({crashDetection}: RelayServices, {positions, requestId, attempt, server}: EndedAttempt, kind: LossKind): void => {
 	const attemptId = `${(requestId ?? randomUUID()).slice(0, requestIdLimit)}/${attempt}`;
 	void crashDetection.recordLoss({
-		fingerprint, attemptId, serverId: server.id, bootId: server.bootId, chainLength,
+		positions, attemptId, serverId: server.id, bootId: server.bootId,
 	}, server.address, kind);
 };
 
--- a/packages/relay/src/front/relay-request.ts
+++ b/packages/relay/src/front/relay-request.ts
@@ -48,10 +48,8 @@
 	#cancelAttempt: (() => void) | undefined;
 	readonly #progress: StreamProgress;
 	#route: Route | undefined;
-	/** Fingerprint of the content; undefined until the whole request was read. */
-	#fingerprint: string | undefined;
-	/** Fingerprints of the parts of the prompt that other requests may share. */
-	#partFingerprints: string[] = [];
+	/** Fingerprints of the content and of the parts of its prompt that other requests may share; empty until the whole request was read. */
+	#fingerprints: string[] = [];
 
 	constructor(services: RelayServices, request: IncomingMessage, response: ServerResponse) {
 		this.#services = services;
@@ -78,11 +76,11 @@
 			return;
 		}
 
-		this.#fingerprint = hashContent({
+		const {model, sharedPartIds = []} = this.#envelope.prompt ?? {};
+		const content = hashContent({
 			workspace, method: this.#request.method ?? '', path: this.#request.url ?? '', body: body.body,
 		});
-		const {model, sharedPartIds = []} = this.#envelope.prompt ?? {};
-		this.#partFingerprints = [...new Set(sharedPartIds.map(id => hashPart(model, id)))];
+		this.#fingerprints = [content, ...new Set(sharedPartIds.map(id => hashPart(model, id)))];
 		const cancelTimeout = this.#services.timer.schedule(Math.max(0, this.#computeRemainingMs(route)), () => {
 			this.#handleTimeout();
 		});
@@ -197,7 +195,7 @@
 
 	/** Ends the request and returns true when its content must not run. */
 	#isRefusedByQuarantine(): boolean {
-		if (this.#fingerprint === undefined || !this.#services.quarantine.isRefused(this.#fingerprint)) {
+		if (!this.#services.quarantine.isRefused(this.#fingerprints)) {
 			return false;
 		}
 
@@ -232,7 +230,7 @@
 		const {log, metrics, timer} = this.#services;
 		const sentAt = timer.now();
 		const mayHaveRunBefore = this.#mayHaveRun;
-		const chainLength = this.#services.quarantine.startRun(this.#fingerprint!);
+		const positions = this.#services.quarantine.startRun(this.#fingerprints);
 		const result = await runAttempt(this.#services, {
 			request: this.#request, requestId: this.#envelope.requestId, body, route, service, placed, workspace, reservations,
 			remainingMs: this.#computeRemainingMs(route), arrivedAt: this.#arrivedAt, writer: this.#writer, progress: this.#progress,
@@ -256,7 +254,7 @@
 
 		this.#recordSignal(placed.server.id, result);
 		recordCrashEvidence(this.#services, {
-			fingerprint: this.#fingerprint!, requestId: this.#envelope.requestId, attempt: this.#sentAttempts, server: placed.server, chainLength, sentAt,
+			positions, requestId: this.#envelope.requestId, attempt: this.#sentAttempts, server: placed.server, sentAt,
 		}, result);
 		metrics.countAttempt(service.name, result.type);
 		log.writeRequest('attempt', this.#envelope.requestId, {
@@ -267,7 +265,7 @@
 			longestPauseMs: result.longestPauseMs === undefined ? undefined : Math.round(result.longestPauseMs),
 			waitedMs: Math.round(sentAt - this.#arrivedAt),
 			durationMs: Math.round(timer.now() - sentAt), configuration: this.#services.storeState.table?.configuration.version,
-			tokens: this.#envelope.prompt?.promptTokens, content: this.#fingerprint, parts: this.#partFingerprints,
+			tokens: this.#envelope.prompt?.promptTokens, content: this.#fingerprints[0], parts: this.#fingerprints.slice(1),
 		});
 		return result;
 	}
@@ -356,13 +354,19 @@
 		const {quarantine, random, timer} = this.#services;
 		return computeRetryDelayMs({
 			reason,
-			isQuarantined: this.#fingerprint !== undefined && quarantine.isQuarantined(this.#fingerprint),
+			isQuarantined: quarantine.isQuarantined(this.#fingerprints),
 			targetMs: this.#route?.targetMs ?? 0,
 			callerLeftMs: (this.#envelope.deadlineMs ?? Number.POSITIVE_INFINITY) - (timer.now() - this.#arrivedAt),
 			random: random(),
 		});
 	}
 
+	/** Fields of the log line of a request that is refused because of its content. */
+	#describeQuarantine(): Record<string, unknown> {
+		const causes = this.#services.quarantine.describeCauses(this.#fingerprints);
+		return {crashes: causes[0]?.crashes ?? [], causes: causes.map(({crashes, ...cause}) => ({...cause, crashes: crashes.length}))};
+	}
+
 	/** Ends the request with the entry's own answer. */
 	#answer(reason: AnswerReason): void {
 		if (this.#writer.isOver) {
@@ -376,8 +380,8 @@
 		log.writeRequest('answer', this.#envelope.requestId, {
 			route: this.#route?.name, reason, status, isNotRun, retryAfterMs, afterMs: Math.round(timer.now() - this.#arrivedAt), sentTo: this.#sentAttempts,
 			configuration: this.#services.storeState.table?.configuration.version, configurationAgeMs: Math.round(this.#services.storeState.computeConfigurationAgeMs()),
-			tokens: this.#envelope.prompt?.promptTokens, content: this.#fingerprint, parts: this.#partFingerprints,
-			...(reason === 'quarantined' && {crashes: this.#services.quarantine.describeCrashes(this.#fingerprint!)}),
+			tokens: this.#envelope.prompt?.promptTokens, content: this.#fingerprints[0], parts: this.#fingerprints.slice(1),
+			...(reason === 'quarantined' && this.#describeQuarantine()),
 		});
 		this.#writer.writeOwnAnswer(status, wire.encodeOwnAnswer({requestId: this.#envelope.requestId, retryAfterMs}));
 	}
--- a/packages/relay/src/peers/peer-report-task.test.ts
+++ b/packages/relay/src/peers/peer-report-task.test.ts
@@ -2,7 +2,7 @@
 import {once} from 'node:events';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
-import {LoadTable, type ServerWork} from '@knapweedrack/core';
+import {LoadTable, type ChainPosition, type ServerWork} from '@knapweedrack/core';
 import {createTimerService} from '@knapweedrack/entry/timer-service';
 import type {ObjectStore} from '@knapweedrack/platform-client';
 import type {RegisteredEntry, StoreCodec} from '../contracts.js';
@@ -146,18 +146,22 @@
 				await waitUntil(() => members.every(({task}) => task.listServingAddresses().length === members.length - 1));
 				const content = 'c0ffee';
 				const observers = [find('north-1'), find('east-0'), find('west-1')];
-				const isKnown = (crashes: number): boolean => members.every(({quarantine}) => quarantine.describeCrashes(content).length === crashes);
+				const startRun = (quarantine: QuarantineTask): ChainPosition[] => {
+					const positions = quarantine.startRun([content]);
+					quarantine.endRun([content]);
+					return positions;
+				};
+
+				const isKnown = (crashes: number): boolean => members.every(({quarantine}) => startRun(quarantine)[0]!.chainLength === crashes + 1);
 				for (const [index, {quarantine}] of observers.entries()) {
-					const chainLength = quarantine.startRun(content);
-					quarantine.endRun(content);
 					quarantine.recordCrash({
-						fingerprint: content, attemptId: `a${index}`, serverId: `s${index}`, bootId: 'b', chainLength,
+						positions: startRun(quarantine), attemptId: `a${index}`, serverId: `s${index}`, bootId: 'b',
 					}, crashEvidence.refused);
 					await waitUntil(() => isKnown(index + 1), 1000);
 				}
 
-				expect(members.map(({quarantine}) => quarantine.isRefused(content))).to.deep.equal(members.map(() => true));
-				expect(members.map(({quarantine}) => quarantine.isRefused('other'))).to.deep.equal(members.map(() => false));
+				expect(members.map(({quarantine}) => quarantine.isRefused([content]))).to.deep.equal(members.map(() => true));
+				expect(members.map(({quarantine}) => quarantine.isRefused(['other']))).to.deep.equal(members.map(() => false));
 				await waitUntil(() => storeWrites.length > 0);
 				await sleep(500);
 				expect(storeWrites.length).to.be.at.most(observers.length);
@@ -168,10 +172,10 @@
 				await start(perDomain);
 				await waitUntil(() => members.every(({task}) => task.listServingAddresses().length === members.length - 1));
 				find('east-1').quarantine.recordCrash({
-					fingerprint: 'x', attemptId: 'a', serverId: 's', bootId: 'b', chainLength: 1,
+					positions: [{fingerprint: 'x', chainLength: 1}], attemptId: 'a', serverId: 's', bootId: 'b',
 				}, crashEvidence.store);
 				await waitUntil(() => members.every(({quarantine}) => quarantine.size === 1), 1000);
-				find('west-0').quarantine.recordCompletion('x');
+				find('west-0').quarantine.recordCompletion(['x']);
 				await waitUntil(() => members.every(({quarantine}) => quarantine.size === 0), 1000);
 			});
 
--- a/packages/relay/src/quarantine/crash-detection-task.ts
+++ b/packages/relay/src/quarantine/crash-detection-task.ts
@@ -51,9 +51,9 @@
 		this.#options = options;
 	}
 
-	/** Attempts with the content that were lost just now on servers which may have ended. */
-	listUnsettled(fingerprint: string): LostAttempt[] {
-		return this.#lost.listUnsettled(fingerprint);
+	/** Attempts that were lost just now on servers which may have ended. */
+	listUnsettled(): LostAttempt[] {
+		return this.#lost.listUnsettled();
 	}
 
 	/** Records a lost attempt; after a lost connection, checks the backend server. */
--- a/packages/relay/src/quarantine/quarantine-model.test.ts
+++ b/packages/relay/src/quarantine/quarantine-model.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
-import {LostAttempts} from '@knapweedrack/core';
+import {LostAttempts, type ChainPosition} from '@knapweedrack/core';
 import type {TimerService} from '@knapweedrack/entry/contracts';
 import type {ObjectStore} from '@knapweedrack/platform-client';
 import {VirtualClock} from '@knapweedrack/testkit';
@@ -90,11 +90,11 @@
 	/** Sends the content through an entry; each attempt ends its server after `runMs`, and the next one follows at once. */
 	request(entryId: string, runMs: number, attempt = 0): void {
 		const process = this.find(entryId);
-		if (process === undefined || attempt === attemptLimit || process.quarantine.isRefused(content)) {
+		if (process === undefined || attempt === attemptLimit || process.quarantine.isRefused([content])) {
 			return;
 		}
 
-		const chainLength = process.quarantine.startRun(content);
+		const positions = process.quarantine.startRun([content]);
 		const serverId = `s${this.sends.length}`;
 		this.sends.push({at: this.clock.now, process});
 		this.clock.scheduleIn(runMs, () => {
@@ -104,7 +104,7 @@
 			}
 
 			this.ends.push(this.clock.now);
-			this.#endAttempt(process, serverId, chainLength);
+			this.#endAttempt(process, serverId, positions);
 			this.request(entryId, runMs, attempt + 1);
 		});
 	}
@@ -125,11 +125,11 @@
 		return this.sends.filter(({at, process}) => at > thirdEnd + settleMs && at - process.startedAt > settleMs).length;
 	}
 
-	#endAttempt(process: Process, serverId: string, chainLength: number): void {
+	#endAttempt(process: Process, serverId: string, positions: ChainPosition[]): void {
 		const attempt = {
-			fingerprint: content, attemptId: serverId, serverId, bootId: 'b', chainLength,
+			positions, attemptId: serverId, serverId, bootId: 'b',
 		};
-		process.quarantine.endRun(content);
+		process.quarantine.endRun([content]);
 		const settle = process.lost.add(attempt, this.clock.now);
 		this.clock.scheduleIn(detectionMs, () => {
 			if (process.isAlive) {
@@ -154,7 +154,7 @@
 		const codec: Pick<StoreCodec, 'quarantinePrefix' | 'encodeQuarantine'> = {quarantinePrefix: '', encodeQuarantine: quarantine => quarantine};
 		return new QuarantineTask({
 			entryId: process.entryId, failureDomain: 'east', timer: this.#timer, log, metrics: new RelayMetrics(), store: store as ObjectStore, codec: codec as StoreCodec,
-			detection: {listUnsettled: fingerprint => process.lost.listUnsettled(fingerprint)},
+			detection: {listUnsettled: () => process.lost.listUnsettled()},
 			sendCrashReport: (report, recipientId) => {
 				this.#sendCrashReport(process, report, recipientId);
 			},
--- a/packages/relay/src/quarantine/quarantine-task.test.ts
+++ b/packages/relay/src/quarantine/quarantine-task.test.ts
@@ -9,7 +9,7 @@
 import {QuarantineTask} from './quarantine-task.js';
 
 const buildAttempt = (server: number, chainLength: number): LostAttempt => ({
-	fingerprint: 'x', attemptId: `a${server}/0`, serverId: `s${server}`, bootId: 'b', chainLength,
+	positions: [{fingerprint: 'x', chainLength}], attemptId: `a${server}/0`, serverId: `s${server}`, bootId: 'b',
 });
 
 describe('QuarantineTask', () => {
@@ -52,22 +52,22 @@
 		});
 
 		it('runs once at a time', () => {
-			expect(task.isRefused('x')).to.equal(false);
-			expect(task.startRun('x')).to.equal(2);
-			expect(task.isRefused('x')).to.equal(true);
-			task.endRun('x');
-			expect(task.isRefused('x')).to.equal(false);
+			expect(task.isRefused(['x'])).to.equal(false);
+			expect(task.startRun(['x'])).to.deep.equal([{fingerprint: 'x', chainLength: 2}]);
+			expect(task.isRefused(['x'])).to.equal(true);
+			task.endRun(['x']);
+			expect(task.isRefused(['x'])).to.equal(false);
 		});
 
 		it('runs at one entry only', () => {
 			isFirstServing = false;
-			expect(task.isRefused('x')).to.equal(true);
+			expect(task.isRefused(['x'])).to.equal(true);
 		});
 
 		it('runs everywhere again once it has completed', () => {
 			isFirstServing = false;
-			task.recordCompletion('x');
-			expect(task.isRefused('x')).to.equal(false);
+			task.recordCompletion(['x']);
+			expect(task.isRefused(['x'])).to.equal(false);
 			expect(reports.at(-1)).to.deep.include({cleared: ['x']});
 		});
 	});
@@ -77,22 +77,22 @@
 			task.recordCrash(buildAttempt(1, 1), crashEvidence.refused);
 			task.recordCrash(buildAttempt(2, 2), crashEvidence.refused);
 			unsettled = [buildAttempt(3, 3)];
-			expect(task.isRefused('x')).to.equal(true);
+			expect(task.isRefused(['x'])).to.equal(true);
 		});
 
 		// Guards against refusing content because several copies were lost with one server.
 		it('count once for each server', () => {
 			isFirstServing = false;
 			unsettled = [1, 2, 3].map(copy => ({...buildAttempt(1, 1), attemptId: `copy ${copy}`}));
-			expect(task.isRefused('x')).to.equal(false);
+			expect(task.isRefused(['x'])).to.equal(false);
 		});
 
 		// Guards against refusing frequent content while many of its connections are reset.
 		it('do not count against content that has just completed', () => {
 			isFirstServing = false;
-			task.recordCompletion('x');
+			task.recordCompletion(['x']);
 			unsettled = [1, 2, 3].map(server => buildAttempt(server, 1));
-			expect(task.isRefused('x')).to.equal(false);
+			expect(task.isRefused(['x'])).to.equal(false);
 		});
 	});
 });
--- a/packages/relay/src/quarantine/quarantine-task.ts
+++ b/packages/relay/src/quarantine/quarantine-task.ts
@@ -1,6 +1,6 @@
 import {
-	CrashRegister, chainLimit, computeChainLength, countCrashedServers, crashRecordMs, hasMoreCrashes, trialLimit,
-	type FingerprintCrash, type FingerprintRecord, type LostAttempt, type RegisterEffect,
+	CrashRegister, chainLimit, computeChainLength, contentDecisions, crashRecordMs, decideContent, findCrashCauses, hasMoreCrashes,
+	type ChainPosition, type ContentDecision, type CrashCause, type FingerprintCrash, type FingerprintRecord, type LostAttempt,
 } from '@knapweedrack/core';
 import type {TimerService} from '@knapweedrack/entry/contracts';
 import {waitFor} from '@knapweedrack/entry/timer-service';
@@ -42,7 +42,16 @@
 	readWallClock: () => number;
 };
 
-/** Decides which content is no longer run, because backend servers ended under it; shares the crashes with the other entries. */
+/** Crash as described in the log: server, its incarnation, attempt, the entry that observed it, and its position in a chain. */
+type DescribedCrash = Pick<FingerprintCrash, 'serverId' | 'bootId' | 'attemptId' | 'entryId' | 'chainLength'>;
+
+/** Why a request is refused: a fingerprint of it, those that came together with it in all crashes, and what speaks for and against it. */
+export type DescribedCause = {fingerprint: string; inseparableFrom: string[]; chainLength: number; lastCompletionMs: number | undefined; crashes: DescribedCrash[]};
+
+/**
+ * Decides which requests are no longer run, because backend servers ended under them or under other requests that share a part of the
+ * prompt; shares the crashes with the other entries. A request is known by the fingerprints of its whole content and of these parts.
+ */
 export class QuarantineTask {
 	readonly #options: QuarantineOptions;
 	readonly #register = new CrashRegister();
@@ -54,6 +63,10 @@
 	readonly #writing = new Set<string>();
 	/** Number of runs in progress at this entry, by fingerprint. */
 	readonly #runs = new Map<string, number>();
+	/** Causes that the register shows, as of its version. */
+	#causes: {version: number; list: CrashCause[]} = {version: -1, list: []};
+	/** Fingerprints that are logged as quarantined. */
+	#quarantined = new Set<string>();
 	readonly #unsubscribes: Array<() => void> = [];
 	#isStopped = false;
 
@@ -85,152 +98,216 @@
 		}
 	}
 
-	/**
-	 * True when a request with this content must not be sent to a backend server now. Content under which many servers ended at the same
-	 * time may be innocent, so it runs once at a time, at one entry, until it completes or is quarantined.
-	 */
-	isRefused(fingerprint: string): boolean {
-		const {timer, isFirstServing} = this.#options;
-		if (this.#register.hasCompletedRecently(fingerprint, timer.now())) {
-			return false;
-		}
-
-		const crashes = this.#listCrashes(fingerprint);
-		const needsTrial = countCrashedServers(crashes) >= trialLimit;
-		return computeChainLength(crashes) >= chainLimit || (needsTrial && (this.#runs.has(fingerprint) || !isFirstServing()));
+	/** True when a request with these fingerprints must not be sent to a backend server now. */
+	isRefused(fingerprints: readonly string[]): boolean {
+		const causes = this.#findCauses();
+		const isTrialPossible = (): boolean => this.#options.isFirstServing()
+			&& fingerprints.every(fingerprint => !this.#runs.has(fingerprint) || causes.every(cause => !cause.fingerprints.includes(fingerprint)));
+		const isRefusedByDecision: Record<ContentDecision, () => boolean> = {
+			[contentDecisions.run]: () => false, [contentDecisions.trial]: () => !isTrialPossible(), [contentDecisions.refuse]: () => true,
+		};
+		return causes.length > 0 && isRefusedByDecision[decideContent(fingerprints, causes)]();
 	}
 
-	/** True when the content is refused until its record expires; otherwise a refusal is temporary. */
-	isQuarantined(fingerprint: string): boolean {
-		return this.#register.getRecord(fingerprint, this.#options.timer.now())?.standing === 'quarantined';
+	/** True when the request is refused until the records of its crashes expire; otherwise a refusal is temporary. */
+	isQuarantined(fingerprints: readonly string[]): boolean {
+		return decideContent(fingerprints, this.#findRecordedCauses()) === contentDecisions.refuse;
 	}
 
-	/** Records the start of a run; returns the length of the chain of crashes that it ends if its backend server ends. */
-	startRun(fingerprint: string): number {
-		this.#runs.set(fingerprint, (this.#runs.get(fingerprint) ?? 0) + 1);
-		return computeChainLength(this.#listCrashes(fingerprint)) + 1;
+	/** Records the start of a run; returns the positions in chains of crashes that it takes if its backend server ends. */
+	startRun(fingerprints: readonly string[]): ChainPosition[] {
+		for (const fingerprint of fingerprints) {
+			this.#runs.set(fingerprint, (this.#runs.get(fingerprint) ?? 0) + 1);
+		}
+
+		const unsettled = this.#listUnsettledCrashes();
+		return fingerprints.map(fingerprint => ({fingerprint, chainLength: computeChainLength(this.#listCrashes(fingerprint, unsettled)) + 1}));
 	}
 
 	/** Records the end of a run. */
-	endRun(fingerprint: string): void {
-		const left = (this.#runs.get(fingerprint) ?? 0) - 1;
-		if (left > 0) {
-			this.#runs.set(fingerprint, left);
-		} else {
-			this.#runs.delete(fingerprint);
+	endRun(fingerprints: readonly string[]): void {
+		for (const fingerprint of fingerprints) {
+			const left = (this.#runs.get(fingerprint) ?? 0) - 1;
+			if (left > 0) {
+				this.#runs.set(fingerprint, left);
+			} else {
+				this.#runs.delete(fingerprint);
+			}
 		}
 	}
 
-	/** Describes for the log the crashes that quarantine a fingerprint: server, its incarnation, attempt, and the entry that observed it. */
-	describeCrashes(fingerprint: string): Array<Pick<FingerprintCrash, 'serverId' | 'bootId' | 'attemptId' | 'entryId' | 'chainLength'>> {
-		return describeCrashes(this.#register.getRecord(fingerprint, this.#options.timer.now()));
+	/** Describes for the log why a request with these fingerprints is refused. */
+	describeCauses(fingerprints: readonly string[]): DescribedCause[] {
+		const now = this.#options.timer.now();
+		return this.#findRecordedCauses().flatMap(cause => cause.fingerprints.filter(fingerprint => fingerprints.includes(fingerprint)).map(fingerprint => ({
+			fingerprint,
+			inseparableFrom: cause.fingerprints.filter(other => other !== fingerprint),
+			chainLength: cause.chainLength,
+			lastCompletionMs: this.#register.getCompletionAgeMs(fingerprint, now),
+			crashes: describeCrashes(this.#register.getRecord(fingerprint, now)),
+		})));
 	}
 
 	/** Records a crash that this entry has observed. */
-	recordCrash({fingerprint, attemptId, serverId, bootId, chainLength}: LostAttempt, evidence: CrashEvidence): void {
+	recordCrash({positions, attemptId, serverId, bootId}: LostAttempt, evidence: CrashEvidence): void {
 		const {entryId, timer, log, metrics} = this.#options;
-		const effect = this.#register.recordCrash(fingerprint, {
-			attemptId, serverId, bootId, entryId, chainLength, companions: [],
-		}, timer.now());
+		const effects = positions.map(({fingerprint, chainLength}) => ({
+			fingerprint, chainLength,
+			...this.#register.recordCrash(fingerprint, {
+				attemptId, serverId, bootId, entryId, chainLength, companions: [],
+			}, timer.now()),
+		}));
+		const [content, ...parts] = effects.map(({fingerprint, chainLength, isChanged, record}) => ({
+			content: fingerprint, chainLength, isCounted: isChanged, crashes: record?.crashes.length ?? 0,
+		}));
 		metrics.countEvent('content.server_crashed');
 		log.writeRequest('content.server_crashed', undefined, {
-			content: fingerprint, server: serverId, bootId, attempt: attemptId, evidence, chainLength, isCounted: effect.isChanged, crashes: effect.record?.crashes.length ?? 0,
+			...content, parts, server: serverId, bootId, attempt: attemptId, evidence,
 		});
-		if (effect.isChanged) {
-			this.#share(effect.record!);
-			this.#handleChange(effect, 'observed');
-		}
+		const changed = effects.filter(({isChanged}) => isChanged).map(({record}) => record!);
+		this.#share(changed);
+		this.#handleChange(changed, 'observed');
 	}
 
-	/** Records that a run of the content has completed. */
-	recordCompletion(fingerprint: string): void {
-		if (this.#register.recordCompletion(fingerprint, this.#options.timer.now())) {
-			this.#shareClearing(fingerprint, 'completed');
-		}
+	/** Records that a run with these fingerprints has completed. */
+	recordCompletion(fingerprints: readonly string[]): void {
+		const now = this.#options.timer.now();
+		this.#shareClearing(fingerprints.filter(fingerprint => this.#register.recordCompletion(fingerprint, now, {isObserved: true})), 'completed');
 	}
 
 	/** Merges the crash report of another entry. */
 	acceptCrashReport({entryId: sender, failureDomain, records, cleared}: CrashReport): void {
-		const {isForwarder, log, timer} = this.#options;
-		for (const fingerprint of cleared) {
-			if (this.#register.recordCompletion(fingerprint, timer.now())) {
-				log.writeRequest('content.cleared', undefined, {content: fingerprint, reason: 'completed at another entry', peer: sender});
-				void this.#deleteStored(fingerprint);
-				if (isForwarder(failureDomain)) {
-					this.#send([], [fingerprint]);
-				}
-			}
+		const {isForwarder, timer, log} = this.#options;
+		const removed = cleared.filter(fingerprint => this.#register.recordCompletion(fingerprint, timer.now(), {isObserved: false}));
+		for (const fingerprint of removed) {
+			log.writeRequest('content.cleared', undefined, {content: fingerprint, reason: 'completed at another entry', peer: sender});
+			void this.#deleteStored(fingerprint);
 		}
 
-		for (const received of records) {
-			const {record, isChanged} = this.#merge(received, sender);
-			if (isChanged && isForwarder(failureDomain)) {
-				this.#share(record!);
-			} else if (record !== undefined && hasMoreCrashes(record, received)) {
-				this.#send([record], [], sender);
-			}
+		if (removed.length > 0 && isForwarder(failureDomain)) {
+			this.#send([], removed);
+		}
+
+		const merged = this.#merge(records, sender);
+		if (isForwarder(failureDomain)) {
+			this.#share(merged.filter(({isChanged}) => isChanged).map(({record}) => record));
+		}
+
+		const answers = merged.filter(({record, received, isChanged}) => !(isChanged && isForwarder(failureDomain)) && hasMoreCrashes(record, received));
+		if (answers.length > 0) {
+			this.#send(answers.map(({record}) => record), [], sender);
+		}
+	}
+
+	/** Sends the records that restrict runs to an entry that has just started. */
+	handleEntryStarted(entryId: string): void {
+		const records = this.#listCauseRecords();
+		if (records.length > 0) {
+			this.#send(records, [], entryId);
 		}
 	}
 
 	/** Merges the records that the store holds. */
 	applyStored(stored: readonly StoredQuarantine[]): void {
 		this.#stored = new Map(stored.map(each => [each.record.fingerprint, each]));
-		for (const {record} of stored) {
-			const {record: merged} = this.#merge(record, 'store');
-			if (merged !== undefined && hasMoreCrashes(merged, record)) {
-				this.#startWrite(merged);
-			}
+		this.#merge(stored.map(({record}) => record), 'store');
+		this.#startWrites();
+	}
+
+	/** Causes that the register and the attempts that this entry lost just now show. */
+	#findCauses(): CrashCause[] {
+		const unsettled = this.#listUnsettledCrashes();
+		if (unsettled.size === 0) {
+			return this.#findRecordedCauses();
 		}
+
+		const recorded = this.#register.listRestricting(this.#options.timer.now()).filter(({fingerprint}) => !unsettled.has(fingerprint));
+		return findCrashCauses([...recorded, ...[...unsettled.keys()].map(fingerprint => ({fingerprint, crashes: this.#listCrashes(fingerprint, unsettled)}))]);
 	}
 
-	/** Known crashes of the content, with those of attempts that this entry lost just now. */
-	#listCrashes(fingerprint: string): FingerprintCrash[] {
-		const {detection, timer} = this.#options;
-		const unsettled = detection.listUnsettled(fingerprint).map(attempt => ({...attempt, companions: []}));
-		return [...this.#register.getRecord(fingerprint, timer.now())?.crashes ?? [], ...unsettled];
+	#findRecordedCauses(): CrashCause[] {
+		const {version} = this.#register;
+		if (this.#causes.version !== version) {
+			this.#causes = {version, list: findCrashCauses(this.#register.listRestricting(this.#options.timer.now()))};
+		}
+
+		return this.#causes.list;
 	}
 
-	#merge(received: FingerprintRecord, source: string): {record: FingerprintRecord | undefined; isChanged: boolean} {
-		const {timer, log} = this.#options;
-		const {fingerprint} = received;
-		if (this.#register.hasCompletedRecently(fingerprint, timer.now())) {
-			this.#shareClearing(fingerprint, 'completed here before');
-			return {record: undefined, isChanged: false};
+	/** Attempts that this entry lost just now, as crashes by fingerprint; without fingerprints that have just completed. */
+	#listUnsettledCrashes(): Map<string, FingerprintCrash[]> {
+		const {detection, timer} = this.#options;
+		const crashes = new Map<string, FingerprintCrash[]>();
+		for (const {positions, ...attempt} of detection.listUnsettled()) {
+			for (const {fingerprint, chainLength} of positions) {
+				if (!this.#register.hasCompletedRecently(fingerprint, timer.now())) {
+					crashes.set(fingerprint, [...crashes.get(fingerprint) ?? [], {...attempt, chainLength, companions: []}]);
+				}
+			}
 		}
 
-		const effect = this.#register.mergeRecord(received, timer.now());
-		if (effect.isChanged) {
-			log.writeRequest('content.crash_received', undefined, {content: fingerprint, source, crashes: describeCrashes(effect.record)});
-			this.#handleChange(effect, source);
+		return crashes;
+	}
+
+	#listCrashes(fingerprint: string, unsettled: ReadonlyMap<string, FingerprintCrash[]>): FingerprintCrash[] {
+		return [...this.#register.getRecord(fingerprint, this.#options.timer.now())?.crashes ?? [], ...unsettled.get(fingerprint) ?? []];
+	}
+
+	/** Merges received records; returns those that are known now, and tells the other entries of those that have completed here. */
+	#merge(records: readonly FingerprintRecord[], source: string): Array<{received: FingerprintRecord; record: FingerprintRecord; isChanged: boolean}> {
+		const {timer, log} = this.#options;
+		const now = timer.now();
+		const completed = records.filter(({fingerprint}) => this.#register.hasObservedCompletion(fingerprint, now));
+		this.#shareClearing(completed.map(({fingerprint}) => fingerprint), 'completed here before');
+		const merged = records.flatMap(received => {
+			const {record, isChanged} = this.#register.mergeRecord(received, now);
+			return record === undefined ? [] : [{received, record, isChanged}];
+		});
+		const changed = merged.filter(({isChanged}) => isChanged).map(({record}) => record);
+		if (changed.length > 0) {
+			log.writeRequest('content.crash_received', undefined, {source, records: changed.map(({fingerprint, crashes}) => ({content: fingerprint, crashes: crashes.length}))});
+			this.#handleChange(changed, source);
 		}
 
-		return effect;
+		return merged;
 	}
 
-	#handleChange({record, isNewlyQuarantined}: RegisterEffect, source: string): void {
+	#handleChange(changed: readonly FingerprintRecord[], source: string): void {
 		const {log, metrics} = this.#options;
-		if (record === undefined) {
+		if (changed.length === 0) {
 			return;
 		}
 
-		if (isNewlyQuarantined) {
+		const causes = this.#findRecordedCauses().filter(({chainLength}) => chainLength >= chainLimit);
+		const quarantined = new Set(causes.flatMap(({fingerprints}) => fingerprints));
+		for (const cause of this.describeCauses([...quarantined].filter(fingerprint => !this.#quarantined.has(fingerprint)))) {
 			metrics.countEvent('content.quarantined');
-			log.write('content.quarantined', {content: record.fingerprint, source, crashes: describeCrashes(record)});
+			const {fingerprint, ...fields} = cause;
+			log.write('content.quarantined', {content: fingerprint, source, ...fields});
 		}
 
-		this.#startWrite(record);
+		this.#quarantined = quarantined;
+		this.#startWrites();
+	}
+
+	#listCauseRecords(): FingerprintRecord[] {
+		const now = this.#options.timer.now();
+		return this.#findRecordedCauses().flatMap(({fingerprints}) => fingerprints).map(fingerprint => this.#register.getRecord(fingerprint, now)).filter(record => record !== undefined);
 	}
 
 	/**
-	 * Starts to write a record to the store, for entries that start later. Only records that restrict runs are written, and only by
-	 * entries that observed a crash, so that the number of writes does not grow with the fleet.
+	 * Starts to write the records that restrict runs to the store, for entries that start later. Only entries that observed a crash
+	 * write, so that the number of writes does not grow with the fleet.
 	 */
-	#startWrite({fingerprint, standing, crashes}: FingerprintRecord): void {
-		const isRestricted = standing === 'quarantined' || countCrashedServers(crashes) >= trialLimit;
-		const isObserver = crashes.some(crash => crash.entryId === this.#options.entryId);
-		if (isRestricted && isObserver && !this.#writing.has(fingerprint)) {
-			this.#writing.add(fingerprint);
-			void this.#write(fingerprint);
+	#startWrites(): void {
+		for (const record of this.#listCauseRecords()) {
+			const {fingerprint, crashes} = record;
+			const stored = this.#stored.get(fingerprint)?.record;
+			const isObserver = crashes.some(crash => crash.entryId === this.#options.entryId);
+			if (isObserver && !this.#writing.has(fingerprint) && (stored === undefined || hasMoreCrashes(record, stored))) {
+				this.#writing.add(fingerprint);
+				void this.#write(fingerprint);
+			}
 		}
 	}
 
@@ -284,16 +361,26 @@
 		}
 	}
 
-	#shareClearing(fingerprint: string, reason: string): void {
-		this.#options.log.writeRequest('content.cleared', undefined, {content: fingerprint, reason});
-		this.#resends.delete(fingerprint);
-		void this.#deleteStored(fingerprint);
-		this.#send([], [fingerprint]);
+	#shareClearing(fingerprints: readonly string[], reason: string): void {
+		for (const fingerprint of fingerprints) {
+			this.#options.log.writeRequest('content.cleared', undefined, {content: fingerprint, reason});
+			this.#resends.delete(fingerprint);
+			void this.#deleteStored(fingerprint);
+		}
+
+		if (fingerprints.length > 0) {
+			this.#send([], [...fingerprints]);
+		}
 	}
 
-	#share(record: FingerprintRecord): void {
-		this.#send([record], []);
-		this.#resends.set(record.fingerprint, record.crashes.length > 1 ? resendCounts.moreCrashes : resendCounts.firstCrash);
+	#share(records: FingerprintRecord[]): void {
+		if (records.length > 0) {
+			this.#send(records, []);
+		}
+
+		for (const {fingerprint, crashes} of records) {
+			this.#resends.set(fingerprint, crashes.length > 1 ? resendCounts.moreCrashes : resendCounts.firstCrash);
+		}
 	}
 
 	#resend(): void {
@@ -325,7 +412,7 @@
 	}
 }
 
-const describeCrashes = (record: FingerprintRecord | undefined): ReturnType<QuarantineTask['describeCrashes']> =>
+const describeCrashes = (record: FingerprintRecord | undefined): DescribedCrash[] =>
 	record?.crashes.map(({serverId, bootId, attemptId, entryId, chainLength}) => ({
 		serverId, bootId, attemptId, entryId, chainLength,
 	})) ?? [];
