Treat a stream that ends within an event as broken off

What callers saw: a stream that looked complete although its server had ended in the middle of an event and closed the connection without a reset.

Cause: a stream whose answer ended regularly was taken as complete, and the bytes of its unfinished event were forwarded. An answer without a length or chunks ends regularly whenever its connection is closed.

Change: such an end is a lost attempt, like a closed connection in a chunked answer: the stream goes on elsewhere after its last whole event where its route allows that, else the caller's connection is closed. Line ends after the last event are no event.

Found while reading what clears the record of crashes: this is one of the ways in which a crash looked like a completion.

--- a/packages/relay/src/exchange/event-splitter.ts
+++ b/packages/relay/src/exchange/event-splitter.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 
 const lineFeed = 0x0A;
+const carriageReturn = 0x0D;
 const idField = Buffer.from('id:');
 
 /** Bytes and number of the complete events, and the id of the last event that has one. */
@@ -18,6 +19,11 @@
 		return this.#held.length;
 	}
 
+	/** True after the first bytes of an event that has not ended; line ends alone are no event. */
+	get isWithinEvent(): boolean {
+		return this.#held.some(byte => byte !== lineFeed && byte !== carriageReturn);
+	}
+
 	/** Removes and returns the bytes of an incomplete event. */
 	removeIncompleteEvent(): Buffer {
 		const rest = this.#held;
@@ -56,7 +62,6 @@
 	return ends;
 };
 
-const carriageReturn = 0x0D;
 const isBlank = (bytes: Buffer, start: number, end: number): boolean =>
 	end === start || (end === start + 1 && bytes[start] === carriageReturn);
 
--- a/packages/relay/src/front/run-attempt.ts
+++ b/packages/relay/src/front/run-attempt.ts
@@ -202,9 +202,14 @@
 		return this.options.writer.write(chunk);
 	}
 
-	/** Ends a stream that was received completely. */
+	/** Ends a stream that the backend server has ended; one that ends within an event was broken off. */
 	endStream(head: AnswerHead): AttemptResult {
 		const {writer} = this.options;
+		const hasEvents = this.#firstByteAt !== undefined || isEventStream(head);
+		if (hasEvents && this.#splitter.isWithinEvent) {
+			return {type: 'broken', cause: 'the stream ended within an event', loss: lossKinds.connection};
+		}
+
 		if (writer.isOpen) {
 			writer.start(head);
 		}
@@ -387,6 +392,8 @@
 const badGatewayStatus = 502;
 const redirectStatus = 300;
 
+const isEventStream = ({headers}: AnswerHead): boolean => headers['content-type']?.startsWith('text/event-stream') ?? false;
+
 const computeOverduePauseMs = ({engine}: Service): number =>
 	engine === undefined ? minOverduePauseMs : Math.max(minOverduePauseMs, computeFullPassMs(engine) * overduePassFactor);
 
--- a/packages/testkit/src/users-platform/runner.ts
+++ b/packages/testkit/src/users-platform/runner.ts
@@ -113,3 +113,9 @@
 export const beginStream = (request: RunnerRequest, response: ServerResponse): void => {
 	response.writeHead(200, {...buildSignedHeaders(request), 'content-type': 'text/event-stream'});
 };
+
+/** Answers with a stream that has neither a length nor chunks and ends with its connection. */
+export const writeStreamWithoutLength = (request: RunnerRequest, response: ServerResponse, text: string): void => {
+	const headers = Object.entries({...buildSignedHeaders(request), 'content-type': 'text/event-stream'}).map(([name, value]) => `${name}: ${value}\r\n`).join('');
+	response.socket!.end(`HTTP/1.1 200 OK\r\n${headers}\r\n${text}`);
+};
