Let only whole answers clear the record of crashes

What callers saw: as before, servers that end under request after request with one bad part; the quarantine set in late or never.

Cause: each answer that was passed on cleared the record of its content, also a failure that a server gave before it decoded the prompt, and an answer without a length that ended because its server did.

Change: an answer clears the record when a length or chunks delimit it and, on routes of streams, when it is a stream. The server of one that ended with its connection is checked like after a lost attempt. Failures on other routes still clear, since there the run itself ends with them.

--- a/packages/relay/src/exchange/attempt.ts
+++ b/packages/relay/src/exchange/attempt.ts
@@ -9,8 +9,8 @@
 
 /** How the exchange with the backend server ended. */
 export type AttemptEnd =
-	/** The whole answer arrived. */
-	| {type: 'complete'}
+	/** The whole answer arrived; `isDelimited` when a length or chunks told its end, not the end of its connection. */
+	| {type: 'complete'; isDelimited: boolean}
 	/** No byte of the request left this process. */
 	| {type: 'not_sent'; cause: string}
 	/** The connection ended early (`isConnectionLost`), or the answer belongs to another request; this request may have run. */
@@ -119,7 +119,7 @@
 		},
 		onResponseEnd() {
 			// An answer without a length is complete when its connection is closed, but not when it is reset.
-			end(hasNoLength && connection.wasReset() ? {type: 'broken', cause: 'the connection was reset during an answer without a length', isConnectionLost: true} : {type: 'complete'});
+			end(hasNoLength && connection.wasReset() ? {type: 'broken', cause: 'the connection was reset during an answer without a length', isConnectionLost: true} : {type: 'complete', isDelimited: !hasNoLength});
 		},
 		onResponseError(_controller, error) {
 			end(controller === undefined ? {type: 'not_sent', cause: describeError(error)} : {type: 'broken', cause: describeError(error), isConnectionLost: true});
--- a/packages/relay/src/front/record-crash-evidence.ts
+++ b/packages/relay/src/front/record-crash-evidence.ts
@@ -37,8 +37,12 @@
 
 const listFingerprints = ({positions}: EndedAttempt): string[] => positions.map(({fingerprint}) => fingerprint);
 
-const recordCompletion = ({quarantine}: RelayServices, ended: EndedAttempt): void => {
-	quarantine.recordCompletion(listFingerprints(ended));
+const recordAnswer = (services: RelayServices, ended: EndedAttempt, result: AttemptResult): void => {
+	if (result.hasCompleted) {
+		services.quarantine.recordCompletion(listFingerprints(ended));
+	} else if (result.type === 'delivered') {
+		recordLoss(services, ended, lossKinds.close);
+	}
 };
 
 const recordLoss = ({crashDetection}: RelayServices, {positions, requestId, attempt, server}: EndedAttempt, kind: LossKind): void => {
@@ -49,8 +53,8 @@
 };
 
 const handlers: Partial<Record<AttemptResult['type'], (services: RelayServices, ended: EndedAttempt, result: AttemptResult) => void>> = {
-	delivered: recordCompletion,
-	failed: recordCompletion,
+	delivered: recordAnswer,
+	failed: recordAnswer,
 	not_run(services, ended, result) { // eslint-disable-line @typescript-eslint/naming-convention -- Outcome of an attempt as logged.
 		if (isMisdirected(result)) {
 			services.crashDetection.recordEnd(ended.server.id, crashEvidence.misdirected);
--- a/packages/relay/src/front/run-attempt.ts
+++ b/packages/relay/src/front/run-attempt.ts
@@ -38,6 +38,11 @@
 	longestPauseMs?: number | undefined;
 	/** True when the backend server has sent the head of an answer. */
 	hasHead?: boolean;
+	/**
+	 * True when the answer shows that the content was run to its end. A failure in place of a stream comes before the prompt is decoded,
+	 * and an answer that ends with its connection may end because its server does.
+	 */
+	hasCompleted?: boolean;
 } & (
 	/** The whole answer was forwarded. */
 	| {type: 'delivered'}
@@ -104,6 +109,7 @@
 	#firstByteAt: number | undefined;
 	#latestEventAt = 0;
 	#longestPauseMs = 0;
+	#hasCompleted = false;
 	#isOver = false;
 	#postponeDueTime: ((dueAt: number) => void) | undefined;
 	#running: RunningAttempt | undefined;
@@ -362,6 +368,8 @@
 			return;
 		}
 
+		const hasRun = this.#mode === answerModes.stream || this.options.route.execution !== executionKinds.stream;
+		this.#hasCompleted = hasRun && end.isDelimited;
 		this.#finish(endHandlers[this.#mode](this, this.#head));
 	}
 
@@ -381,7 +389,7 @@
 		}
 
 		this.resolve({
-			...result, firstByteAt: this.#firstByteAt, longestPauseMs: this.#longestPauseMs, hasHead: this.#head !== undefined,
+			...result, firstByteAt: this.#firstByteAt, longestPauseMs: this.#longestPauseMs, hasHead: this.#head !== undefined, hasCompleted: this.#hasCompleted,
 		});
 	}
 }
--- a/packages/relay/src/quarantine/crash-detection-task.ts
+++ b/packages/relay/src/quarantine/crash-detection-task.ts
@@ -25,6 +25,8 @@
 export const lossKinds = {
 	/** The backend server, or the network, ended the connection. */
 	connection: 'connection',
+	/** The connection was closed at the end of an answer without a length. */
+	close: 'close',
 	/** No answer came before the attempt was cancelled. */
 	silence: 'silence',
 } as const;
@@ -56,11 +58,11 @@
 		return this.#lost.listUnsettled();
 	}
 
-	/** Records a lost attempt; after a lost connection, checks the backend server. */
+	/** Records an attempt that was lost, or may have been; after the end of its connection, checks the backend server. */
 	async recordLoss(attempt: LostAttempt, address: string, kind: LossKind): Promise<void> {
 		const {timer, metrics} = this.#options;
 		const settle = this.#lost.add(attempt, timer.now());
-		if (kind === lossKinds.connection && await this.#isRefusing(attempt.serverId, address)) {
+		if (kind !== lossKinds.silence && await this.#isRefusing(attempt.serverId, address)) {
 			this.#report(attempt.serverId, crashEvidence.refused);
 		}
 
