Tell an entry that starts which content is refused

Cause: an entry that starts learnt of refused content only from the store, and served callers before it had read that part of it.

Change: entries send the records that restrict runs to an entry that reports for the first time, after a restart or a silence; an entry is ready for callers only once it has read the stored records too.

--- a/packages/relay/src/peers/peer-report-task.test.ts
+++ b/packages/relay/src/peers/peer-report-task.test.ts
@@ -22,7 +22,7 @@
 	pauseTargetMs: 200, targetMs: 300, value: 100,
 };
 
-type Member = {id: string; task: PeerReportTask; quarantine: QuarantineTask; loads: LoadTable; isStopping: boolean};
+type Member = {id: string; entry: RegisteredEntry; task: PeerReportTask; quarantine: QuarantineTask; loads: LoadTable; isStopping: boolean};
 
 const waitUntil = async (condition: () => boolean, limitMs = 5000): Promise<void> => {
 	const deadline = Date.now() + limitMs;
@@ -78,31 +78,40 @@
 		});
 	};
 
+	const buildMember = (entry: RegisteredEntry, bootId: string): Member => {
+		const member: Member = {
+			id: entry.id, entry, loads: new LoadTable(), isStopping: false, task: undefined!, quarantine: undefined!,
+		};
+		member.task = new PeerReportTask({
+			entryId: entry.id, bootId, failureDomain: entry.failureDomain, callerAddress: entry.callerAddress,
+			address: {host, port: Number(entry.peerAddress.split(':')[1])}, timer, log, metrics: new RelayMetrics(), loads: member.loads,
+			isReady: () => true, isStopping: () => member.isStopping, getVersion: () => 1,
+			acceptCrashReport(report) {
+				member.quarantine.acceptCrashReport(report);
+			},
+			notifyStarted(entryId) {
+				member.quarantine.handleEntryStarted(entryId);
+			},
+		});
+		member.quarantine = buildQuarantine(entry.id, entry.failureDomain, member.task);
+		return member;
+	};
+
+	const startMember = async ({task, quarantine}: Member, entries: readonly RegisteredEntry[]): Promise<void> => {
+		await task.start();
+		quarantine.start();
+		task.applyEntries(new Map(entries.map(entry => [entry.id, entry])));
+	};
+
 	const start = async (perDomain: number): Promise<void> => {
 		const ports = await findFreePorts(perDomain * 3);
 		const entries = ['east', 'north', 'west'].flatMap((failureDomain, domain) => Array.from({length: perDomain}, (_, index): RegisteredEntry => ({
 			id: `${failureDomain}-${index}`, failureDomain, callerAddress: `${host}:1`, peerAddress: `${host}:${ports[(domain * perDomain) + index]}`,
 		})));
-		members = entries.map(entry => {
-			const member: Member = {
-				id: entry.id, loads: new LoadTable(), isStopping: false, task: undefined!, quarantine: undefined!,
-			};
-			member.task = new PeerReportTask({
-				entryId: entry.id, bootId: 'boot', failureDomain: entry.failureDomain, callerAddress: entry.callerAddress,
-				address: {host, port: Number(entry.peerAddress.split(':')[1])}, timer, log, metrics: new RelayMetrics(), loads: member.loads,
-				isReady: () => true, isStopping: () => member.isStopping, getVersion: () => 1,
-				acceptCrashReport(report) {
-					member.quarantine.acceptCrashReport(report);
-				},
-			});
-			member.quarantine = buildQuarantine(entry.id, entry.failureDomain, member.task);
-			return member;
-		});
+		members = entries.map(entry => buildMember(entry, 'boot'));
 		storeWrites = [];
-		for (const {task, quarantine} of members) {
-			await task.start();
-			quarantine.start();
-			task.applyEntries(new Map(entries.map(entry => [entry.id, entry])));
+		for (const member of members) {
+			await startMember(member, entries);
 		}
 	};
 
@@ -167,6 +176,29 @@
 				expect(storeWrites.length).to.be.at.most(observers.length);
 			});
 
+			// Guards against content that ends servers at an entry which was restarted, before it has read the store or while that is away.
+			it('tells an entry that starts of the content that is refused', async () => {
+				await start(perDomain);
+				await waitUntil(() => members.every(({task}) => task.listServingAddresses().length === members.length - 1));
+				for (const server of [1, 2, 3]) {
+					find('north-1').quarantine.recordCrash({
+						positions: [{fingerprint: 'x', chainLength: server}], attemptId: `a${server}`, serverId: `s${server}`, bootId: 'b',
+					}, crashEvidence.refused);
+				}
+
+				await waitUntil(() => members.every(({quarantine}) => quarantine.isRefused(['x'])));
+				// Repetitions of the report have ended by then.
+				await sleep(3000);
+				const ended = find('north-0');
+				ended.quarantine.stop();
+				ended.task.close();
+				const entries = members.map(({entry}) => entry);
+				const started = buildMember(ended.entry, 'next boot');
+				members = members.map(member => member === ended ? started : member);
+				await startMember(started, entries);
+				await waitUntil(() => started.quarantine.isRefused(['x']), 1500);
+			});
+
 			// Guards against content that stays refused after servers ended for another reason, although one entry has seen it complete.
 			it('clears content at every entry when it completes at one', async () => {
 				await start(perDomain);
--- a/packages/relay/src/peers/peer-report-task.ts
+++ b/packages/relay/src/peers/peer-report-task.ts
@@ -44,6 +44,8 @@
 	getVersion: () => number;
 	/** Called with the crash reports of other entries. */
 	acceptCrashReport: (report: CrashReport) => void;
+	/** Called when an entry reports to this one for the first time, after a restart or a silence, or with another readiness. */
+	notifyStarted: (entryId: string) => void;
 };
 
 /**
@@ -199,6 +201,10 @@
 			loads.removePeer(message.entryId);
 		}
 
+		if (effect !== reportEffects.known) {
+			this.#options.notifyStarted(message.entryId);
+		}
+
 		const now = timer.now();
 		for (const {serverId, load} of message.loads) {
 			loads.setPeerLoad(message.entryId, serverId, load, now);
--- a/packages/relay/src/quarantine/quarantine-task.ts
+++ b/packages/relay/src/quarantine/quarantine-task.ts
@@ -103,7 +103,7 @@
 	}
 
 	/** True when a request with these fingerprints must not be sent to a backend server now; `hasRun` when one may have run it before. */
-	isRefused(fingerprints: readonly string[], {hasRun}: {hasRun: boolean} = {hasRun: false}): boolean {
+	isRefused(fingerprints: readonly string[], {hasRun = false}: {hasRun?: boolean} = {}): boolean {
 		const causes = this.#findCauses();
 		return causes.length > 0 && refusalHandlers[decideContent(fingerprints, causes)](() => hasRun || this.#isTrialRefused(fingerprints, causes));
 	}
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -98,6 +98,9 @@
 			isReady: () => this.isReady(),
 			isStopping: () => this.#stoppingSince !== undefined,
 			getVersion: () => this.#storeState.table?.configuration.version ?? 0,
+			notifyStarted: entryId => {
+				this.#quarantine.handleEntryStarted(entryId);
+			},
 			acceptCrashReport: report => {
 				this.#quarantine.acceptCrashReport(report);
 			},
--- a/packages/relay/src/store-state/store-state-task.ts
+++ b/packages/relay/src/store-state/store-state-task.ts
@@ -99,9 +99,9 @@
 		return this.#entries;
 	}
 
-	/** True once the configuration, the backend servers and the failure domains were read. */
+	/** True once the configuration, the backend servers, the failure domains and the content that must not run were read. */
 	get isLoaded(): boolean {
-		return this.#table !== undefined && this.#loadedWatches.has('servers') && this.#loadedWatches.has('outages');
+		return this.#table !== undefined && ['servers', 'outages', 'quarantine'].every(name => this.#loadedWatches.has(name));
 	}
 
 	/** True while credentials of the current configuration may be accepted: the store confirmed it recently enough. */
