--- a/packages/relay/src/contracts.ts
+++ b/packages/relay/src/contracts.ts
@@ -94,6 +94,8 @@
 	isSigned: boolean;
 	/** `host:port` of another backend server that caused the failure. */
 	causeAddress: string | undefined;
+	/** Requests per second that the backend server accepts from all entries together; undefined when it names no limit. */
+	requestsPerSecondLimit: number | undefined;
 };
 
 /** Maps requests and answers to HTTP headers; implemented by the platform adapter, which alone knows the header names. */
--- a/packages/relay/src/front/run-attempt.ts
+++ b/packages/relay/src/front/run-attempt.ts
@@ -38,6 +38,8 @@
 	longestPauseMs?: number | undefined;
 	/** True when the backend server has sent the head of an answer. */
 	hasHead?: boolean;
+	/** Requests per second that the backend server accepts from all entries, as its answer names it; undefined without a limit. */
+	requestsPerSecondLimit?: number | undefined;
 	/**
 	 * True when the answer shows that the content was run to its end. A failure in place of a stream comes before the prompt is decoded,
 	 * and an answer that ends with its connection may end because its server does.
@@ -389,7 +391,8 @@
 		}
 
 		this.resolve({
-			...result, firstByteAt: this.#firstByteAt, longestPauseMs: this.#longestPauseMs, hasHead: this.#head !== undefined, hasCompleted: this.#hasCompleted,
+			...result, firstByteAt: this.#firstByteAt, longestPauseMs: this.#longestPauseMs, hasCompleted: this.#hasCompleted,
+			hasHead: this.#head !== undefined, requestsPerSecondLimit: this.#head?.envelope.requestsPerSecondLimit,
 		});
 	}
 }
