Keep the requests of all entries within the limit that a server names

Cause: no code read the limit. The class: a bound that holds for all entries together has no holder.

Change: an entry records what the head of each answer says of the limit, sends a change to the others at once and the present limits twice a second while it sees answers, and to an entry that starts. The last answer counts, for one incarnation. Only as many entries have a share of a limit as it has whole requests per second, first by rendezvous hash; an even share of a small limit would let all entries send at the same moment, or none. When no answer comes for ten seconds, twice as many entries share it. Every attempt counts, also a retry or a resumed stream. Servers with a limit help no other server with its prompt, since they would not count that as a request, and so reserve nothing. Requests that only such servers could take are refused at once.

Why it works: the shares add up to the limit whatever the number of entries, and a wrong view of who serves lasts no longer than the silence limit of an entry.

--- /dev/null
+++ b/packages/core/src/server-limits/index.ts
@@ -0,0 +1,2 @@
+export * from './compute-rate-share.js';
+export * from './server-limit-table.js';
--- a/packages/relay/src/front/relay-services.ts
+++ b/packages/relay/src/front/relay-services.ts
@@ -9,6 +9,7 @@
 import type {PlacementTask} from '../placement/placement-task.js';
 import type {CrashDetectionTask} from '../quarantine/crash-detection-task.js';
 import type {QuarantineTask} from '../quarantine/quarantine-task.js';
+import type {ServerLimitTask} from '../server-limits/server-limit-task.js';
 
 /** Services of the process that a request uses. */
 export type RelayServices = {
@@ -23,6 +24,7 @@
 	silentServers: SilentServerTask;
 	crashDetection: CrashDetectionTask;
 	quarantine: QuarantineTask;
+	serverLimits: ServerLimitTask;
 	orders: EngineOrderCodec;
 	/** Returns the retry budget of a service. */
 	getBudget: (service: string) => SharedRetryBudget;
--- a/packages/relay/src/front/run-attempt.ts
+++ b/packages/relay/src/front/run-attempt.ts
@@ -312,6 +312,9 @@
 	#handleHead(head: AnswerHead): void {
 		this.#head = head;
 		this.#mode = this.#selectMode(head);
+		if (isFromServer(head)) {
+			this.services.serverLimits.recordAnswer(this.options.placed.server, head.envelope.requestsPerSecondLimit);
+		}
 	}
 
 	#selectMode(head: AnswerHead): AnswerMode {
@@ -402,12 +405,18 @@
 const serverErrorStatus = 500;
 const badGatewayStatus = 502;
 const redirectStatus = 300;
+/** Status by which another incarnation at the address refuses a request for the server. */
+const misdirectedStatus = 421;
 
 const isEventStream = ({headers}: AnswerHead): boolean => headers['content-type']?.startsWith('text/event-stream') ?? false;
 
 const computeOverduePauseMs = ({engine}: Service): number =>
 	engine === undefined ? minOverduePauseMs : Math.max(minOverduePauseMs, computeFullPassMs(engine) * overduePassFactor);
 
+/** True when an answer comes from the backend server itself, not from another incarnation at its address. */
+const isFromServer = ({status, envelope}: AnswerHead): boolean =>
+	status !== misdirectedStatus && (envelope.isSigned || envelope.isNotRun || envelope.requestsPerSecondLimit !== undefined);
+
 /** A successful answer without a signature, or with an encoded body, does not come from the backend server itself. */
 const isUnusable = ({status, envelope, headers}: AnswerHead): boolean =>
 	status < redirectStatus && (!envelope.isSigned || headers['content-encoding'] !== undefined);
--- a/packages/relay/src/peers/peer-message.test.ts
+++ b/packages/relay/src/peers/peer-message.test.ts
@@ -13,7 +13,7 @@
 				},
 			}],
 		};
-		expect(decodePeerDatagram(encodePeerMessage(message))).to.deep.equal({type: 'entry', message});
+		expect(decodePeerDatagram(encodePeerMessage(message), 0)).to.deep.equal({type: 'entry', message});
 	});
 
 	it('decodes an encoded summary without loss', () => {
@@ -24,12 +24,12 @@
 				entryId: 'c', bootId: 'd', isReady: true, isStopping: false, callerAddress: '127.0.0.1:1', version: 9, ageMs: 120,
 			}],
 		};
-		expect(decodePeerDatagram(encodeDomainSummary(summary))).to.deep.equal({type: 'summary', summary});
+		expect(decodePeerDatagram(encodeDomainSummary(summary), 0)).to.deep.equal({type: 'summary', summary});
 	});
 
 	// Guards against datagrams from other senders that crash the process or are accepted as messages.
 	it('drops a datagram that is not a valid message', () => {
-		expect(decodePeerDatagram(Buffer.from('hello'))).to.equal(undefined);
-		expect(decodePeerDatagram(Buffer.from('{"entryId":"a","loads":[["s","many"]]}'))).to.equal(undefined);
+		expect(decodePeerDatagram(Buffer.from('hello'), 0)).to.equal(undefined);
+		expect(decodePeerDatagram(Buffer.from('{"entryId":"a","loads":[["s","many"]]}'), 0)).to.equal(undefined);
 	});
 });
--- a/packages/relay/src/peers/peer-message.ts
+++ b/packages/relay/src/peers/peer-message.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {z} from 'zod';
 import {decodeCrashReport, type CrashReport} from '../quarantine/crash-report.js';
+import {decodeLimitReport, type LimitReport} from '../server-limits/limit-report.js';
 import {
 	decodeLoad, encodeLoad, loadSchema, type ReportedLoad,
 } from './load-codec.js';
@@ -68,7 +69,11 @@
 };
 
 /** A decoded datagram from a peer. */
-export type PeerDatagram = {type: 'entry'; message: PeerMessage} | {type: 'summary'; summary: DomainSummary} | {type: 'crash_report'; report: CrashReport};
+export type PeerDatagram =
+	| {type: 'entry'; message: PeerMessage}
+	| {type: 'summary'; summary: DomainSummary}
+	| {type: 'crash_report'; report: CrashReport}
+	| {type: 'limit_report'; report: LimitReport};
 
 /** Encodes a load report as JSON. */
 export const encodePeerMessage = (message: PeerMessage): Buffer => Buffer.from(JSON.stringify({
@@ -80,8 +85,8 @@
 	...summary, summaryOf: failureDomain, loads: summary.loads.map(load => encodeLoad(load)),
 }));
 
-/** Decodes a datagram; returns undefined when it is no load report, summary or crash report. */
-export const decodePeerDatagram = (bytes: Buffer): PeerDatagram | undefined => {
+/** Decodes a datagram that arrived at `now`; returns undefined when it is no load report, summary, crash report or limit report. */
+export const decodePeerDatagram = (bytes: Buffer, now: number): PeerDatagram | undefined => {
 	const value = parseJson(bytes.toString('utf8'));
 	const message = messageSchema.safeParse(value);
 	if (message.success) {
@@ -90,8 +95,7 @@
 
 	const summary = summarySchema.safeParse(value);
 	if (!summary.success) {
-		const report = decodeCrashReport(value);
-		return report && {type: 'crash_report', report};
+		return decodeReport(value, now);
 	}
 
 	const {summaryOf, loads, entries, ...rest} = summary.data;
@@ -106,6 +110,16 @@
 	};
 };
 
+const decodeReport = (value: unknown, now: number): PeerDatagram | undefined => {
+	const crashReport = decodeCrashReport(value);
+	if (crashReport !== undefined) {
+		return {type: 'crash_report', report: crashReport};
+	}
+
+	const limitReport = decodeLimitReport(value, now);
+	return limitReport && {type: 'limit_report', report: limitReport};
+};
+
 const parseJson = (text: string): unknown => {
 	try {
 		return JSON.parse(text);
--- a/packages/relay/src/peers/peer-report-task.test.ts
+++ b/packages/relay/src/peers/peer-report-task.test.ts
@@ -89,6 +89,7 @@
 			acceptCrashReport(report) {
 				member.quarantine.acceptCrashReport(report);
 			},
+			acceptLimitReport: () => undefined,
 			notifyStarted(entryId) {
 				member.quarantine.handleEntryStarted(entryId);
 			},
--- a/packages/relay/src/peers/peer-report-task.ts
+++ b/packages/relay/src/peers/peer-report-task.ts
@@ -6,6 +6,7 @@
 import type {DecisionLog} from '../logging/decision-log.js';
 import type {RelayMetrics} from '../metrics/relay-metrics.js';
 import {encodeCrashReport, type CrashReport} from '../quarantine/crash-report.js';
+import {encodeLimitReport, type LimitReport} from '../server-limits/limit-report.js';
 import type {ReportedLoad} from './load-codec.js';
 import {selectTopology, type ReportTopology} from './report-topology.js';
 import {
@@ -44,6 +45,8 @@
 	getVersion: () => number;
 	/** Called with the crash reports of other entries. */
 	acceptCrashReport: (report: CrashReport) => void;
+	/** Called with the limit reports of other entries. */
+	acceptLimitReport: (report: LimitReport) => void;
 	/** Called when an entry reports to this one for the first time, after a restart or a silence, or with another readiness. */
 	notifyStarted: (entryId: string) => void;
 };
@@ -116,11 +119,12 @@
 
 	/** Sends crash reports to one entry, or to all entries that this one reports to. */
 	sendCrashReport(report: CrashReport, recipientId?: string): void {
-		const {memberIds, collectorIds, isCollector} = this.#topology;
-		const recipientIds = recipientId === undefined ? [...memberIds, ...(isCollector ? collectorIds : [])] : [recipientId];
-		for (const datagram of encodeCrashReport(report)) {
-			this.#sendTo(recipientIds, datagram);
-		}
+		this.#sendReport(encodeCrashReport(report), recipientId);
+	}
+
+	/** Sends a limit report to one entry, or to all entries that this one reports to. */
+	sendLimitReport(report: LimitReport, recipientId?: string): void {
+		this.#sendReport(encodeLimitReport(report, this.#options.timer.now()), recipientId);
 	}
 
 	/** True when the entries that this one reports to do not all receive the crash reports of a failure domain from its sender. */
@@ -155,6 +159,11 @@
 		return this.#states.listServingAddresses();
 	}
 
+	/** Ids of the listed entries that serve callers, without this one. */
+	listServingPeers(): string[] {
+		return [...this.#peers.keys()].filter(id => this.#states.isServing(id));
+	}
+
 	/** Time since the last message from a peer, or since its registration when there was none, in ms. */
 	computeSilenceMs(entryId: string): number {
 		return this.#states.computeSilenceMs(entryId);
@@ -177,15 +186,32 @@
 	}
 
 	#acceptDatagram(bytes: Buffer): void {
-		const datagram = decodePeerDatagram(bytes);
+		const datagram = decodePeerDatagram(bytes, this.#options.timer.now());
 		if (datagram === undefined) {
 			this.#options.metrics.countEvent('peers.unreadable');
-		} else if (datagram.type === 'entry') {
-			this.#acceptMessage(datagram.message);
-		} else if (datagram.type === 'crash_report') {
-			this.#options.acceptCrashReport(datagram.report);
-		} else {
-			this.#acceptSummary(datagram.summary);
+			return;
+		}
+
+		switch (datagram.type) {
+			case 'entry': {
+				this.#acceptMessage(datagram.message);
+				break;
+			}
+
+			case 'summary': {
+				this.#acceptSummary(datagram.summary);
+				break;
+			}
+
+			case 'crash_report': {
+				this.#options.acceptCrashReport(datagram.report);
+				break;
+			}
+
+			case 'limit_report': {
+				this.#options.acceptLimitReport(datagram.report);
+				break;
+			}
 		}
 	}
 
@@ -333,6 +359,14 @@
 		};
 	}
 
+	#sendReport(datagrams: readonly Buffer[], recipientId: string | undefined): void {
+		const {memberIds, collectorIds, isCollector} = this.#topology;
+		const recipientIds = recipientId === undefined ? [...memberIds, ...(isCollector ? collectorIds : [])] : [recipientId];
+		for (const datagram of datagrams) {
+			this.#sendTo(recipientIds, datagram);
+		}
+	}
+
 	#sendTo(entryIds: readonly string[], bytes: Buffer): void {
 		for (const id of entryIds) {
 			const address = this.#peers.get(id)?.peerAddress;
--- a/packages/relay/src/placement/placement-task.ts
+++ b/packages/relay/src/placement/placement-task.ts
@@ -1,9 +1,10 @@
 import {
 	ColdArrivalGate, computePromptValue, LoadTable, selectPlacement, ServerHealth,
-	type EngineProfile, type PlacementCandidate, type PromptDemand, type HealthSignal, type ServerWork, type Service,
+	type EngineProfile, type PlacementCandidate, type PlacementDecision, type PromptDemand, type HealthSignal, type ServerWork, type Service,
 } from '@knapweedrack/core';
 import type {TimerService} from '@knapweedrack/entry/contracts';
 import type {ReservedPart} from '../exchange/memory-reservation.js';
+import type {ServerLimitTask} from '../server-limits/server-limit-task.js';
 import type {StoreStateTask, KnownServer} from '../store-state/store-state-task.js';
 
 /**
@@ -46,6 +47,7 @@
 
 /** Dependencies of the placement task. */
 export type PlacementOptions = {
+	serverLimits: Pick<ServerLimitTask, 'hasRoom' | 'isLimited' | 'consume'>;
 	storeState: StoreStateTask;
 	timer: TimerService;
 	failureDomain: string;
@@ -70,10 +72,10 @@
 
 	/** Selects backend servers for a request; returns `wait` when one may accept it soon, undefined when none can. */
 	place(service: Service, demand: PlacementDemand, excluded: ReadonlySet<string>): PlacedRequest | 'wait' | undefined {
-		const {storeState, timer} = this.#options;
+		const {storeState, timer, serverLimits} = this.#options;
 		const now = timer.now();
 		const usable = storeState.listUsableServers(service.name);
-		const servers = usable.filter(server => !excluded.has(server.id) && this.#isColdRequestAllowed(service, server, now));
+		const servers = usable.filter(server => !excluded.has(server.id) && this.#isColdRequestAllowed(service, server, now) && serverLimits.hasRoom(server));
 		const placed = service.engine === undefined
 			? this.#placePlain(servers, now)
 			: this.#placePrompt(service.engine, servers, demand, now);
@@ -81,6 +83,10 @@
 			this.#coldArrivals.tryConsume(placed.server.id, now, this.#getColdBound(service));
 		}
 
+		if (placed !== undefined && placed !== 'wait') {
+			serverLimits.consume(placed.server);
+		}
+
 		return placed;
 	}
 
@@ -123,7 +129,7 @@
 			penaltyMs: this.#computePenaltyMs(server, now),
 			orderShift: this.#options.random(),
 		}));
-		const decision = selectPlacement(profile, candidates, demand);
+		const decision = this.#selectPlacement(profile, candidates, {servers: byId, demand});
 		if (decision.type !== 'place') {
 			return decision.type === 'wait' ? 'wait' : undefined;
 		}
@@ -166,6 +172,15 @@
 		);
 	}
 
+	/** Selects a placement whose helpers name no limit: a part of a prompt loads a server like a request, but is not counted by it as one. */
+	#selectPlacement(profile: EngineProfile, candidates: readonly PlacementCandidate[], {servers, demand}: {servers: ReadonlyMap<string, KnownServer>; demand: PlacementDemand}): PlacementDecision {
+		const isLimited = (id: string): boolean => this.#options.serverLimits.isLimited(servers.get(id)!);
+		const decision = selectPlacement(profile, candidates, demand);
+		return decision.type === 'place' && decision.placement.helperIds.some(id => isLimited(id))
+			? selectPlacement(profile, candidates.filter(({id}) => !isLimited(id)), demand)
+			: decision;
+	}
+
 	#addWork(placed: Omit<PlacedRequest, 'release' | 'setDecoding'>, works: Array<[string, ServerWork]>): PlacedRequest {
 		const {notifyLoad} = this.#options;
 		let open = works.map(([serverId, work]) => ({serverId, key: this.loads.add(serverId, work), isOver: work.isHelperPart && work.memoryTokens === 0}));
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -18,6 +18,7 @@
 import {PlacementTask} from './placement/placement-task.js';
 import {CrashDetectionTask} from './quarantine/crash-detection-task.js';
 import {QuarantineTask} from './quarantine/quarantine-task.js';
+import {ServerLimitTask} from './server-limits/server-limit-task.js';
 
 /** Time reserved at the end of the grace period for closing connections, in ms. */
 const connectionCloseMs = 400;
@@ -43,6 +44,7 @@
 	readonly #registration: RegistrationTask;
 	readonly #crashDetection: CrashDetectionTask;
 	readonly #quarantine: QuarantineTask;
+	readonly #serverLimits: ServerLimitTask;
 	readonly #connections = new BackendConnections();
 	readonly #budgets = new Map<string, SharedRetryBudget>();
 	readonly #front: FrontServer;
@@ -68,6 +70,7 @@
 				this.#placement.retain(serverIds);
 				this.#connections.retain(serverIds);
 				this.#crashDetection.handleServers();
+				this.#serverLimits.retain(serverIds);
 			},
 			notifyEntries: entries => {
 				this.#peers.applyEntries(entries);
@@ -81,7 +84,16 @@
 				this.#connections.setLongestDelay(Math.max(0, ...table.configuration.services.map(({longestDelayMs}) => longestDelayMs)));
 			},
 		});
+		this.#serverLimits = new ServerLimitTask({
+			entryId: settings.entryId, failureDomain: settings.failureDomain, timer, log, metrics,
+			listServingPeers: () => this.#peers.listServingPeers(),
+			sendLimitReport: (report, recipientId) => {
+				this.#peers.sendLimitReport(report, recipientId);
+			},
+			isForwarder: failureDomain => this.#peers.isForwarder(failureDomain),
+		});
 		this.#placement = new PlacementTask({
+			serverLimits: this.#serverLimits,
 			storeState: this.#storeState, timer, failureDomain: settings.failureDomain, random: Math.random, countEntries: () => this.#countEntries(),
 			notifyLoad: serverId => {
 				this.#peers.notifyLoad(serverId);
@@ -100,6 +112,10 @@
 			getVersion: () => this.#storeState.table?.configuration.version ?? 0,
 			notifyStarted: entryId => {
 				this.#quarantine.handleEntryStarted(entryId);
+				this.#serverLimits.handleEntryStarted(entryId);
+			},
+			acceptLimitReport: report => {
+				this.#serverLimits.acceptLimitReport(report);
 			},
 			acceptCrashReport: report => {
 				this.#quarantine.acceptCrashReport(report);
@@ -128,7 +144,7 @@
 		});
 		const services: RelayServices = {
 			bounds, wire, timer, log, metrics, storeState: this.#storeState, placement: this.#placement, connections: this.#connections, orders: options.orders, silentServers,
-			crashDetection: this.#crashDetection, quarantine: this.#quarantine,
+			crashDetection: this.#crashDetection, quarantine: this.#quarantine, serverLimits: this.#serverLimits,
 			getBudget: service => this.#getBudget(service),
 			countEntries: () => this.#countEntries(),
 			getStoppingMs: () => this.#stoppingSince === undefined ? undefined : timer.now() - this.#stoppingSince,
@@ -152,6 +168,7 @@
 			callerAddress: settings.callerAddress, failureDomain: settings.failureDomain, isFirstStart: settings.isFirstStart, bounds: this.#bounds,
 		});
 		this.#quarantine.start();
+		this.#serverLimits.start();
 		await this.#storeState.start();
 		await this.#registration.start();
 	}
@@ -218,6 +235,7 @@
 		this.#front.close();
 		this.#storeState.stop();
 		this.#quarantine.stop();
+		this.#serverLimits.stop();
 		this.#peers.close();
 		await this.#connections.close();
 		this.timer.stop();
