Read the store again after it has come back from a copy

What callers would see: requests sent to servers that drain or have left, or a removed route or key that stays, until the next full list after five minutes.

Cause: a watch continued from the last revision. A store that went back and gave out more revisions than that answered with events and no 410, and what changed between was missed. Revisions were compared without regard to the era that the store states in its answers.

Change: the adapter reads `Store-Era`. After such a list a server that was draining or had left stays so until its record is written again; servers, failure domains out of service and entries that are missing count for two seconds more.

--- a/packages/entry/src/store/object-watch.ts
+++ b/packages/entry/src/store/object-watch.ts
@@ -18,6 +18,8 @@
 	changedKeys: readonly string[];
 	/** Time at which the answered call was sent. */
 	sentAt: number;
+	/** True when the store has lost changes since the last notification, so that the objects may be older than before. */
+	isRestored: boolean;
 };
 
 /** Prefix, timing and dependencies of a watch. */
@@ -45,6 +47,7 @@
 	readonly #objects = new Map<string, WatchedObject>();
 	readonly #controller = new AbortController();
 	#revision: number | undefined;
+	#era: number | undefined;
 	#listedAt = Number.NEGATIVE_INFINITY;
 	#failureCount = 0;
 	#endPause: (() => void) | undefined;
@@ -132,9 +135,12 @@
 			this.#objects.set(key, {version, value});
 		}
 
-		this.#revision = result.value.revision;
+		const {revision, era} = result.value;
+		const isRestored = this.#era !== undefined && era !== undefined && era !== this.#era;
+		this.#era = era ?? this.#era;
+		this.#revision = revision;
 		this.#listedAt = sentAt;
-		this.#notify([...changedKeys], sentAt);
+		this.#notify([...changedKeys], sentAt, isRestored);
 		return undefined;
 	}
 
@@ -155,13 +161,15 @@
 		}
 
 		this.#revision = result.value.revision;
-		this.#notify(result.value.events.map(({key}) => key), sentAt);
+		this.#notify(result.value.events.map(({key}) => key), sentAt, false);
 		return undefined;
 	}
 
-	#notify(changedKeys: string[], sentAt: number): void {
+	#notify(changedKeys: string[], sentAt: number, isRestored: boolean): void {
 		if (!this.#controller.signal.aborted) {
-			this.#options.notify({objects: this.#objects, changedKeys, sentAt});
+			this.#options.notify({
+				objects: this.#objects, changedKeys, sentAt, isRestored,
+			});
 		}
 	}
 }
--- a/packages/platform-client/src/object-store.ts
+++ b/packages/platform-client/src/object-store.ts
@@ -28,7 +28,8 @@
 /** Client of the object API; failures are returned as values, not thrown. */
 export type ObjectStore = {
 	get: (key: string, options?: CallOptions) => Promise<Result<StoredObject, StoreFailure>>;
-	list: (prefix: string, options?: CallOptions) => Promise<Result<ObjectList, StoreFailure>>;
+	/** `era` changes when the store has lost changes, so that revisions of different eras cannot be compared; undefined when it states none. */
+	list: (prefix: string, options?: CallOptions) => Promise<Result<ObjectList & {era?: number | undefined}, StoreFailure>>;
 	put: (key: string, value: unknown, condition?: WriteCondition, options?: CallOptions) => Promise<Result<{version: number}, StoreFailure>>;
 	delete: (key: string, condition?: WriteCondition, options?: CallOptions) => Promise<Result<{version: number}, StoreFailure>>;
 	/** Waits for changes after a revision; returns an empty list when there are none within `waitMs`. */
--- a/packages/platform-client/src/platform-http.ts
+++ b/packages/platform-client/src/platform-http.ts
@@ -1,3 +1,4 @@
+import type {IncomingHttpHeaders} from 'node:http';
 import createDebug from 'debug';
 import pRetry, {AbortError} from 'p-retry';
 import {Pool} from 'undici';
@@ -41,6 +42,8 @@
 	headers?: Record<string, string>;
 	body?: string;
 	schema: z.ZodType<Answer>;
+	/** Called with the headers of each answer, also of failures. */
+	handleHeaders?: (headers: IncomingHttpHeaders) => void;
 	/** True when the call changes nothing, so that it can be sent again after a lost answer. */
 	isRead: boolean;
 	/** False when the caller handles retries itself. */
@@ -142,6 +145,7 @@
 				signal, headersTimeout: 0, bodyTimeout: 0,
 			});
 			const text = await response.body.text();
+			call.handleHeaders?.(response.headers);
 			return {...decodeAnswer(call, response.statusCode, text, this.#decodeFailure), wasSent: true};
 		} catch (error) {
 			const wasSent = !unsentCodes.has((error as NodeJS.ErrnoException).code ?? '');
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -64,6 +64,7 @@
 		const log = this.#log;
 		const metrics = this.#metrics;
 		this.#storeState = new StoreStateTask({
+			entryId: settings.entryId,
 			store, codec, timer, log, metrics, bounds,
 			readClocks: () => ({monotonic: performance.now(), wall: Date.now()}),
 			notifyServers: serverIds => {
--- a/packages/relay/src/store-state/store-state-task.ts
+++ b/packages/relay/src/store-state/store-state-task.ts
@@ -37,6 +37,11 @@
  */
 const relistingGraceMs = 2000;
 
+/** Watches of objects whose writers write them again after the store has lost changes. */
+const watchesWithOtherWriters: ReadonlySet<string> = new Set(['servers', 'outages', 'entries']);
+/** Time for which a server that has left is remembered, in ms; longer than a copy of the store is old. */
+const goneServerMs = 60_000;
+
 /** Only this watch retries often during an outage; its first answer makes the others retry at once, so that an outage costs few calls. */
 const probeWatch = 'configuration';
 const probeBackoffMs = 500;
@@ -52,6 +57,8 @@
 
 /** Dependencies of the store state task. */
 export type StoreStateOptions = {
+	/** Id of this entry. */
+	entryId: string;
 	store: ObjectStore;
 	codec: StoreCodec;
 	timer: TimerService;
@@ -78,6 +85,12 @@
 	/** Time of the first failure of each watch that is failing now, by name of the watch. */
 	readonly #failingSince = new Map<string, number>();
 	#serversRegainedAt = Number.NEGATIVE_INFINITY;
+	/** Time of the last list of each watch after the store had lost changes, by name of the watch. */
+	readonly #restoredAt = new Map<string, number>();
+	/** Version of each server's record that is older than what is known of the server; it applies once it is written again. */
+	readonly #outdatedVersions = new Map<string, number>();
+	/** Servers that are no longer listed, with the time at which they were removed. */
+	readonly #goneAt = new Map<string, number>();
 	#table: RouteTable | undefined;
 	#servers = new Map<string, KnownServer>();
 	#serversByService = new Map<string, KnownServer[]>();
@@ -182,6 +195,12 @@
 			},
 			notify: state => {
 				this.#recordSuccess(name);
+				if (state.isRestored && watchesWithOtherWriters.has(name)) {
+					this.#handleRestore(name, () => {
+						apply({...state, isRestored: false});
+					});
+				}
+
 				apply(state);
 			},
 			maxBackoffMs: name === probeWatch ? probeBackoffMs : otherBackoffMs,
@@ -272,18 +291,59 @@
 		return configuration;
 	}
 
-	#applyServers({objects}: WatchedState): void {
+	/**
+	 * After the store has lost changes, what is known and no longer listed counts for a while, until its writers have written it again;
+	 * then the listed objects apply.
+	 */
+	#handleRestore(name: string, applyAgain: () => void): void {
+		const {timer, log} = this.#options;
+		log.write('store.restored', {watch: name});
+		this.#restoredAt.set(name, timer.now());
+		if (name === 'servers') {
+			this.#serversRegainedAt = timer.now();
+		}
+
+		timer.schedule(relistingGraceMs + 1, applyAgain);
+	}
+
+	#isRestoring(name: string): boolean {
+		return this.#options.timer.now() - (this.#restoredAt.get(name) ?? Number.NEGATIVE_INFINITY) <= relistingGraceMs;
+	}
+
+	/** Applies what is known of a server whose record is from a copy of the store and was not written since; undefined for one that has left. */
+	#applyOutdated(server: RegisteredServer, version: number, isRestored: boolean): RegisteredServer | undefined {
+		const known = this.#servers.get(server.id);
+		const hasLeft = known === undefined && this.#goneAt.has(server.id);
+		const isDraining = known?.isDraining === true && known.bootId === server.bootId;
+		if (isRestored && (hasLeft || (isDraining && !server.isDraining))) {
+			this.#outdatedVersions.set(server.id, version);
+		}
+
+		if (this.#outdatedVersions.get(server.id) !== version) {
+			this.#outdatedVersions.delete(server.id);
+			return server;
+		}
+
+		return hasLeft ? undefined : {...server, isDraining};
+	}
+
+	#applyServers({objects, isRestored}: WatchedState): void {
 		const {codec, timer, notifyServers} = this.#options;
 		const now = timer.now();
 		const servers = new Map<string, KnownServer>();
 		for (const [key, {version, value}] of objects) {
 			const id = key.slice(codec.serverPrefix.length);
-			const server = codec.decodeServer(id, value);
-			if (server === undefined) {
+			const listed = codec.decodeServer(id, value);
+			if (listed === undefined) {
 				this.#reportUnusableRecord(key, version);
 				continue;
 			}
 
+			const server = this.#applyOutdated(listed, version, isRestored);
+			if (server === undefined) {
+				continue;
+			}
+
 			const known = this.#servers.get(id);
 			const coldUntil = now + server.coldForMs;
 			servers.set(id, {
@@ -321,14 +381,26 @@
 
 		for (const [id, known] of this.#servers) {
 			if (!servers.has(id) && known.usableUntil === undefined) {
+				this.#recordGone(id);
 				log.write('server.gone', {server: id, service: known.service});
 			}
 		}
 	}
 
+	#recordGone(id: string): void {
+		const now = this.#options.timer.now();
+		this.#goneAt.set(id, now);
+		for (const [other, goneAt] of this.#goneAt) {
+			if (now - goneAt > goneServerMs) {
+				this.#goneAt.delete(other);
+			}
+		}
+	}
+
 	#applyOutages({objects}: WatchedState): void {
 		const {codec, log} = this.#options;
-		const outages = new Set([...objects.keys()].map(key => key.slice(codec.outagePrefix.length)));
+		const listed = [...objects.keys()].map(key => key.slice(codec.outagePrefix.length));
+		const outages = new Set([...listed, ...(this.#isRestoring('outages') ? this.#outages : [])]);
 		for (const failureDomain of outages) {
 			if (!this.#outages.has(failureDomain)) {
 				log.write('failure_domain.out_of_service', {failureDomain});
@@ -358,6 +430,15 @@
 			entries.set(id, entry);
 		}
 
+		if (this.#isRestoring('entries')) {
+			for (const [id, entry] of this.#entries) {
+				// This entry must see that its own record is missing.
+				if (id !== this.#options.entryId) {
+					entries.set(id, entries.get(id) ?? entry);
+				}
+			}
+		}
+
 		this.#entries = entries;
 		notifyEntries(entries);
 	}
--- a/packages/testkit/src/users-platform/metadata-store.ts
+++ b/packages/testkit/src/users-platform/metadata-store.ts
@@ -32,6 +32,8 @@
 	put: (kind: string, name: string, spec: unknown) => void;
 	remove: (kind: string, name: string) => void;
 	getObject: (kind: string, name: string) => MetadataObject | undefined;
+	/** Copies the content; the returned function makes the store come back from that copy, with the next era. */
+	copy: () => () => void;
 	/** Removes the history, so that watches from an older revision get status 410. */
 	compact: () => void;
 };
@@ -67,6 +69,7 @@
 	#history: Change[] = [];
 	#oldestRevision = 0;
 	#revision = 1;
+	#era = 1;
 
 	constructor(private readonly pageItems: number) {}
 
@@ -102,6 +105,22 @@
 		return this.#objects.get(kind)?.get(name);
 	}
 
+	copy(): () => void {
+		const objects = structuredClone(this.#objects);
+		const history = [...this.#history];
+		const revision = this.#revision;
+		return () => {
+			this.#objects.clear();
+			for (const [kind, byName] of structuredClone(objects)) {
+				this.#objects.set(kind, byName);
+			}
+
+			this.#history = [...history];
+			this.#revision = revision;
+			this.#era++;
+		};
+	}
+
 	compact(): void {
 		this.#history = [];
 		this.#oldestRevision = this.#revision;
@@ -110,6 +129,7 @@
 	async serve(exchange: Exchange, handler: (exchange: Exchange) => Promise<void> | void): Promise<void> {
 		const {request} = exchange;
 		this.calls.push(`${request.method} ${request.url}`);
+		exchange.response.setHeader('Store-Era', String(this.#era));
 		const {status} = this.faults;
 		if (status === undefined) {
 			await this.#serveWrite(exchange, handler);
