Show the crashes under a part of a prompt in explain

Cause: `explain` selected lines about content by the fingerprint of the whole request, so the crashes that refuse a request because of one part, which belong to requests with other content, were left out. Change: it compares the fingerprints of parts and of records that entries send, too. Result: the new test fails on the code before, where `surroundings` is empty (read, not run) and passes.

--- a/packages/cli/src/logs/explain-from-logs.test.ts
+++ b/packages/cli/src/logs/explain-from-logs.test.ts
@@ -52,6 +52,21 @@
 		expect((run.surroundings as unknown[])[0]).to.include({entry: 'west-1', event: 'content.server_crashed', ...crash});
 	});
 
+	// Guards against a refusal because of one part of a prompt, whose crashes belong to requests with other content.
+	it('shows the crashes under a part of the prompt of a refused request', async () => {
+		await writeFile(path.join(folder, 'parts.log'), [
+			write(1000, 'west-1', 'content.server_crashed', {content: 'c5', parts: [{content: 'part-1', crashes: 1}], server: 's8'}),
+			write(1500, 'west-1', 'content.server_crashed', {content: 'c6', parts: [{content: 'part-2', crashes: 1}], server: 's9'}),
+			write(2000, 'east-1', 'content.crash_received', {source: 'west-1', records: [{content: 'c5', crashes: 1}, {content: 'part-1', crashes: 1}]}),
+			write(3000, 'east-1', 'content.quarantined', {content: 'part-1'}),
+			write(200_000, 'east-1', 'answer', {
+				requestId: 'r7', reason: 'quarantined', content: 'c7', parts: ['part-0', 'part-1'],
+			}),
+		].join('\n'));
+		const {surroundings} = await runJson(['explain', 'r7', ...list('parts.log')]);
+		expect((surroundings as Array<{event: string}>).map(({event}) => event)).to.deep.equal(['content.server_crashed', 'content.crash_received', 'content.quarantined']);
+	});
+
 	it('renders the lines of all entries in order of time', async () => {
 		const {out} = await startRun(['explain', 'r1', ...list('east.log', 'west.log')]).done;
 		expect(out.trim().split('\n').slice(1, -1).map(row => row.slice(0, 31))).to.deep.equal([
--- a/packages/cli/src/logs/request-log.ts
+++ b/packages/cli/src/logs/request-log.ts
@@ -3,6 +3,9 @@
 /** How long before the first line of a request lines about its entries and servers are selected, in ms; longer than the time for which an entry uses a report from a peer. */
 const contextMs = 10_000;
 
+/** A fingerprint alone, or with what a line says of it. */
+const fingerprintSchema = z.union([z.string(), z.looseObject({content: z.string()})]);
+
 const lineSchema = z.looseObject({
 	/** Wall-clock time, in ms since the Unix epoch. */
 	time: z.number(),
@@ -12,6 +15,10 @@
 	server: z.string().optional(),
 	/** Fingerprint of a request's content. */
 	content: z.string().optional(),
+	/** Fingerprints of the shared parts of its prompt, or of those that a crash counts for. */
+	parts: z.array(fingerprintSchema).optional(),
+	/** Records that another entry has sent. */
+	records: z.array(fingerprintSchema).optional(),
 });
 
 /** One event as an entry logged it. */
@@ -59,15 +66,17 @@
 
 	const entries = new Set(lines.map(({entry}) => entry));
 	const servers = new Set(lines.map(({server}) => server));
-	const contents = new Set(lines.map(({content}) => content));
-	const surroundings = all.filter(({time, requestId: id, entry, server, content}) => {
+	const fingerprints = new Set(lines.flatMap(line => listFingerprints(line)));
+	const surroundings = all.filter(line => {
+		const {time, requestId: id, entry, server} = line;
 		if (id !== undefined || time > last.time) {
 			return false;
 		}
 
-		return content === undefined
+		const own = listFingerprints(line);
+		return own.length === 0
 			? time >= first.time - contextMs && (server === undefined ? entries.has(entry) : servers.has(server))
-			: contents.has(content);
+			: own.some(fingerprint => fingerprints.has(fingerprint));
 	});
 	return {lines, surroundings: sortByTime(surroundings)};
 };
@@ -84,6 +93,11 @@
 	return ['lines with * are about the request, the others about its entries and backend servers', ...rows].join('\n');
 };
 
+const listFingerprints = ({content, parts = [], records = []}: LogLine): string[] => [
+	...(content === undefined ? [] : [content]),
+	...[...parts, ...records].map(item => typeof item === 'string' ? item : item.content),
+];
+
 const sortByTime = (lines: readonly LogLine[]): LogLine[] => lines.toSorted((a, b) => a.time - b.time);
 
 const parseJson = (text: string): unknown => {
