Split the stored records, the results of attempts and outdated servers off

Moved without change: what the quarantine stores (`QuarantineRecords`), the result type of an attempt, and the servers of a copy of the store (`OutdatedServers`).

--- /dev/null
+++ b/packages/relay/src/front/attempt-result.ts
@@ -0,0 +1,31 @@
+import type {Buffer} from 'node:buffer';
+import type {AnswerHead} from '../exchange/attempt.js';
+import type {LossKind} from '../quarantine/crash-detection-task.js';
+
+/** Outcome of an attempt; `firstByteAt` is a time on the clock of the timer service, in ms. */
+export type AttemptResult = {
+	firstByteAt?: number | undefined;
+	longestPauseMs?: number | undefined;
+	/** True when the backend server has sent the head of an answer. */
+	hasHead?: boolean;
+	/** Requests per second that the backend server accepts from all entries, as its answer names it; undefined without a limit. */
+	requestsPerSecondLimit?: number | undefined;
+	/**
+	 * True when the answer shows that the content was run to its end. A failure in place of a stream comes before the prompt is decoded,
+	 * and an answer that ends with its connection may end because its server does.
+	 */
+	hasCompleted?: boolean;
+} & (
+	/** The whole answer was forwarded. */
+	| {type: 'delivered'}
+	/** The backend server answered with an error status. */
+	| {type: 'failed'; head: AnswerHead; body: Buffer}
+	/** The backend server stated that it did not run the request. */
+	| {type: 'not_run'; cause: string; causeAddress: string | undefined; status: number}
+	/** No byte of the request was sent. */
+	| {type: 'not_sent'; cause: string}
+	/** No complete answer was received; the request may have run. `loss` is set when the backend server may have ended. */
+	| {type: 'broken'; cause: string; loss: LossKind | undefined}
+	/** The request ended before the attempt: its caller disconnected or it timed out. */
+	| {type: 'cancelled'}
+);
--- a/packages/relay/src/front/record-crash-evidence.ts
+++ b/packages/relay/src/front/record-crash-evidence.ts
@@ -2,8 +2,8 @@
 import type {ChainPosition} from '@knapweedrack/core';
 import type {RegisteredServer} from '../contracts.js';
 import {crashEvidence, lossKinds, type LossKind} from '../quarantine/crash-detection-task.js';
+import type {AttemptResult} from './attempt-result.js';
 import type {RelayServices} from './relay-services.js';
-import type {AttemptResult} from './run-attempt.js';
 
 /** Status by which another incarnation at the address refuses a request for the server. */
 const misdirectedStatus = 421;
--- a/packages/relay/src/front/relay-request.ts
+++ b/packages/relay/src/front/relay-request.ts
@@ -9,10 +9,11 @@
 import type {PlacedRequest, PlacementDemand} from '../placement/placement-task.js';
 import {answerReasons, type AnswerReason} from './answer-reasons.js';
 import {AnswerWriter} from './answer-writer.js';
+import type {AttemptResult} from './attempt-result.js';
 import {computeRetryDelayMs} from './compute-retry-delay.js';
 import {hashContent, hashPart} from './hash-content.js';
 import {recordCrashEvidence} from './record-crash-evidence.js';
-import {runAttempt, type AttemptResult, type StreamProgress} from './run-attempt.js';
+import {runAttempt, type StreamProgress} from './run-attempt.js';
 import {readRequestBody} from './request-body.js';
 import type {RelayServices} from './relay-services.js';
 
--- a/packages/relay/src/front/run-attempt.ts
+++ b/packages/relay/src/front/run-attempt.ts
@@ -8,8 +8,9 @@
 } from '../exchange/attempt.js';
 import {EventSplitter} from '../exchange/event-splitter.js';
 import type {PlacedRequest} from '../placement/placement-task.js';
-import {lossKinds, type LossKind} from '../quarantine/crash-detection-task.js';
+import {lossKinds} from '../quarantine/crash-detection-task.js';
 import type {AnswerWriter} from './answer-writer.js';
+import type {AttemptResult} from './attempt-result.js';
 import type {RelayServices} from './relay-services.js';
 
 /** Bytes of an answer that are buffered until it is complete, so that the request can be retried when the connection fails. */
@@ -32,34 +33,6 @@
 /** Multiple of the duration of a pass on a full engine after which an event is overdue. */
 const overduePassFactor = 4;
 
-/** Outcome of an attempt; `firstByteAt` is a time on the clock of the timer service, in ms. */
-export type AttemptResult = {
-	firstByteAt?: number | undefined;
-	longestPauseMs?: number | undefined;
-	/** True when the backend server has sent the head of an answer. */
-	hasHead?: boolean;
-	/** Requests per second that the backend server accepts from all entries, as its answer names it; undefined without a limit. */
-	requestsPerSecondLimit?: number | undefined;
-	/**
-	 * True when the answer shows that the content was run to its end. A failure in place of a stream comes before the prompt is decoded,
-	 * and an answer that ends with its connection may end because its server does.
-	 */
-	hasCompleted?: boolean;
-} & (
-	/** The whole answer was forwarded. */
-	| {type: 'delivered'}
-	/** The backend server answered with an error status. */
-	| {type: 'failed'; head: AnswerHead; body: Buffer}
-	/** The backend server stated that it did not run the request. */
-	| {type: 'not_run'; cause: string; causeAddress: string | undefined; status: number}
-	/** No byte of the request was sent. */
-	| {type: 'not_sent'; cause: string}
-	/** No complete answer was received; the request may have run. `loss` is set when the backend server may have ended. */
-	| {type: 'broken'; cause: string; loss: LossKind | undefined}
-	/** The request ended before the attempt: its caller disconnected or it timed out. */
-	| {type: 'cancelled'}
-);
-
 /** Last event of a stream that the caller has received; the next attempt continues after it. */
 export type StreamProgress = {lastEventId: string | undefined};
 
--- a/packages/relay/src/quarantine/quarantine-task.ts
+++ b/packages/relay/src/quarantine/quarantine-task.ts
@@ -1,15 +1,13 @@
 import {
-	CrashRegister, chainLimit, computeChainLength, contentDecisions, crashRecordMs, decideContent, findCrashCauses, hasMoreCrashes,
+	CrashRegister, chainLimit, computeChainLength, contentDecisions, decideContent, findCrashCauses, hasMoreCrashes,
 	type ChainPosition, type ContentDecision, type CrashCause, type FingerprintCrash, type FingerprintRecord, type LostAttempt,
 } from '@knapweedrack/core';
 import type {TimerService} from '@knapweedrack/entry/contracts';
-import {waitFor} from '@knapweedrack/entry/timer-service';
-import type {ObjectStore} from '@knapweedrack/platform-client';
-import type {StoreCodec, StoredQuarantine} from '../contracts.js';
-import type {DecisionLog} from '../logging/decision-log.js';
+import type {StoredQuarantine} from '../contracts.js';
 import type {RelayMetrics} from '../metrics/relay-metrics.js';
 import type {CrashDetectionTask, CrashEvidence} from './crash-detection-task.js';
 import type {CrashReport} from './crash-report.js';
+import {QuarantineRecords, type QuarantineRecordOptions} from './quarantine-records.js';
 
 /** Interval at which crash reports are sent again, in ms. */
 const resendMs = 500;
@@ -17,31 +15,18 @@
 const resendCounts = {firstCrash: 1, moreCrashes: 4};
 /** Number of repetitions of the message that content has completed, since an entry that misses it goes on refusing the content. */
 const clearingResendCount = 2;
-/** Delay before a record is written to the store, in ms, in which entries that have seen the content complete can clear it. */
-const writeDelayMs = 300;
-/** Delay before a failed write is repeated, in ms. */
-const writeRetryMs = 1000;
 /** Interval between checks for expired records in the store, in ms. */
 const cleanUpIntervalMs = 600_000;
 
 /** Dependencies of the quarantine task. */
-export type QuarantineOptions = {
-	entryId: string;
+export type QuarantineOptions = Omit<QuarantineRecordOptions, 'getRecord'> & {
 	failureDomain: string;
-	store: ObjectStore;
-	codec: StoreCodec;
-	timer: TimerService;
-	log: DecisionLog;
 	metrics: RelayMetrics;
 	detection: Pick<CrashDetectionTask, 'listUnsettled'>;
 	/** Sends a crash report to one entry, or to all that this entry reports to. */
 	sendCrashReport: (report: CrashReport, recipientId?: string) => void;
 	/** True when this entry passes the crash reports of a failure domain on to other entries. */
 	isForwarder: (failureDomain: string) => boolean;
-	/** True at one of the entries that are serving. */
-	isFirstServing: () => boolean;
-	/** Returns the time in ms since the Unix epoch. */
-	readWallClock: () => number;
 };
 
 /** Crash as described in the log: server, its incarnation, attempt, the entry that observed it, and its position in a chain. */
@@ -61,10 +46,7 @@
 	readonly #resends = new Map<string, number>();
 	/** Remaining repetitions of the message that a fingerprint has completed. */
 	readonly #clearingResends = new Map<string, number>();
-	/** Records in the store, by fingerprint. */
-	#stored = new Map<string, StoredQuarantine>();
-	/** Fingerprints whose records are about to be written. */
-	readonly #writing = new Set<string>();
+	readonly #records: QuarantineRecords;
 	/** Number of runs in progress at this entry, by fingerprint. */
 	readonly #runs = new Map<string, number>();
 	/** Causes that the register shows, as of its version. */
@@ -72,10 +54,10 @@
 	/** Fingerprints that are logged as quarantined. */
 	#quarantined = new Set<string>();
 	readonly #unsubscribes: Array<() => void> = [];
-	#isStopped = false;
 
 	constructor(options: QuarantineOptions) {
 		this.#options = options;
+		this.#records = new QuarantineRecords({...options, getRecord: fingerprint => this.#register.getRecord(fingerprint, options.timer.now())});
 	}
 
 	/** Number of fingerprints under which a backend server has ended. */
@@ -90,13 +72,13 @@
 				this.#resend();
 			}),
 			timer.subscribe(cleanUpIntervalMs, () => {
-				this.#removeExpired();
+				this.#records.removeExpired();
 			}),
 		);
 	}
 
 	stop(): void {
-		this.#isStopped = true;
+		this.#records.stop();
 		for (const unsubscribe of this.#unsubscribes) {
 			unsubscribe();
 		}
@@ -180,7 +162,7 @@
 		const removed = cleared.filter(fingerprint => this.#register.recordCompletion(fingerprint, timer.now(), {isObserved: false}));
 		for (const fingerprint of removed) {
 			log.writeRequest('content.cleared', undefined, {content: fingerprint, reason: 'completed at another entry', peer: sender});
-			void this.#deleteStored(fingerprint);
+			void this.#records.delete(fingerprint);
 		}
 
 		if (removed.length > 0 && isForwarder(failureDomain)) {
@@ -208,9 +190,9 @@
 
 	/** Merges the records that the store holds. */
 	applyStored(stored: readonly StoredQuarantine[]): void {
-		this.#stored = new Map(stored.map(each => [each.record.fingerprint, each]));
+		this.#records.applyStored(stored);
 		this.#merge(stored.map(({record}) => record), 'store');
-		this.#startWrites();
+		this.#records.startWrites(this.#listCauseRecords());
 	}
 
 	/** True when a request that may run as a trial must not run here now. */
@@ -301,7 +283,7 @@
 		}
 
 		this.#quarantined = quarantined;
-		this.#startWrites();
+		this.#records.startWrites(this.#listCauseRecords());
 	}
 
 	#listCauseRecords(): FingerprintRecord[] {
@@ -309,78 +291,12 @@
 		return listCandidates(this.#findRecordedCauses()).map(fingerprint => this.#register.getRecord(fingerprint, now)).filter(record => record !== undefined);
 	}
 
-	/**
-	 * Starts to write the records that restrict runs to the store, for entries that start later. Only entries that observed a crash
-	 * write, so that the number of writes does not grow with the fleet.
-	 */
-	#startWrites(): void {
-		for (const record of this.#listCauseRecords()) {
-			const {fingerprint, crashes} = record;
-			const stored = this.#stored.get(fingerprint)?.record;
-			const isObserver = crashes.some(crash => crash.entryId === this.#options.entryId);
-			if (isObserver && !this.#writing.has(fingerprint) && (stored === undefined || hasMoreCrashes(record, stored))) {
-				this.#writing.add(fingerprint);
-				void this.#write(fingerprint);
-			}
-		}
-	}
-
-	async #write(fingerprint: string): Promise<void> {
-		const {timer, log} = this.#options;
-		let delayMs = writeDelayMs;
-		for (;;) {
-			await waitFor(timer, delayMs);
-			const record = this.#register.getRecord(fingerprint, timer.now());
-			const stored = this.#stored.get(fingerprint)?.record;
-			if (this.#isStopped || record === undefined || (stored !== undefined && !hasMoreCrashes(record, stored))) {
-				break;
-			}
-
-			const result = await this.#put(record, stored === undefined);
-			log.write(result.ok ? 'content.quarantine_written' : 'content.quarantine_not_written', {content: fingerprint, failure: result.ok ? undefined : result.error.kind});
-			if (result.ok) {
-				break;
-			}
-
-			delayMs = writeRetryMs;
-		}
-
-		this.#writing.delete(fingerprint);
-	}
-
-	/** Puts a record into the store. One that another entry has created in the meantime is read by the watch and compared first. */
-	async #put(record: FingerprintRecord, isNew: boolean): ReturnType<ObjectStore['put']> {
-		const {store, codec, readWallClock} = this.#options;
-		return store.put(codec.quarantinePrefix + record.fingerprint, codec.encodeQuarantine({record, quarantinedAtMs: readWallClock()}), isNew ? {create: true} : undefined);
-	}
-
-	#removeExpired(): void {
-		const {isFirstServing, readWallClock} = this.#options;
-		if (!isFirstServing()) {
-			return;
-		}
-
-		for (const [fingerprint, {quarantinedAtMs}] of this.#stored) {
-			if (readWallClock() - quarantinedAtMs > crashRecordMs) {
-				void this.#deleteStored(fingerprint);
-			}
-		}
-	}
-
-	async #deleteStored(fingerprint: string): Promise<void> {
-		const {store, codec, log} = this.#options;
-		if (this.#stored.delete(fingerprint)) {
-			const result = await store.delete(codec.quarantinePrefix + fingerprint);
-			log.write('content.quarantine_deleted', {content: fingerprint, failure: result.ok ? undefined : result.error.kind});
-		}
-	}
-
 	#shareClearing(fingerprints: readonly string[], reason: string): void {
 		for (const fingerprint of fingerprints) {
 			this.#options.log.writeRequest('content.cleared', undefined, {content: fingerprint, reason});
 			this.#resends.delete(fingerprint);
 			this.#clearingResends.set(fingerprint, clearingResendCount);
-			void this.#deleteStored(fingerprint);
+			void this.#records.delete(fingerprint);
 		}
 
 		if (fingerprints.length > 0) {
--- a/packages/relay/src/store-state/store-state-task.ts
+++ b/packages/relay/src/store-state/store-state-task.ts
@@ -9,6 +9,7 @@
 } from '../contracts.js';
 import type {DecisionLog} from '../logging/decision-log.js';
 import type {RelayMetrics} from '../metrics/relay-metrics.js';
+import {OutdatedServers} from './outdated-servers.js';
 
 /** Share of `settleMs` that a watch call for backend servers may wait, so that a silent connection is noticed in time. */
 const watchWaitShare = 0.6;
@@ -39,8 +40,6 @@
 
 /** Watches of objects whose writers write them again after the store has lost changes. */
 const watchesWithOtherWriters: ReadonlySet<string> = new Set(['servers', 'outages', 'entries']);
-/** Time for which a server that has left is remembered, in ms; longer than a copy of the store is old. */
-const goneServerMs = 60_000;
 
 /** Only this watch retries often during an outage; its first answer makes the others retry at once, so that an outage costs few calls. */
 const probeWatch = 'configuration';
@@ -87,10 +86,7 @@
 	#serversRegainedAt = Number.NEGATIVE_INFINITY;
 	/** Time of the last list of each watch after the store had lost changes, by name of the watch. */
 	readonly #restoredAt = new Map<string, number>();
-	/** Version of each server's record that is older than what is known of the server; it applies once it is written again. */
-	readonly #outdatedVersions = new Map<string, number>();
-	/** Servers that are no longer listed, with the time at which they were removed. */
-	readonly #goneAt = new Map<string, number>();
+	readonly #outdated = new OutdatedServers();
 	#table: RouteTable | undefined;
 	#servers = new Map<string, KnownServer>();
 	#serversByService = new Map<string, KnownServer[]>();
@@ -310,23 +306,6 @@
 		return this.#options.timer.now() - (this.#restoredAt.get(name) ?? Number.NEGATIVE_INFINITY) <= relistingGraceMs;
 	}
 
-	/** Applies what is known of a server whose record is from a copy of the store and was not written since; undefined for one that has left. */
-	#applyOutdated(server: RegisteredServer, version: number, isRestored: boolean): RegisteredServer | undefined {
-		const known = this.#servers.get(server.id);
-		const hasLeft = known === undefined && this.#goneAt.has(server.id);
-		const isDraining = known?.isDraining === true && known.bootId === server.bootId;
-		if (isRestored && (hasLeft || (isDraining && !server.isDraining))) {
-			this.#outdatedVersions.set(server.id, version);
-		}
-
-		if (this.#outdatedVersions.get(server.id) !== version) {
-			this.#outdatedVersions.delete(server.id);
-			return server;
-		}
-
-		return hasLeft ? undefined : {...server, isDraining};
-	}
-
 	#applyServers({objects, isRestored}: WatchedState): void {
 		const {codec, timer, notifyServers} = this.#options;
 		const now = timer.now();
@@ -339,7 +318,7 @@
 				continue;
 			}
 
-			const server = this.#applyOutdated(listed, version, isRestored);
+			const server = this.#outdated.apply(listed, {version, isRestored, known: this.#servers.get(id)});
 			if (server === undefined) {
 				continue;
 			}
@@ -381,22 +360,12 @@
 
 		for (const [id, known] of this.#servers) {
 			if (!servers.has(id) && known.usableUntil === undefined) {
-				this.#recordGone(id);
+				this.#outdated.recordGone(id, this.#options.timer.now());
 				log.write('server.gone', {server: id, service: known.service});
 			}
 		}
 	}
 
-	#recordGone(id: string): void {
-		const now = this.#options.timer.now();
-		this.#goneAt.set(id, now);
-		for (const [other, goneAt] of this.#goneAt) {
-			if (now - goneAt > goneServerMs) {
-				this.#goneAt.delete(other);
-			}
-		}
-	}
-
 	#applyOutages({objects}: WatchedState): void {
 		const {codec, log} = this.#options;
 		const listed = [...objects.keys()].map(key => key.slice(codec.outagePrefix.length));
