--- a/packages/relay/src/quarantine/quarantine-task.ts
+++ b/packages/relay/src/quarantine/quarantine-task.ts
@@ -73,6 +73,8 @@
 			}),
 			timer.subscribe(cleanUpIntervalMs, () => {
 				this.#records.removeExpired();
+				// Records expire without a change of the version.
+				this.#causes = {version: -1, list: []};
 			}),
 		);
 	}
