Keep one copy of the status of a misdirected request; name an interval

Cause: the status stood in two files, one name meant both a constant and a field of `computeRateShare`, and constants of the quarantine model had no unit. No behaviour changes.

--- a/packages/core/src/server-limits/compute-rate-share.ts
+++ b/packages/core/src/server-limits/compute-rate-share.ts
@@ -1,5 +1,5 @@
-/** Age of the last answer of a server after which the rate is divided over twice as many entries, in ms. */
-const answerAgeMs = 10_000;
+/** Time without an answer of a server after which the rate is divided over twice as many entries, in ms. */
+const doublingIntervalMs = 10_000;
 
 /** A rate over all entries, and the place of this entry among them. */
 export type SharedRate = {
@@ -16,8 +16,8 @@
  * share as the rate has whole requests per second, since an even share of a small rate would let all entries send at the same moment, or
  * none. When no answer has come for long, more entries get one, because those that have it may not reach the server or get no requests.
  */
-export const computeRateShare = ({requestsPerSecond, entries, rank, answerAgeMs: ageMs}: SharedRate): number => {
-	const holders = Math.max(1, Math.floor(requestsPerSecond)) * (2 ** Math.floor(ageMs / answerAgeMs));
+export const computeRateShare = ({requestsPerSecond, entries, rank, answerAgeMs}: SharedRate): number => {
+	const holders = Math.max(1, Math.floor(requestsPerSecond)) * (2 ** Math.floor(answerAgeMs / doublingIntervalMs));
 	const count = Math.max(1, Math.min(entries, holders));
 	return rank < count ? requestsPerSecond / count : 0;
 };
--- a/packages/relay/src/front/attempt-result.ts
+++ b/packages/relay/src/front/attempt-result.ts
@@ -2,6 +2,9 @@
 import type {AnswerHead} from '../exchange/attempt.js';
 import type {LossKind} from '../quarantine/crash-detection-task.js';
 
+/** Status by which another incarnation at the address refuses a request for the server. */
+export const misdirectedStatus = 421;
+
 /** Outcome of an attempt; `firstByteAt` is a time on the clock of the timer service, in ms. */
 export type AttemptResult = {
 	firstByteAt?: number | undefined;
--- a/packages/relay/src/front/record-crash-evidence.ts
+++ b/packages/relay/src/front/record-crash-evidence.ts
@@ -2,11 +2,9 @@
 import type {ChainPosition} from '@knapweedrack/core';
 import type {RegisteredServer} from '../contracts.js';
 import {crashEvidence, lossKinds, type LossKind} from '../quarantine/crash-detection-task.js';
-import type {AttemptResult} from './attempt-result.js';
+import {misdirectedStatus, type AttemptResult} from './attempt-result.js';
 import type {RelayServices} from './relay-services.js';
 
-/** Status by which another incarnation at the address refuses a request for the server. */
-const misdirectedStatus = 421;
 const connectionRefused = 'ECONNREFUSED';
 /** Most characters of a caller's request id in the id of an attempt. */
 const requestIdLimit = 100;
--- a/packages/relay/src/front/run-attempt.ts
+++ b/packages/relay/src/front/run-attempt.ts
@@ -10,7 +10,7 @@
 import type {PlacedRequest} from '../placement/placement-task.js';
 import {lossKinds} from '../quarantine/crash-detection-task.js';
 import type {AnswerWriter} from './answer-writer.js';
-import type {AttemptResult} from './attempt-result.js';
+import {misdirectedStatus, type AttemptResult} from './attempt-result.js';
 import type {RelayServices} from './relay-services.js';
 
 /** Bytes of an answer that are buffered until it is complete, so that the request can be retried when the connection fails. */
@@ -378,8 +378,6 @@
 const serverErrorStatus = 500;
 const badGatewayStatus = 502;
 const redirectStatus = 300;
-/** Status by which another incarnation at the address refuses a request for the server. */
-const misdirectedStatus = 421;
 
 const isEventStream = ({headers}: AnswerHead): boolean => headers['content-type']?.startsWith('text/event-stream') ?? false;
 
--- a/packages/relay/src/quarantine/quarantine-model.test.ts
+++ b/packages/relay/src/quarantine/quarantine-model.test.ts
@@ -9,11 +9,13 @@
 const serverCount = 200;
 /** Number of ends of servers after which requests with the part that causes them are limited. */
 const limitedEndCount = 5;
+/** Time after that end from which the limit holds, in ms. */
 const settleMs = 3000;
 
-/** Parts of the model of prompts with one part that ends servers. */
+/** Entries, and backend servers that come back after they ended. */
 const entryCount = 8;
 const runnerCount = 16;
+/** Length of a simulated day, and interval of the requests that end no server, in ms. */
 const dayMs = 24_000;
 const soundIntervalMs = 40;
 
