Reset an incomplete answer that has no framing

What callers saw: a caller of HTTP/1.0 took a broken-off stream for a whole one. Cause: the entry aborted each answer by closing its connection, which is the end mark of an answer that has neither a length nor chunks. The same held for the end of a planned stop, which closed all connections at once, and for an error in the handling of a request. Change: one function ends incomplete answers, and resets the connection of a caller before HTTP/1.1; a stop ends open answers with it before it closes the connections. Callers of HTTP/1.1 get a length or chunks, whose missing end shows that the answer is incomplete; their connections are closed as before, so that what has arrived is not discarded. Not covered: a process that is killed; the operating system closes its connections.

--- a/packages/relay/src/front/answer-writer.ts
+++ b/packages/relay/src/front/answer-writer.ts
@@ -1,7 +1,7 @@
 import type {Buffer} from 'node:buffer';
 import type {OutgoingHttpHeaders, ServerResponse} from 'node:http';
 import type {AnswerHead} from '../exchange/attempt.js';
-import {selectAnswerHeaders, writeHead} from './caller-answer.js';
+import {closeIncompleteAnswer, selectAnswerHeaders, writeHead} from './caller-answer.js';
 
 /** Writes the answer to one caller request: at most one head, then either a complete body or a visibly aborted connection. */
 export class AnswerWriter {
@@ -81,7 +81,7 @@
 		const wasStarted = this.#isStarted;
 		this.#isOver = true;
 		if (wasStarted) {
-			this.response.destroy();
+			closeIncompleteAnswer(this.response);
 			return;
 		}
 
--- a/packages/relay/src/front/caller-answer.ts
+++ b/packages/relay/src/front/caller-answer.ts
@@ -30,3 +30,17 @@
 		response.writeHead(head.status, head.statusText, headers);
 	}
 };
+
+/**
+ * Ends an answer that is not complete, visibly so for its caller. Before HTTP/1.1 there are no chunks, so an answer without
+ * a length ends with its connection: only a reset shows that it is not complete.
+ */
+export const closeIncompleteAnswer = (response: ServerResponse): void => {
+	const {httpVersionMajor, httpVersionMinor} = response.req;
+	const hasChunks = httpVersionMajor > 1 || httpVersionMinor > 0;
+	if (response.headersSent && !hasChunks) {
+		response.socket?.resetAndDestroy();
+	}
+
+	response.destroy();
+};
--- a/packages/relay/src/front/front-server.ts
+++ b/packages/relay/src/front/front-server.ts
@@ -3,6 +3,7 @@
 } from 'node:http';
 import type {Duplex} from 'node:stream';
 import type {CallerLimits} from '@knapweedrack/core';
+import {closeIncompleteAnswer} from './caller-answer.js';
 import {RelayRequest} from './relay-request.js';
 import type {RelayServices} from './relay-services.js';
 
@@ -18,7 +19,7 @@
 /** HTTP server for callers. */
 export class FrontServer {
 	readonly #server: Server;
-	#openCount = 0;
+	readonly #openResponses = new Set<ServerResponse>();
 	#totalCount = 0;
 
 	constructor(private readonly services: RelayServices) {
@@ -33,7 +34,7 @@
 	}
 
 	get openRequests(): number {
-		return this.#openCount;
+		return this.#openResponses.size;
 	}
 
 	get totalRequests(): number {
@@ -72,7 +73,7 @@
 		let idleSince = timer.now();
 		return new Promise(resolve => {
 			const unsubscribe = timer.subscribe(drainCheckMs, now => {
-				if (this.#openCount > 0) {
+				if (this.openRequests > 0) {
 					idleSince = now;
 				}
 
@@ -84,9 +85,15 @@
 		});
 	}
 
-	/** Closes the listener and all connections. */
+	/** Closes the listener and all connections, and ends the answers that are not complete. */
 	close(): void {
 		this.#server.close();
+		for (const response of this.#openResponses) {
+			if (!response.writableEnded) {
+				closeIncompleteAnswer(response);
+			}
+		}
+
 		this.#server.closeAllConnections();
 	}
 
@@ -97,17 +104,17 @@
 	}
 
 	async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
-		this.#openCount++;
+		this.#openResponses.add(response);
 		this.#totalCount++;
 		response.on('error', () => undefined);
 		response.once('close', () => {
-			this.#openCount--;
+			this.#openResponses.delete(response);
 		});
 		try {
 			await new RelayRequest(this.services, request, response).run();
 		} catch (error) {
 			this.services.log.write('request.invariant_broken', {message: (error as Error).message, stack: (error as Error).stack});
-			response.destroy();
+			closeIncompleteAnswer(response);
 		}
 	}
 
