Keep the process alive when a paused answer without a length ends

What callers would have seen: all connections to an entry are closed at once. Cause: a caller that reads slowly pauses the answer of its backend server. When the connection of an answer without a length ends meanwhile, the HTTP client finishes its paused parser and throws an assertion outside of any request. Change: an answer is resumed at the end of its connection, before the client handles that end, and is not paused again; no part of it follows. A reset that arrives as an error gets another code, so that the client reports it instead of finishing the answer. Logs name it ECONNRESET as before.

--- a/packages/relay/src/exchange/attempt.ts
+++ b/packages/relay/src/exchange/attempt.ts
@@ -2,7 +2,7 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import type {Dispatcher} from 'undici';
 import type {AnswerEnvelope} from '../contracts.js';
-import type {BackendConnection} from './backend-connections.js';
+import {resetCode, type BackendConnection} from './backend-connections.js';
 
 /** Head of a backend server's answer, with the fields decoded from its headers. */
 export type AnswerHead = {status: number; statusText: string; headers: IncomingHttpHeaders; envelope: AnswerEnvelope};
@@ -64,6 +64,7 @@
 	let isOver = false;
 	let isCancelled = false;
 	let hasNoLength = false;
+	let isAtEnd = false;
 	const end = (result: AttemptEnd): void => {
 		if (!isOver) {
 			isOver = true;
@@ -83,6 +84,11 @@
 			endBroken('the answer has too many bytes beside its body');
 		}
 	});
+	// The client throws when a connection ends while its answer is paused, although no part of the answer follows.
+	connection.subscribeToEnd(() => {
+		isAtEnd = true;
+		controller?.resume();
+	});
 	connection.dispatcher.dispatch({
 		method: request.method,
 		path: request.path,
@@ -113,7 +119,7 @@
 		},
 		onResponseData(data, chunk) {
 			bodyBytes += chunk.length;
-			if (!isOver && !listener.handleData(chunk)) {
+			if (!isOver && !listener.handleData(chunk) && !isAtEnd) {
 				data.pause();
 			}
 		},
@@ -143,4 +149,7 @@
 	};
 };
 
-const describeError = (error: Error): string => (error as NodeJS.ErrnoException).code ?? error.message;
+const describeError = (error: Error): string => {
+	const {code} = error as NodeJS.ErrnoException;
+	return code === resetCode ? 'ECONNRESET' : code ?? error.message;
+};
--- a/packages/relay/src/exchange/backend-connections.ts
+++ b/packages/relay/src/exchange/backend-connections.ts
@@ -15,6 +15,9 @@
 /** Idle time before TCP keep-alive probes begin, in ms. */
 const keepAliveProbeMs = 1000;
 
+/** Error code of a connection that was reset, in place of that of the operating system. */
+export const resetCode = 'CONNECTION_RESET';
+
 /** A connection to a backend server that runs one request at a time. */
 export type BackendConnection = {
 	dispatcher: Dispatcher;
@@ -22,6 +25,8 @@
 	wasReset: () => boolean;
 	/** Calls the subscriber with the number of bytes received since this call, before they are parsed, until `release`. */
 	subscribeToBytes: (subscriber: (receivedBytes: number) => void) => void;
+	/** Calls the subscriber when the connection ends, before its last answer is ended, until `release`. */
+	subscribeToEnd: (subscriber: () => void) => void;
 	/** Makes the connection available to other requests. */
 	release: () => void;
 };
@@ -43,10 +48,14 @@
 			subscribeToBytes(subscriber) {
 				client.subscribeToBytes(subscriber);
 			},
+			subscribeToEnd(subscriber) {
+				client.notifyEnd = subscriber;
+			},
 			release: () => {
 				if (!isReleased) {
 					isReleased = true;
 					client.subscribeToBytes(undefined);
+					client.notifyEnd = undefined;
 					this.#idle.push(client);
 				}
 			},
@@ -86,6 +95,7 @@
 	readonly client: Client;
 	wasReset = false;
 	isOpen = false;
+	notifyEnd: (() => void) | undefined;
 	#receivedBytes = 0;
 	#notifyBytes: ((receivedBytes: number) => void) | undefined;
 
@@ -108,6 +118,11 @@
 						watchReset(socket, () => {
 							this.wasReset = true;
 						});
+						socket.on('end', () => this.notifyEnd?.());
+						socket.on('error', (error: NodeJS.ErrnoException) => {
+							hideResetCode(error);
+						});
+
 						// Must also be registered before, so that the bytes are counted before they are parsed.
 						socket.on('readable', () => {
 							this.#receivedBytes += socket.bytesRead - socketBytes;
@@ -137,6 +152,16 @@
 	}
 }
 
+/**
+ * Replaces the code of a reset. On this code, the client ends an answer without a length as complete, and throws when that answer
+ * is paused; on any other code it reports the error.
+ */
+const hideResetCode = (error: NodeJS.ErrnoException): void => {
+	if (error.code === 'ECONNRESET') {
+		error.code = resetCode;
+	}
+};
+
 /** Connection pools by backend server id, so that a restarted server with a new id gets new connections at the same address. */
 export class BackendConnections {
 	readonly #servers = new Map<string, ServerConnections>();
