Open connections to backend servers through a replaceable opener

Cause: an entry opened its connections inside the HTTP client, so that no test could cut one entry off from all servers, and nothing else could open them another way. Change: BackendConnections takes a function that opens a connection; the check of a lost server uses the same sockets. A connect timeout is now logged as ETIMEDOUT.

--- a/packages/relay/src/exchange/backend-connections.ts
+++ b/packages/relay/src/exchange/backend-connections.ts
@@ -1,5 +1,7 @@
-import {buildConnector, Client, type Dispatcher} from 'undici';
+import type {Socket} from 'node:net';
+import {Client, type buildConnector, type Dispatcher} from 'undici';
 import {watchReset} from './reset-watch.js';
+import type {ConnectionOpener} from './connection-opener.js';
 
 /** Minimum connect timeout, in ms; short enough that another backend server can still answer on time. */
 const minConnectTimeoutMs = 150;
@@ -12,8 +14,6 @@
  * the server closes it, in ms.
  */
 const keepAliveMarginMs = 1000;
-/** Idle time before TCP keep-alive probes begin, in ms. */
-const keepAliveProbeMs = 1000;
 
 /** Error code of a connection that was reset, in place of that of the operating system. */
 export const resetCode = 'CONNECTION_RESET';
@@ -31,12 +31,19 @@
 	release: () => void;
 };
 
+type ServerAddress = {id: string; address: string};
+type ConnectionOptions = {openConnection: ConnectionOpener; connectTimeoutMs: number};
+
 /** Connections to one backend server. */
 class ServerConnections {
 	readonly #idle: SingleConnectionClient[] = [];
 	readonly #all = new Set<SingleConnectionClient>();
 
-	constructor(readonly address: string, private readonly connectTimeoutMs: number) {}
+	constructor(private readonly server: ServerAddress, private readonly options: ConnectionOptions) {}
+
+	get address(): string {
+		return this.server.address;
+	}
 
 	/** Acquires the most recently used idle connection, because the others may be about to close, or opens a new one. */
 	acquire(): BackendConnection {
@@ -84,7 +91,7 @@
 	}
 
 	#open(): SingleConnectionClient {
-		const client = new SingleConnectionClient(this.address, this.connectTimeoutMs);
+		const client = new SingleConnectionClient(this.server, this.options);
 		this.#all.add(client);
 		return client;
 	}
@@ -99,40 +106,16 @@
 	#receivedBytes = 0;
 	#notifyBytes: ((receivedBytes: number) => void) | undefined;
 
-	constructor(address: string, connectTimeoutMs: number) {
-		const connect = buildConnector({timeout: connectTimeoutMs, keepAlive: true, keepAliveInitialDelay: keepAliveProbeMs});
-		this.client = new Client(`http://${address}`, {
+	constructor(server: ServerAddress, {openConnection, connectTimeoutMs}: ConnectionOptions) {
+		this.client = new Client(`http://${server.address}`, {
 			pipelining: 1,
 			headersTimeout: 0,
 			bodyTimeout: 0,
 			keepAliveTimeout: keepAliveMs,
 			keepAliveTimeoutThreshold: keepAliveMarginMs,
-			connect: (options, callback) => {
+			connect: (_options, callback) => {
 				this.wasReset = false;
-				let socketBytes = 0;
-				connect(options, (...result) => {
-					const [, socket] = result;
-					// There is no socket when the connection failed.
-					if (socket) {
-						// Must be registered before the client's own listeners: they treat an answer without a length as complete also after a reset.
-						watchReset(socket, () => {
-							this.wasReset = true;
-						});
-						socket.on('end', () => this.notifyEnd?.());
-						socket.on('error', (error: NodeJS.ErrnoException) => {
-							hideResetCode(error);
-						});
-
-						// Must also be registered before, so that the bytes are counted before they are parsed.
-						socket.on('readable', () => {
-							this.#receivedBytes += socket.bytesRead - socketBytes;
-							socketBytes = socket.bytesRead;
-							this.#notifyBytes?.(this.#receivedBytes);
-						});
-					}
-
-					callback(...result);
-				});
+				void this.#connect(openConnection(server, connectTimeoutMs), callback);
 			},
 		});
 		this.client.on('connect', () => {
@@ -150,6 +133,35 @@
 		this.#receivedBytes = 0;
 		this.#notifyBytes = subscriber;
 	}
+
+	async #connect(opening: ReturnType<ConnectionOpener>, callback: buildConnector.Callback): Promise<void> {
+		const result = await opening;
+		if (!result.ok) {
+			callback(result.error, null);
+			return;
+		}
+
+		this.#watch(result.value.socket);
+		callback(null, result.value.socket);
+	}
+
+	/** Must be called before the client registers its own listeners: it handles the end of a connection and its bytes first. */
+	#watch(socket: Socket): void {
+		let socketBytes = 0;
+		// The client treats an answer without a length as complete also after a reset.
+		watchReset(socket, () => {
+			this.wasReset = true;
+		});
+		socket.on('end', () => this.notifyEnd?.());
+		socket.on('error', (error: NodeJS.ErrnoException) => {
+			hideResetCode(error);
+		});
+		socket.on('readable', () => {
+			this.#receivedBytes += socket.bytesRead - socketBytes;
+			socketBytes = socket.bytesRead;
+			this.#notifyBytes?.(this.#receivedBytes);
+		});
+	}
 }
 
 /**
@@ -167,6 +179,8 @@
 	readonly #servers = new Map<string, ServerConnections>();
 	#connectTimeoutMs = minConnectTimeoutMs;
 
+	constructor(private readonly openConnection: ConnectionOpener) {}
+
 	/** Connect timeout in ms. */
 	get connectTimeoutMs(): number {
 		return this.#connectTimeoutMs;
@@ -185,7 +199,7 @@
 	/** Acquires a connection to a backend server; returns undefined when none is idle and `limit` connections exist. */
 	acquire(server: {id: string; address: string}, limit: number): BackendConnection | undefined {
 		const known = this.#servers.get(server.id);
-		const connections = known?.address === server.address ? known : new ServerConnections(server.address, this.#connectTimeoutMs);
+		const connections = known?.address === server.address ? known : new ServerConnections(server, {openConnection: this.openConnection, connectTimeoutMs: this.#connectTimeoutMs});
 		if (known !== undefined && known !== connections) {
 			void known.close();
 		}
--- /dev/null
+++ b/packages/relay/src/exchange/connection-opener.ts
@@ -0,0 +1,51 @@
+import {once} from 'node:events';
+import {connect, type Socket} from 'node:net';
+import {createError, createOk, type Result} from '@knapweedrack/core';
+
+/** Idle time before TCP keep-alive probes begin, in ms. */
+const keepAliveProbeMs = 1000;
+
+/** Begins to open a TCP connection to a backend server; tests replace it to cut an entry off. */
+export type SocketOpener = (target: {host: string; port: number}) => Socket;
+
+/** An open connection to a backend server. */
+export type OpenedConnection = {socket: Socket};
+
+/** Opens a connection to a backend server within `timeoutMs`; an error has the code of the operating system. */
+export type ConnectionOpener = (server: {id: string; address: string}, timeoutMs: number) => Promise<Result<OpenedConnection, Error>>;
+
+/** Opens TCP connections without delay for small writes. */
+export const openTcpSocket: SocketOpener = target => connect({
+	...target, noDelay: true, keepAlive: true, keepAliveInitialDelay: keepAliveProbeMs,
+});
+
+/** Opens a connection to `host:port` from this entry. */
+export const openDirectConnection = async (openSocket: SocketOpener, address: string, timeoutMs: number): Promise<Result<OpenedConnection, Error>> => {
+	const [host = '', port = '0'] = address.split(':');
+	const socket = openSocket({host, port: Number(port)});
+	// Without a listener, an error outside of a request would end the process.
+	socket.on('error', () => undefined);
+	try {
+		await once(socket, 'connect', {signal: AbortSignal.timeout(timeoutMs)});
+		return createOk({socket});
+	} catch (error) {
+		socket.destroy();
+		return createError(isTimeout(error) ? new ConnectTimeoutError(address, timeoutMs) : error as Error);
+	}
+};
+
+/** Creates an opener whose connections all start at this entry. */
+export const createDirectOpener = (openSocket: SocketOpener): ConnectionOpener =>
+	async ({address}, timeoutMs) => openDirectConnection(openSocket, address, timeoutMs);
+
+const isTimeout = (error: unknown): boolean => (error as Error).name === 'AbortError';
+
+/** No connection was opened in time. */
+class ConnectTimeoutError extends Error {
+	readonly code: string;
+
+	constructor(address: string, timeoutMs: number) {
+		super(`no connection to ${address} within ${timeoutMs} ms`);
+		this.code = 'ETIMEDOUT';
+	}
+}
--- a/packages/relay/src/exchange/reset-order.test.ts
+++ b/packages/relay/src/exchange/reset-order.test.ts
@@ -6,6 +6,7 @@
 import {expect} from 'chai';
 import {startAttempt, type AttemptEnd, type RunningAttempt} from './attempt.js';
 import {BackendConnections} from './backend-connections.js';
+import {createDirectOpener, openTcpSocket} from './connection-opener.js';
 
 const rounds = 30;
 /** Larger than the read buffer of a socket, so that several reads are needed. */
@@ -20,7 +21,7 @@
 	let serve: (socket: Socket) => void;
 
 	beforeEach(async () => {
-		connections = new BackendConnections();
+		connections = new BackendConnections(createDirectOpener(openTcpSocket));
 		server = createServer(socket => {
 			socket.on('error', () => undefined);
 			socket.once('data', () => {
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -1,3 +1,4 @@
 export type * from './contracts.js';
 export type {DecisionLog} from './logging/decision-log.js';
+export type {SocketOpener} from './exchange/connection-opener.js';
 export * from './relay.js';
--- a/packages/relay/src/peers/peer-report-task.test.ts
+++ b/packages/relay/src/peers/peer-report-task.test.ts
@@ -7,6 +7,7 @@
 import type {ObjectStore} from '@knapweedrack/platform-client';
 import type {RegisteredEntry, StoreCodec} from '../contracts.js';
 import {BackendConnections} from '../exchange/backend-connections.js';
+import {createDirectOpener, openTcpSocket} from '../exchange/connection-opener.js';
 import type {DecisionLog} from '../logging/decision-log.js';
 import {RelayMetrics} from '../metrics/relay-metrics.js';
 import {CrashDetectionTask, crashEvidence} from '../quarantine/crash-detection-task.js';
@@ -67,7 +68,7 @@
 		return new QuarantineTask({
 			entryId: id, failureDomain, timer, log, metrics, store: store as ObjectStore, codec: codec as StoreCodec,
 			detection: new CrashDetectionTask({
-				timer, metrics, connections: new BackendConnections(), findServer: () => undefined, notifyCrash: () => undefined,
+				timer, metrics, connections: new BackendConnections(createDirectOpener(openTcpSocket)), openSocket: openTcpSocket, findServer: () => undefined, notifyCrash: () => undefined,
 			}),
 			sendCrashReport(report, recipientId) {
 				task.sendCrashReport(report, recipientId);
--- a/packages/relay/src/quarantine/crash-detection-task.ts
+++ b/packages/relay/src/quarantine/crash-detection-task.ts
@@ -1,8 +1,8 @@
-import {connect} from 'node:net';
 import {LostAttempts, type LostAttempt} from '@knapweedrack/core';
 import type {TimerService} from '@knapweedrack/entry/contracts';
 import {waitFor} from '@knapweedrack/entry/timer-service';
 import type {BackendConnections} from '../exchange/backend-connections.js';
+import {openDirectConnection, type SocketOpener} from '../exchange/connection-opener.js';
 import type {RelayMetrics} from '../metrics/relay-metrics.js';
 import type {KnownServer} from '../store-state/store-state-task.js';
 
@@ -38,6 +38,7 @@
 	timer: TimerService;
 	metrics: RelayMetrics;
 	connections: BackendConnections;
+	openSocket: SocketOpener;
 	/** Returns a backend server as the store lists it. */
 	findServer: (serverId: string) => KnownServer | undefined;
 	/** Called for each lost attempt whose backend server has ended. */
@@ -97,28 +98,19 @@
 
 	/** True when a backend server has no open connection left and its address refuses a new one. */
 	async #isRefusing(serverId: string, address: string): Promise<boolean> {
-		const {timer, connections} = this.#options;
+		const {timer, connections, openSocket} = this.#options;
 		await waitFor(timer, closeSpreadMs);
-		return connections.countOpen(serverId) === 0 && isRefusing(address, connections.connectTimeoutMs);
+		return connections.countOpen(serverId) === 0 && isRefusing(openSocket, address, connections.connectTimeoutMs);
 	}
 }
 
 /** Opens a TCP connection and closes it again; true only when it was refused. */
-const isRefusing = async (address: string, timeoutMs: number): Promise<boolean> => new Promise(resolve => {
-	const [host = '', port = '0'] = address.split(':');
-	const socket = connect({host, port: Number(port), timeout: timeoutMs});
-	const end = (isRefused: boolean): void => {
-		socket.destroy();
-		resolve(isRefused);
-	};
-
-	socket.on('connect', () => {
-		end(false);
-	});
-	socket.on('timeout', () => {
-		end(false);
-	});
-	socket.on('error', (error: NodeJS.ErrnoException) => {
-		end(error.code === 'ECONNREFUSED');
-	});
-});
+const isRefusing = async (openSocket: SocketOpener, address: string, timeoutMs: number): Promise<boolean> => {
+	const opened = await openDirectConnection(openSocket, address, timeoutMs);
+	if (opened.ok) {
+		opened.value.socket.destroy();
+		return false;
+	}
+
+	return (opened.error as NodeJS.ErrnoException).code === 'ECONNREFUSED';
+};
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -7,6 +7,7 @@
 	EngineOrderCodec, RegisteredEntry, RelayBounds, RelaySettings, StoreCodec, WireCodec,
 } from './contracts.js';
 import {BackendConnections} from './exchange/backend-connections.js';
+import {createDirectOpener, openTcpSocket, type SocketOpener} from './exchange/connection-opener.js';
 import {SilentServerTask} from './exchange/silent-server-task.js';
 import {FrontServer} from './front/front-server.js';
 import type {RelayServices} from './front/relay-services.js';
@@ -27,8 +28,17 @@
 /** Time without an open request after which the process may stop, in ms. */
 const idleBeforeStopMs = 300;
 
-/** Dependencies of a relay; `log` defaults to a log on standard output. */
-export type RelayOptions = {settings: RelaySettings; store: ObjectStore; codec: StoreCodec; wire: WireCodec; orders: EngineOrderCodec; log?: DecisionLog};
+/** Dependencies of a relay; `log` defaults to a log on standard output, `openSocket` to TCP connections. */
+export type RelayOptions = {
+	settings: RelaySettings;
+	store: ObjectStore;
+	codec: StoreCodec;
+	wire: WireCodec;
+	orders: EngineOrderCodec;
+	log?: DecisionLog;
+	/** Opens the connections to backend servers. */
+	openSocket?: SocketOpener;
+};
 
 /** A running relay process. */
 export class Relay {
@@ -45,7 +55,7 @@
 	readonly #crashDetection: CrashDetectionTask;
 	readonly #quarantine: QuarantineTask;
 	readonly #serverLimits: ServerLimitTask;
-	readonly #connections = new BackendConnections();
+	readonly #connections: BackendConnections;
 	readonly #budgets = new Map<string, SharedRetryBudget>();
 	readonly #front: FrontServer;
 	/** Time at which the last earlier process of this entry may have ended, on the clock of the timer service. */
@@ -54,7 +64,8 @@
 
 	constructor(options: RelayOptions) {
 		this.#options = options;
-		const {settings, store, codec, wire} = options;
+		const {settings, store, codec, wire, openSocket = openTcpSocket} = options;
+		this.#connections = new BackendConnections(createDirectOpener(openSocket));
 		this.#startedAt = settings.isFirstStart ? Number.NEGATIVE_INFINITY : this.timer.now();
 		// All tasks share this object, so that `applySettings` takes effect at once.
 		this.#bounds = {...settings.bounds};
@@ -129,7 +140,7 @@
 			self, bootId, store, codec, timer, log, storeState: this.#storeState, peers: this.#peers,
 		});
 		this.#crashDetection = new CrashDetectionTask({
-			timer, metrics, connections: this.#connections, findServer: serverId => this.#storeState.findServer(serverId),
+			timer, metrics, connections: this.#connections, openSocket, findServer: serverId => this.#storeState.findServer(serverId),
 			notifyCrash: (attempt, evidence) => {
 				this.#quarantine.recordCrash(attempt, evidence);
 			},
