Reach backend servers through another entry while an entry is cut off

Cause: an entry took each server for dead, tried them in turn and refused. Nothing told failing servers from failing links of its own, it stayed in the directory, and there was no way through another entry. The entry that sends still decides everything about its requests, so that retries, limits, drains, deadlines and the end of an answer hold as before. A tunnel always goes on directly, so that there are no circles. - Entries tell each other that they are cut off; the directory leaves them out while a quarter of the ready ones reach servers. - A refused connection counts as the end of a server only while others are reached. The health of all servers is forgotten when the links are lost or regained. Why it works: first tries reach the entry by connections and answers of the directory that callers keep, so leaving the directory alone is not enough.

--- a/packages/core/src/health/index.ts
+++ b/packages/core/src/health/index.ts
@@ -1,2 +1,3 @@
 export * from './server-health.js';
 export * from './overdue-attempts.js';
+export * from './server-reachability.js';
--- a/packages/relay/src/contracts.ts
+++ b/packages/relay/src/contracts.ts
@@ -25,7 +25,7 @@
 	id: string;
 	/** `host:port` at which callers reach it. */
 	callerAddress: string;
-	/** `host:port` at which other entries reach it. */
+	/** `host:port` at which other entries reach it, by datagram and for tunnels. */
 	peerAddress: string;
 	failureDomain: string;
 };
@@ -142,9 +142,11 @@
 export type RelaySettings = {
 	entryId: string;
 	failureDomain: string;
+	/** Failure domains of the region of this entry; undefined when the settings name no regions. */
+	regionDomains: ReadonlySet<string> | undefined;
 	/** `host:port` of the listener for callers. */
 	callerAddress: string;
-	/** `host:port` of the datagram socket for other entries. */
+	/** `host:port` of the datagram socket and the tunnel listener for other entries. */
 	peerAddress: string;
 	/** `host:port` and path of the metrics listener; undefined for none. */
 	metrics: {address: string; path: string} | undefined;
--- a/packages/relay/src/exchange/backend-connections.ts
+++ b/packages/relay/src/exchange/backend-connections.ts
@@ -20,6 +20,8 @@
 
 /** A connection to a backend server that runs one request at a time. */
 export type BackendConnection = {
+	/** Id of the entry that passes the connection on; undefined while it is not open, and for a direct connection. */
+	readonly tunnelPeerId: string | undefined;
 	dispatcher: Dispatcher;
 	/** True when the connection that carried the last answer was reset rather than closed. */
 	wasReset: () => boolean;
@@ -32,7 +34,16 @@
 };
 
 type ServerAddress = {id: string; address: string};
-type ConnectionOptions = {openConnection: ConnectionOpener; connectTimeoutMs: number};
+type ConnectionOptions = BackendConnectionOptions & {connectTimeoutMs: number};
+
+/** Dependencies of the connections to backend servers. */
+export type BackendConnectionOptions = {
+	openConnection: ConnectionOpener;
+	/** True while requests may use an open connection, by the entry that passes it on. */
+	isUsable: (tunnelPeerId: string | undefined) => boolean;
+	/** Called when bytes arrive on any connection. */
+	notifyReceived: () => void;
+};
 
 /** Connections to one backend server. */
 class ServerConnections {
@@ -50,6 +61,9 @@
 		const client = this.#idle.pop() ?? this.#open();
 		let isReleased = false;
 		return {
+			get tunnelPeerId() {
+				return client.tunnelPeerId;
+			},
 			dispatcher: client.client,
 			wasReset: () => client.wasReset,
 			subscribeToBytes(subscriber) {
@@ -90,6 +104,18 @@
 		await Promise.all([...this.#all].map(async ({client}) => client.destroy()));
 	}
 
+	/** Closes the idle connections that requests may no longer use. */
+	closeUnusable(): void {
+		for (const client of this.#idle.splice(0)) {
+			if (this.options.isUsable(client.tunnelPeerId)) {
+				this.#idle.push(client);
+			} else {
+				this.#all.delete(client);
+				void client.client.close();
+			}
+		}
+	}
+
 	#open(): SingleConnectionClient {
 		const client = new SingleConnectionClient(this.server, this.options);
 		this.#all.add(client);
@@ -102,11 +128,13 @@
 	readonly client: Client;
 	wasReset = false;
 	isOpen = false;
+	tunnelPeerId: string | undefined;
 	notifyEnd: (() => void) | undefined;
 	#receivedBytes = 0;
 	#notifyBytes: ((receivedBytes: number) => void) | undefined;
 
-	constructor(server: ServerAddress, {openConnection, connectTimeoutMs}: ConnectionOptions) {
+	constructor(server: ServerAddress, private readonly options: ConnectionOptions) {
+		const {openConnection, connectTimeoutMs} = options;
 		this.client = new Client(`http://${server.address}`, {
 			pipelining: 1,
 			headersTimeout: 0,
@@ -141,6 +169,7 @@
 			return;
 		}
 
+		this.tunnelPeerId = result.value.tunnelPeerId;
 		this.#watch(result.value.socket);
 		callback(null, result.value.socket);
 	}
@@ -159,6 +188,7 @@
 		socket.on('readable', () => {
 			this.#receivedBytes += socket.bytesRead - socketBytes;
 			socketBytes = socket.bytesRead;
+			this.options.notifyReceived();
 			this.#notifyBytes?.(this.#receivedBytes);
 		});
 	}
@@ -179,7 +209,7 @@
 	readonly #servers = new Map<string, ServerConnections>();
 	#connectTimeoutMs = minConnectTimeoutMs;
 
-	constructor(private readonly openConnection: ConnectionOpener) {}
+	constructor(private readonly options: BackendConnectionOptions) {}
 
 	/** Connect timeout in ms. */
 	get connectTimeoutMs(): number {
@@ -196,15 +226,23 @@
 		this.#connectTimeoutMs = Math.max(minConnectTimeoutMs, delayMs * connectTimeoutDelayFactor);
 	}
 
+	/** Closes the idle connections that requests may no longer use. */
+	closeUnusable(): void {
+		for (const connections of this.#servers.values()) {
+			connections.closeUnusable();
+		}
+	}
+
 	/** Acquires a connection to a backend server; returns undefined when none is idle and `limit` connections exist. */
 	acquire(server: {id: string; address: string}, limit: number): BackendConnection | undefined {
 		const known = this.#servers.get(server.id);
-		const connections = known?.address === server.address ? known : new ServerConnections(server, {openConnection: this.openConnection, connectTimeoutMs: this.#connectTimeoutMs});
+		const connections = known?.address === server.address ? known : new ServerConnections(server, {...this.options, connectTimeoutMs: this.#connectTimeoutMs});
 		if (known !== undefined && known !== connections) {
 			void known.close();
 		}
 
 		this.#servers.set(server.id, connections);
+		connections.closeUnusable();
 		return connections.idle === 0 && connections.size >= limit ? undefined : connections.acquire();
 	}
 
--- a/packages/relay/src/exchange/connection-opener.ts
+++ b/packages/relay/src/exchange/connection-opener.ts
@@ -9,15 +9,27 @@
 export type SocketOpener = (target: {host: string; port: number}) => Socket;
 
 /** An open connection to a backend server. */
-export type OpenedConnection = {socket: Socket};
+export type OpenedConnection = {
+	socket: Socket;
+	/** Id of the entry that passes the connection on; undefined for a direct connection. */
+	tunnelPeerId?: string;
+};
 
 /** Opens a connection to a backend server within `timeoutMs`; an error has the code of the operating system. */
 export type ConnectionOpener = (server: {id: string; address: string}, timeoutMs: number) => Promise<Result<OpenedConnection, Error>>;
 
 /** Opens TCP connections without delay for small writes. */
-export const openTcpSocket: SocketOpener = target => connect({
-	...target, noDelay: true, keepAlive: true, keepAliveInitialDelay: keepAliveProbeMs,
-});
+export const openTcpSocket: SocketOpener = target => {
+	const socket = connect(target);
+	configureSocket(socket);
+	return socket;
+};
+
+/** Sends small writes without delay, and lets the operating system probe an idle connection. */
+export const configureSocket = (socket: Socket): void => {
+	socket.setNoDelay(true);
+	socket.setKeepAlive(true, keepAliveProbeMs);
+};
 
 /** Opens a connection to `host:port` from this entry. */
 export const openDirectConnection = async (openSocket: SocketOpener, address: string, timeoutMs: number): Promise<Result<OpenedConnection, Error>> => {
--- a/packages/relay/src/exchange/reset-order.test.ts
+++ b/packages/relay/src/exchange/reset-order.test.ts
@@ -21,7 +21,7 @@
 	let serve: (socket: Socket) => void;
 
 	beforeEach(async () => {
-		connections = new BackendConnections(createDirectOpener(openTcpSocket));
+		connections = new BackendConnections({openConnection: createDirectOpener(openTcpSocket), isUsable: () => true, notifyReceived: () => undefined});
 		server = createServer(socket => {
 			socket.on('error', () => undefined);
 			socket.once('data', () => {
--- a/packages/relay/src/front/attempt-result.ts
+++ b/packages/relay/src/front/attempt-result.ts
@@ -13,6 +13,8 @@
 	hasHead?: boolean;
 	/** Requests per second that the backend server accepts from all entries, as its answer names it; undefined without a limit. */
 	requestsPerSecondLimit?: number | undefined;
+	/** Id of the entry that passed the request on; undefined when this entry sent it directly. */
+	tunnelPeerId?: string | undefined;
 	/**
 	 * True when the answer shows that the content was run to its end. A failure in place of a stream comes before the prompt is decoded,
 	 * and an answer that ends with its connection may end because its server does.
--- a/packages/relay/src/front/relay-request.ts
+++ b/packages/relay/src/front/relay-request.ts
@@ -261,7 +261,7 @@
 		log.writeRequest('attempt', this.#envelope.requestId, {
 			route: route.name, server: placed.server.id, inputs: placed.inputs, outcome: result.type,
 			...('cause' in result && {cause: result.cause}), ...('causeAddress' in result && {causeAddress: result.causeAddress}), ...('head' in result && {status: result.head.status}),
-			limit: result.requestsPerSecondLimit,
+			limit: result.requestsPerSecondLimit, tunnel: result.tunnelPeerId,
 			predictedMs: Math.round(placed.predictedFirstTokenMs),
 			firstByteMs: result.firstByteAt === undefined ? undefined : Math.round(result.firstByteAt - sentAt),
 			longestPauseMs: result.longestPauseMs === undefined ? undefined : Math.round(result.longestPauseMs),
--- a/packages/relay/src/front/relay-services.ts
+++ b/packages/relay/src/front/relay-services.ts
@@ -2,6 +2,7 @@
 import type {TimerService} from '@knapweedrack/entry/contracts';
 import type {EngineOrderCodec, RelayBounds, WireCodec} from '../contracts.js';
 import type {BackendConnections} from '../exchange/backend-connections.js';
+import type {ReachabilityTask} from '../tunnels/reachability-task.js';
 import type {SilentServerTask} from '../exchange/silent-server-task.js';
 import type {StoreStateTask} from '../store-state/store-state-task.js';
 import type {DecisionLog} from '../logging/decision-log.js';
@@ -21,6 +22,7 @@
 	storeState: StoreStateTask;
 	placement: PlacementTask;
 	connections: BackendConnections;
+	reachability: ReachabilityTask;
 	silentServers: SilentServerTask;
 	crashDetection: CrashDetectionTask;
 	quarantine: QuarantineTask;
--- a/packages/relay/src/front/run-attempt.ts
+++ b/packages/relay/src/front/run-attempt.ts
@@ -6,6 +6,7 @@
 import {
 	startAttempt, type AnswerHead, type AttemptEnd, type AttemptListener, type RunningAttempt,
 } from '../exchange/attempt.js';
+import type {BackendConnection} from '../exchange/backend-connections.js';
 import {EventSplitter} from '../exchange/event-splitter.js';
 import type {PlacedRequest} from '../placement/placement-task.js';
 import {lossKinds} from '../quarantine/crash-detection-task.js';
@@ -88,6 +89,7 @@
 	#isOver = false;
 	#postponeDueTime: ((dueAt: number) => void) | undefined;
 	#running: RunningAttempt | undefined;
+	#connection: BackendConnection | undefined;
 
 	constructor(
 		private readonly services: RelayServices,
@@ -96,7 +98,7 @@
 	) {}
 
 	start(): void {
-		const {services: {connections, wire, countEntries}, options: {placed, request, body, requestId, service}} = this;
+		const {services: {connections, reachability, wire, countEntries}, options: {placed, request, body, requestId, service}} = this;
 		const share = Math.max(1, Math.floor(service.maxConnections / Math.max(1, countEntries())));
 		const connection = connections.acquire(placed.server, share);
 		if (connection === undefined) {
@@ -113,8 +115,10 @@
 			wire.decodeAnswer,
 		);
 		this.#running = running;
+		this.#connection = connection;
 		// From here on bytes may be sent at any time, so the request counts as sent until the result of the attempt says otherwise.
 		this.options.setSent();
+		reachability.recordSent();
 		this.options.setCancel(() => {
 			running.cancel();
 			this.#finish({type: 'cancelled'});
@@ -369,6 +373,7 @@
 		this.resolve({
 			...result, firstByteAt: this.#firstByteAt, longestPauseMs: this.#longestPauseMs, hasCompleted: this.#hasCompleted,
 			hasHead: this.#head !== undefined, requestsPerSecondLimit: this.#head?.envelope.requestsPerSecondLimit,
+			tunnelPeerId: this.#connection?.tunnelPeerId,
 		});
 	}
 }
--- a/packages/relay/src/peers/peer-message.test.ts
+++ b/packages/relay/src/peers/peer-message.test.ts
@@ -6,7 +6,7 @@
 describe('peer messages', () => {
 	it('decodes an encoded message without loss', () => {
 		const message = {
-			entryId: 'a', bootId: 'b', sequence: 3, isReady: true, isStopping: false, callerAddress: '127.0.0.1:1', version: 9,
+			entryId: 'a', bootId: 'b', sequence: 3, isReady: true, isStopping: false, isCutOff: true, callerAddress: '127.0.0.1:1', version: 9,
 			loads: [{
 				serverId: 's', load: {
 					...noLoad, requests: 2, decodingRequests: 1, prefillMs: 40, helperPrefillMs: 30, pauses: [{targetMs: 200, streams: 2, value: 9}], prefills: [{ageMs: 5, targetMs: 300, value: 9}],
@@ -21,7 +21,7 @@
 			failureDomain: 'north', collectorId: 'a', bootId: 'b', sequence: 4, isRelayed: false,
 			loads: [{serverId: 's', load: {...noLoad, requests: 2, decodingRequests: 1}}],
 			entries: [{
-				entryId: 'c', bootId: 'd', isReady: true, isStopping: false, callerAddress: '127.0.0.1:1', version: 9, ageMs: 120,
+				entryId: 'c', bootId: 'd', isReady: true, isStopping: false, isCutOff: true, callerAddress: '127.0.0.1:1', version: 9, ageMs: 120,
 			}],
 		};
 		expect(decodePeerDatagram(encodeDomainSummary(summary), 0)).to.deep.equal({type: 'summary', summary});
--- a/packages/relay/src/peers/peer-message.ts
+++ b/packages/relay/src/peers/peer-message.ts
@@ -15,6 +15,8 @@
 	isStopping: z.boolean(),
 	/** `host:port` of the listener for callers, for peers that cannot read the store. Earlier versions of the entry do not send it. */
 	callerAddress: z.string().optional(),
+	/** True while the entry reaches no backend server by its own connections. Earlier versions of the entry do not send it. */
+	isCutOff: z.boolean().default(false),
 	/** Version of the configuration that the entry uses. */
 	version: z.number(),
 });
@@ -46,6 +48,8 @@
 	bootId: string;
 	isReady: boolean;
 	isStopping: boolean;
+	/** True while the entry reaches no backend server by its own connections. */
+	isCutOff: boolean;
 	/** `host:port` of the listener for callers. */
 	callerAddress: string | undefined;
 	version: number;
--- a/packages/relay/src/peers/peer-report-task.test.ts
+++ b/packages/relay/src/peers/peer-report-task.test.ts
@@ -68,7 +68,8 @@
 		return new QuarantineTask({
 			entryId: id, failureDomain, timer, log, metrics, store: store as ObjectStore, codec: codec as StoreCodec,
 			detection: new CrashDetectionTask({
-				timer, metrics, connections: new BackendConnections(createDirectOpener(openTcpSocket)), openSocket: openTcpSocket, findServer: () => undefined, notifyCrash: () => undefined,
+				timer, metrics, connections: new BackendConnections({openConnection: createDirectOpener(openTcpSocket), isUsable: () => true, notifyReceived: () => undefined}),
+				openSocket: openTcpSocket, checkReach: async () => true, findServer: () => undefined, notifyCrash: () => undefined,
 			}),
 			sendCrashReport(report, recipientId) {
 				task.sendCrashReport(report, recipientId);
@@ -86,7 +87,7 @@
 		member.task = new PeerReportTask({
 			entryId: entry.id, bootId, failureDomain: entry.failureDomain, callerAddress: entry.callerAddress,
 			address: {host, port: Number(entry.peerAddress.split(':')[1])}, timer, log, metrics: new RelayMetrics(), loads: member.loads,
-			isReady: () => true, isStopping: () => member.isStopping, getVersion: () => 1,
+			isReady: () => true, isStopping: () => member.isStopping, isCutOff: () => false, getVersion: () => 1,
 			acceptCrashReport(report) {
 				member.quarantine.acceptCrashReport(report);
 			},
--- a/packages/relay/src/peers/peer-report-task.ts
+++ b/packages/relay/src/peers/peer-report-task.ts
@@ -42,6 +42,8 @@
 	loads: LoadTable;
 	isReady: () => boolean;
 	isStopping: () => boolean;
+	/** True while this entry reaches no backend server by its own connections. */
+	isCutOff: () => boolean;
 	getVersion: () => number;
 	/** Called with the crash reports of other entries. */
 	acceptCrashReport: (report: CrashReport) => void;
@@ -154,6 +156,16 @@
 		return this.#states.isServing(entryId);
 	}
 
+	/** True while a peer serves callers and reaches backend servers by its own connections. */
+	isReachingServers(entryId: string): boolean {
+		return this.#states.isReachingServers(entryId);
+	}
+
+	/** Listed entries that serve callers and reach backend servers by their own connections, without this one. */
+	listReachingPeers(): RegisteredEntry[] {
+		return [...this.#peers.values()].filter(({id}) => this.#states.isReachingServers(id));
+	}
+
 	/** Caller addresses of the peers that sent a message recently and are ready, whether or not the store lists them. */
 	listServingAddresses(): string[] {
 		return this.#states.listServingAddresses();
@@ -353,9 +365,9 @@
 	}
 
 	#buildOwnState(): EntryState {
-		const {entryId, bootId, callerAddress, isReady, isStopping, getVersion} = this.#options;
+		const {entryId, bootId, callerAddress, isReady, isStopping, isCutOff, getVersion} = this.#options;
 		return {
-			entryId, bootId, callerAddress, isReady: isReady(), isStopping: isStopping(), version: getVersion(),
+			entryId, bootId, callerAddress, isReady: isReady(), isStopping: isStopping(), isCutOff: isCutOff(), version: getVersion(),
 		};
 	}
 
--- a/packages/relay/src/peers/peer-states.test.ts
+++ b/packages/relay/src/peers/peer-states.test.ts
@@ -2,7 +2,7 @@
 import {PeerStates} from './peer-states.js';
 
 const state = {
-	entryId: 'a', bootId: 'boot-1', isReady: true, isStopping: false, callerAddress: '127.0.0.1:1', version: 3,
+	entryId: 'a', bootId: 'boot-1', isReady: true, isStopping: false, isCutOff: false, callerAddress: '127.0.0.1:1', version: 3,
 };
 
 describe('peer states', () => {
--- a/packages/relay/src/peers/peer-states.ts
+++ b/packages/relay/src/peers/peer-states.ts
@@ -82,6 +82,11 @@
 		return this.isRunning(id) && (this.#states.get(id)?.isReady ?? true);
 	}
 
+	/** True while a peer serves callers and reaches backend servers by its own connections. */
+	isReachingServers(id: string): boolean {
+		return this.isServing(id) && !(this.#states.get(id)?.isCutOff ?? false);
+	}
+
 	/** Caller addresses of the peers that sent a message recently and are ready, whether or not the store lists them. */
 	listServingAddresses(): string[] {
 		return [...this.#states].filter(([id]) => this.isServing(id)).flatMap(([, {callerAddress}]) => callerAddress ?? []);
@@ -102,9 +107,9 @@
 	#setState(state: EntryState, sequence: number, receivedAt: number): EntryReportEffect {
 		const known = this.#states.get(state.entryId);
 		const effect = this.#decideEffect(known, state, receivedAt);
-		const {entryId, bootId, isReady, isStopping, callerAddress, version} = state;
+		const {entryId, bootId, isReady, isStopping, isCutOff, callerAddress, version} = state;
 		this.#states.set(entryId, {
-			entryId, bootId, isReady, isStopping, callerAddress, version, sequence: effect === reportEffects.restarted ? sequence : Math.max(sequence, known?.sequence ?? 0), receivedAt,
+			entryId, bootId, isReady, isStopping, isCutOff, callerAddress, version, sequence: effect === reportEffects.restarted ? sequence : Math.max(sequence, known?.sequence ?? 0), receivedAt,
 		});
 		return effect;
 	}
--- a/packages/relay/src/placement/placement-task.ts
+++ b/packages/relay/src/placement/placement-task.ts
@@ -95,6 +95,11 @@
 		this.#health.record(serverId, signal, this.#options.timer.now());
 	}
 
+	/** Forgets the health of all backend servers, after signals that had another cause. */
+	resetHealth(): void {
+		this.#health.retain(new Set());
+	}
+
 	/** Removes the state of all other backend servers. */
 	retain(serverIds: ReadonlySet<string>): void {
 		this.#health.retain(serverIds);
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -7,7 +7,7 @@
 	EngineOrderCodec, RegisteredEntry, RelayBounds, RelaySettings, StoreCodec, WireCodec,
 } from './contracts.js';
 import {BackendConnections} from './exchange/backend-connections.js';
-import {createDirectOpener, openTcpSocket, type SocketOpener} from './exchange/connection-opener.js';
+import {openTcpSocket, type SocketOpener} from './exchange/connection-opener.js';
 import {SilentServerTask} from './exchange/silent-server-task.js';
 import {FrontServer} from './front/front-server.js';
 import type {RelayServices} from './front/relay-services.js';
@@ -19,12 +19,17 @@
 import {PlacementTask} from './placement/placement-task.js';
 import {CrashDetectionTask} from './quarantine/crash-detection-task.js';
 import {QuarantineTask} from './quarantine/quarantine-task.js';
+import {ReachabilityTask} from './tunnels/reachability-task.js';
+import {ServerConnector} from './tunnels/server-connector.js';
+import {TunnelServer} from './tunnels/tunnel-server.js';
 import {ServerLimitTask} from './server-limits/server-limit-task.js';
 
 /** Time reserved at the end of the grace period for closing connections, in ms. */
 const connectionCloseMs = 400;
 /** Some callers cache the list of entries for up to this multiple of its lifetime. */
 const staleListFactor = 3;
+/** Share of the ready entries that must reach backend servers for callers to be sent to these alone. */
+const minReachingShare = 0.25;
 /** Time without an open request after which the process may stop, in ms. */
 const idleBeforeStopMs = 300;
 
@@ -55,6 +60,8 @@
 	readonly #crashDetection: CrashDetectionTask;
 	readonly #quarantine: QuarantineTask;
 	readonly #serverLimits: ServerLimitTask;
+	readonly #reachability: ReachabilityTask;
+	readonly #tunnels: TunnelServer;
 	readonly #connections: BackendConnections;
 	readonly #budgets = new Map<string, SharedRetryBudget>();
 	readonly #front: FrontServer;
@@ -65,7 +72,6 @@
 	constructor(options: RelayOptions) {
 		this.#options = options;
 		const {settings, store, codec, wire, openSocket = openTcpSocket} = options;
-		this.#connections = new BackendConnections(createDirectOpener(openSocket));
 		this.#startedAt = settings.isFirstStart ? Number.NEGATIVE_INFINITY : this.timer.now();
 		// All tasks share this object, so that `applySettings` takes effect at once.
 		this.#bounds = {...settings.bounds};
@@ -74,6 +80,32 @@
 		this.#log = options.log ?? createDecisionLog(settings.entryId, () => timer.now());
 		const log = this.#log;
 		const metrics = this.#metrics;
+		const getConnectTimeoutMs = (): number => this.#connections.connectTimeoutMs;
+		this.#reachability = new ReachabilityTask({
+			timer, log, metrics, openSocket, getConnectTimeoutMs, random: Math.random,
+			listServers: () => this.#storeState.listServers(),
+			notifyChange: () => {
+				// What failed before was the link of this entry, not the servers.
+				this.#placement.resetHealth();
+				this.#connections.closeUnusable();
+				this.#peers.notifyState();
+			},
+		});
+		const connector = new ServerConnector({
+			entryId: settings.entryId, metrics, openSocket, reachability: this.#reachability, random: Math.random,
+			listTunnelPeers: () => this.#listTunnelPeers(),
+		});
+		this.#connections = new BackendConnections({
+			openConnection: async (server, timeoutMs) => connector.open(server, timeoutMs),
+			isUsable: tunnelPeerId => connector.isUsable(tunnelPeerId),
+			notifyReceived: () => {
+				this.#reachability.recordReceived();
+			},
+		});
+		this.#tunnels = new TunnelServer({
+			timer, log, metrics, openSocket, reachability: this.#reachability, getConnectTimeoutMs,
+			findServerByAddress: address => this.#storeState.findServerByAddress(address),
+		});
 		this.#storeState = new StoreStateTask({
 			entryId: settings.entryId,
 			store, codec, timer, log, metrics, bounds,
@@ -121,6 +153,7 @@
 			address: parseAddress(settings.peerAddress), timer, log, metrics, loads: this.#placement.loads,
 			isReady: () => this.isReady(),
 			isStopping: () => this.#stoppingSince !== undefined,
+			isCutOff: () => !this.#reachability.isReaching,
 			getVersion: () => this.#storeState.table?.configuration.version ?? 0,
 			notifyStarted: entryId => {
 				this.#quarantine.handleEntryStarted(entryId);
@@ -140,7 +173,9 @@
 			self, bootId, store, codec, timer, log, storeState: this.#storeState, peers: this.#peers,
 		});
 		this.#crashDetection = new CrashDetectionTask({
-			timer, metrics, connections: this.#connections, openSocket, findServer: serverId => this.#storeState.findServer(serverId),
+			timer, metrics, connections: this.#connections, openSocket,
+			checkReach: async serverId => this.#reachability.checkAfterFailure(serverId),
+			findServer: serverId => this.#storeState.findServer(serverId),
 			notifyCrash: (attempt, evidence) => {
 				this.#quarantine.recordCrash(attempt, evidence);
 			},
@@ -155,7 +190,7 @@
 			readWallClock: Date.now,
 		});
 		const services: RelayServices = {
-			bounds, wire, timer, log, metrics, storeState: this.#storeState, placement: this.#placement, connections: this.#connections, orders: options.orders, silentServers,
+			bounds, wire, timer, log, metrics, storeState: this.#storeState, placement: this.#placement, connections: this.#connections, reachability: this.#reachability, orders: options.orders, silentServers,
 			crashDetection: this.#crashDetection, quarantine: this.#quarantine, serverLimits: this.#serverLimits,
 			getBudget: service => this.#getBudget(service),
 			countEntries: () => this.#countEntries(),
@@ -172,6 +207,8 @@
 		const {host, port} = parseAddress(settings.callerAddress);
 		await this.#front.startListening(host, port);
 		await this.#peers.start();
+		const peerAddress = parseAddress(settings.peerAddress);
+		await this.#tunnels.startListening(peerAddress.host, peerAddress.port);
 		if (settings.metrics !== undefined) {
 			serveMetrics(this.#metrics, {...parseAddress(settings.metrics.address), path: settings.metrics.path});
 		}
@@ -193,7 +230,7 @@
 	/**
 	 * Lists the `host:port` addresses that callers may use now, including this entry's. While most running entries are not ready,
 	 * for example after an outage of the store, all running entries are listed, because the first few that become ready could not
-	 * serve all callers. An entry that has not read the list of entries knows only the peers that send it load reports.
+	 * serve all callers. Entries that reach no backend server are left out while enough others do. An entry that has not read the list of entries knows only the peers that send it load reports.
 	 */
 	listCallerAddresses(): string[] {
 		const {entryId, callerAddress} = this.#options.settings;
@@ -204,10 +241,18 @@
 		const otherEntries = [...this.#storeState.entries.values()].filter(({id}) => id !== entryId);
 		const running = otherEntries.filter(({id}) => this.#peers.isRunning(id)).map(entry => entry.callerAddress);
 		const ready = otherEntries.filter(({id}) => this.#peers.isServing(id)).map(entry => entry.callerAddress);
+		const reaching = otherEntries.filter(({id}) => this.#peers.isReachingServers(id)).map(entry => entry.callerAddress);
 		const ownAddresses = this.#stoppingSince === undefined ? [callerAddress] : [];
 		const readyOwnAddresses = this.isReady() ? ownAddresses : [];
+		const reachingOwnAddresses = this.#reachability.isReaching ? readyOwnAddresses : [];
 		const isMostReady = (readyOwnAddresses.length + ready.length) * 2 >= ownAddresses.length + running.length;
-		return [...new Set(isMostReady ? [...readyOwnAddresses, ...ready] : [...ownAddresses, ...running])];
+		if (!isMostReady) {
+			return [...new Set([...ownAddresses, ...running])];
+		}
+
+		const allReady = [...new Set([...readyOwnAddresses, ...ready])];
+		const allReaching = [...new Set([...reachingOwnAddresses, ...reaching])];
+		return allReaching.length >= allReady.length * minReachingShare ? allReaching : allReady;
 	}
 
 	/** Time for which callers may cache the list of entries, in ms. */
@@ -243,8 +288,10 @@
 		const deadline = now + bounds.graceMs - connectionCloseMs;
 		await waitFor(this.timer, Math.min(bounds.entryListLifetimeMs * staleListFactor, (deadline - now) / 2));
 		await this.#front.waitUntilIdle(idleBeforeStopMs, deadline);
+		await this.#tunnels.waitUntilClosed(deadline);
 		this.#log.write('process.stopped', {openRequests: this.#front.openRequests});
 		this.#front.close();
+		this.#tunnels.close();
 		this.#storeState.stop();
 		this.#quarantine.stop();
 		this.#serverLimits.stop();
@@ -254,6 +301,12 @@
 		this.#log.flush();
 	}
 
+	/** Lists the entries that may pass on connections of this one: those in its region, which may receive the bodies of its callers. */
+	#listTunnelPeers(): RegisteredEntry[] {
+		const {regionDomains} = this.#options.settings;
+		return this.#peers.listReachingPeers().filter(({failureDomain}) => regionDomains?.has(failureDomain) ?? true);
+	}
+
 	#countEntries(): number {
 		return Math.max(1, this.#storeState.entries.size);
 	}
@@ -268,6 +321,8 @@
 
 	#addGauges(): void {
 		const metrics = this.#metrics;
+		metrics.addGauge('reaches_servers', () => this.#reachability.isReaching ? 1 : 0);
+		metrics.addGauge('open_tunnels', () => this.#tunnels.size);
 		metrics.addGauge('open_requests', () => this.#front.openRequests);
 		metrics.addGauge('requests', () => this.#front.totalRequests);
 		metrics.addGauge('entries', () => this.#storeState.entries.size);
--- a/packages/relay/src/store-state/store-state-task.ts
+++ b/packages/relay/src/store-state/store-state-task.ts
@@ -129,6 +129,11 @@
 		return (this.#serversByService.get(service) ?? []).filter(server => this.isUsable(server));
 	}
 
+	/** All backend servers that the store lists and that may receive new requests. */
+	listServers(): KnownServer[] {
+		return [...this.#servers.values()].filter(server => this.isUsable(server));
+	}
+
 	/** True while a backend server may receive new requests: it is known, not draining, and its failure domain is in service. */
 	isUsable({id, failureDomain}: {id: string; failureDomain: string}): boolean {
 		const server = this.#servers.get(id);
--- /dev/null
+++ b/packages/relay/src/tunnels/open-tunnel.ts
@@ -0,0 +1,50 @@
+import {once} from 'node:events';
+import {request, type IncomingMessage} from 'node:http';
+import type {Socket} from 'node:net';
+import {createError, createOk, type Result} from '@knapweedrack/core';
+import {configureSocket} from '../exchange/connection-opener.js';
+
+/** Header with the id of the entry that asks for a tunnel. */
+export const tunnelSenderHeader = 'knapweedrack-entry';
+/** Header of a refusal with the code of the error, as of the operating system where there is one. */
+export const tunnelErrorHeader = 'knapweedrack-error';
+
+/** A tunnel that was not opened. */
+export class TunnelError extends Error {
+	constructor(readonly code: string, message: string) {
+		super(message);
+	}
+}
+
+/** Asks another entry to open a connection to a backend server (`host:port`) and to pass its bytes in both directions. */
+export const openTunnel = async ({peerAddress, entryId, address, timeoutMs}: {
+	/** `host:port` of the other entry. */
+	peerAddress: string;
+	/** Id of this entry. */
+	entryId: string;
+	address: string;
+	/** Time for both connections together, in ms. */
+	timeoutMs: number;
+}): Promise<Result<Socket, Error>> => {
+	const [host, port] = peerAddress.split(':');
+	const asked = request({
+		host, port, method: 'CONNECT', path: address, headers: {[tunnelSenderHeader]: entryId}, agent: false,
+	});
+	// Without a listener, an error after the deadline would end the process.
+	asked.on('error', () => undefined);
+	asked.end();
+	try {
+		const [answer, socket] = await once(asked, 'connect', {signal: AbortSignal.timeout(timeoutMs)}) as [IncomingMessage, Socket];
+		socket.on('error', () => undefined);
+		if (answer.statusCode !== 200) {
+			socket.destroy();
+			return createError(new TunnelError(String(answer.headers[tunnelErrorHeader] ?? 'TUNNEL_REFUSED'), `${peerAddress} has opened no tunnel: status ${answer.statusCode}`));
+		}
+
+		configureSocket(socket);
+		return createOk(socket);
+	} catch (error) {
+		asked.destroy();
+		return createError(new TunnelError('TUNNEL_PEER_LOST', `no tunnel through ${peerAddress}: ${(error as Error).message}`));
+	}
+};
--- /dev/null
+++ b/packages/relay/src/tunnels/server-connector.ts
@@ -0,0 +1,91 @@
+import {createError, createOk, type Result} from '@knapweedrack/core';
+import {openDirectConnection, type OpenedConnection, type SocketOpener} from '../exchange/connection-opener.js';
+import type {RelayMetrics} from '../metrics/relay-metrics.js';
+import {openTunnel, TunnelError} from './open-tunnel.js';
+import type {ReachabilityTask} from './reachability-task.js';
+
+/** Most entries that are asked for a tunnel before a connection fails. */
+const tunnelAttempts = 3;
+/** Time for a tunnel as a multiple of the connect timeout: the connection to the other entry, and its connection to the server. */
+const tunnelTimeoutFactor = 2;
+
+/** Another entry that can pass connections on. */
+export type TunnelPeer = {id: string; peerAddress: string};
+
+/** Dependencies of the server connector. */
+export type ServerConnectorOptions = {
+	entryId: string;
+	metrics: RelayMetrics;
+	openSocket: SocketOpener;
+	reachability: ReachabilityTask;
+	/** Entries that serve and reach backend servers by connections of their own. */
+	listTunnelPeers: () => TunnelPeer[];
+	/** Returns a random number in [0, 1). */
+	random: () => number;
+};
+
+/** Opens connections to backend servers: directly, or through another entry while this one reaches none. */
+export class ServerConnector {
+	readonly #options: ServerConnectorOptions;
+
+	constructor(options: ServerConnectorOptions) {
+		this.#options = options;
+	}
+
+	/** Opens a connection within `timeoutMs`, or within a multiple of it through another entry. */
+	async open(server: {id: string; address: string}, timeoutMs: number): Promise<Result<OpenedConnection, Error>> {
+		const {openSocket, reachability} = this.#options;
+		const tunnel = reachability.isReaching ? undefined : await this.#openThroughPeers(server, timeoutMs);
+		if (tunnel !== undefined) {
+			return tunnel;
+		}
+
+		const opened = await openDirectConnection(openSocket, server.address, timeoutMs);
+		if (opened.ok) {
+			reachability.recordConnected(server.id);
+			return opened;
+		}
+
+		if (await reachability.checkAfterFailure(server.id)) {
+			return opened;
+		}
+
+		// The code of the failed connection would tell something about the server.
+		return await this.#openThroughPeers(server, timeoutMs) ?? createError(new TunnelError('NO_SERVER_REACHED', 'neither this entry nor another one reaches a backend server'));
+	}
+
+	/** True while requests may use an open connection: direct ones while servers are reached, others while their entry passes them on. */
+	isUsable(tunnelPeerId: string | undefined): boolean {
+		const {reachability, listTunnelPeers} = this.#options;
+		if (reachability.isReaching) {
+			return tunnelPeerId === undefined;
+		}
+
+		const peers = listTunnelPeers();
+		return tunnelPeerId === undefined ? peers.length === 0 : peers.some(({id}) => id === tunnelPeerId);
+	}
+
+	/** Returns undefined when there is no entry to ask. */
+	async #openThroughPeers({address}: {address: string}, timeoutMs: number): Promise<Result<OpenedConnection, Error> | undefined> {
+		const {entryId, metrics, listTunnelPeers, random} = this.#options;
+		const peers = listTunnelPeers().map(peer => ({...peer, rank: random()})).toSorted((a, b) => a.rank - b.rank);
+		let failure: Result<OpenedConnection, Error> | undefined;
+		for (const {id, peerAddress} of peers.slice(0, tunnelAttempts)) {
+			const tunnel = await openTunnel({
+				peerAddress, entryId, address, timeoutMs: timeoutMs * tunnelTimeoutFactor,
+			});
+			if (tunnel.ok) {
+				metrics.countEvent('tunnel.used');
+				return createOk({socket: tunnel.value, tunnelPeerId: id});
+			}
+
+			metrics.countEvent('tunnel.failed');
+			failure = createError(tunnel.error);
+			if ((tunnel.error as NodeJS.ErrnoException).code === 'ECONNREFUSED') {
+				break;
+			}
+		}
+
+		return failure;
+	}
+}
--- /dev/null
+++ b/packages/relay/src/tunnels/tunnel-server.ts
@@ -0,0 +1,151 @@
+import {createServer, type IncomingMessage, type Server} from 'node:http';
+import type {Socket} from 'node:net';
+import type {Duplex} from 'node:stream';
+import type {TimerService} from '@knapweedrack/entry/contracts';
+import {openDirectConnection, type SocketOpener} from '../exchange/connection-opener.js';
+import {watchReset} from '../exchange/reset-watch.js';
+import type {DecisionLog} from '../logging/decision-log.js';
+import type {RelayMetrics} from '../metrics/relay-metrics.js';
+import {tunnelErrorHeader, tunnelSenderHeader} from './open-tunnel.js';
+import type {ReachabilityTask} from './reachability-task.js';
+
+/** Most tunnels that an entry passes on at a time; each has two sockets. */
+const tunnelLimit = 500;
+/** Interval at which a stopping process checks whether all tunnels have ended, in ms. */
+const drainCheckMs = 25;
+
+/** Dependencies of the tunnel server. */
+export type TunnelServerOptions = {
+	timer: TimerService;
+	log: DecisionLog;
+	metrics: RelayMetrics;
+	openSocket: SocketOpener;
+	reachability: ReachabilityTask;
+	/** Finds a backend server by `host:port`; tunnels lead to nothing else. */
+	findServerByAddress: (address: string) => {id: string} | undefined;
+	/** Timeout of a connection to a backend server, in ms. */
+	getConnectTimeoutMs: () => number;
+};
+
+/**
+ * Passes connections of other entries on to backend servers, for entries whose own links are cut. The entry that asks decides and
+ * answers for its requests as over a connection of its own; a tunnel always continues with a direct connection.
+ */
+export class TunnelServer {
+	readonly #options: TunnelServerOptions;
+	readonly #server: Server;
+	readonly #tunnels = new Set<Duplex>();
+
+	constructor(options: TunnelServerOptions) {
+		this.#options = options;
+		this.#server = createServer((_request, response) => {
+			response.writeHead(405, {'content-length': 0}).end();
+		});
+		this.#server.on('connect', (request: IncomingMessage, socket: Duplex) => {
+			void this.#open(request, socket);
+		});
+	}
+
+	/** Number of open tunnels. */
+	get size(): number {
+		return this.#tunnels.size;
+	}
+
+	/** Opens the listener; rejects when it cannot be opened. */
+	async startListening(host: string, port: number): Promise<void> {
+		return new Promise((resolve, reject) => {
+			this.#server.once('error', reject);
+			this.#server.listen(port, host, () => {
+				this.#server.off('error', reject);
+				resolve();
+			});
+		});
+	}
+
+	/** Waits until all tunnels have been closed by the entries that use them, at most until `deadline` (a time of the timer service, in ms). */
+	async waitUntilClosed(deadline: number): Promise<void> {
+		return new Promise(resolve => {
+			const unsubscribe = this.#options.timer.subscribe(drainCheckMs, now => {
+				if (this.size === 0 || now >= deadline) {
+					unsubscribe();
+					resolve();
+				}
+			});
+		});
+	}
+
+	close(): void {
+		this.#server.close();
+		this.#server.closeAllConnections();
+		for (const tunnel of this.#tunnels) {
+			tunnel.destroy();
+		}
+	}
+
+	async #open(request: IncomingMessage, tunnel: Duplex): Promise<void> {
+		const {openSocket, reachability, findServerByAddress, getConnectTimeoutMs, log, metrics} = this.#options;
+		const address = request.url ?? '';
+		const sender = request.headers[tunnelSenderHeader];
+		const server = findServerByAddress(address);
+		tunnel.on('error', () => undefined);
+		const refusal = this.#findRefusal(server);
+		if (server === undefined || refusal !== undefined) {
+			this.#refuse(tunnel, {sender, address, code: refusal ?? 'UNKNOWN_SERVER'});
+			return;
+		}
+
+		this.#tunnels.add(tunnel);
+		tunnel.on('close', () => {
+			this.#tunnels.delete(tunnel);
+		});
+		const opened = await openDirectConnection(openSocket, address, getConnectTimeoutMs());
+		if (!opened.ok) {
+			// A refused connection tells something about the server only while this entry reaches others.
+			const isReaching = await reachability.checkAfterFailure(server.id);
+			this.#refuse(tunnel, {sender, address, code: isReaching ? (opened.error as NodeJS.ErrnoException).code ?? opened.error.message : 'NO_SERVER_REACHED'});
+			return;
+		}
+
+		metrics.countEvent('tunnel.opened');
+		log.write('tunnel.opened', {sender, server: server.id, open: this.size});
+		passBytes(tunnel as Socket, opened.value.socket);
+	}
+
+	#findRefusal(server: {id: string} | undefined): string | undefined {
+		if (server === undefined) {
+			return 'UNKNOWN_SERVER';
+		}
+
+		if (!this.#options.reachability.isReaching) {
+			return 'NO_SERVER_REACHED';
+		}
+
+		return this.size >= tunnelLimit ? 'TUNNEL_LIMIT' : undefined;
+	}
+
+	#refuse(tunnel: Duplex, {sender, address, code}: {sender: unknown; address: string; code: string}): void {
+		const {log, metrics} = this.#options;
+		metrics.countEvent('tunnel.refused');
+		log.write('tunnel.refused', {sender, address, code});
+		tunnel.end(`HTTP/1.1 502 Bad Gateway\r\n${tunnelErrorHeader}: ${code}\r\n\r\n`);
+	}
+}
+
+/** Passes bytes in both directions until one side ends; a reset by the backend server stays a reset. */
+const passBytes = (tunnel: Socket, server: Socket): void => {
+	tunnel.write('HTTP/1.1 200 Connection Established\r\n\r\n');
+	watchReset(server, () => {
+		tunnel.resetAndDestroy();
+	});
+	server.on('close', () => {
+		tunnel.end();
+	});
+	for (const event of ['end', 'close']) {
+		tunnel.on(event, () => {
+			server.destroy();
+		});
+	}
+
+	server.pipe(tunnel);
+	tunnel.pipe(server);
+};
--- a/packages/testkit/src/users-platform/server-link.ts
+++ b/packages/testkit/src/users-platform/server-link.ts
@@ -117,6 +117,8 @@
 	},
 	refuse: () => undefined,
 	none(near, far) {
+		near.unpipe(far);
+		far.unpipe(near);
 		near.pipe(far);
 		far.pipe(near);
 	},
