Test requests through another entry

Guards the promises of a request whose connection passes another entry: events arrive one by one, a caller that leaves ends the work, an answer without a length that is reset is not complete and one that is closed is, requests finish while the other entry stops, one that outlasts it does not run again, and a tunnel leads only to listed servers. The stand-in link now passes resets on; before, it turned them into closes, so that the third case failed by the stand-in (200 in place of 502).

--- a/packages/testkit/src/users-platform/server-link.ts
+++ b/packages/testkit/src/users-platform/server-link.ts
@@ -74,8 +74,13 @@
 		this.#pairs.add(pair);
 		for (const [socket, other] of [pair, pair.toReversed() as [Socket, Socket]]) {
 			socket.on('error', () => undefined);
-			socket.on('close', () => {
-				other.destroy();
+			socket.on('close', hasFailed => {
+				if (hasFailed) {
+					other.resetAndDestroy();
+				} else {
+					other.destroy();
+				}
+
 				this.#pairs.delete(pair);
 			});
 		}
