Do not continue a stream after an event without an id

What callers would have seen: events that arrive twice. Cause: a broken stream continued after the last id that had been passed on, even where events without an id had followed it. A server that continues there sends these again, or, without any id, the whole stream. Change: a stream continues only while its last event with data has an id; a silent server does not end such a stream either.

--- a/packages/relay/src/exchange/event-splitter.ts
+++ b/packages/relay/src/exchange/event-splitter.ts
@@ -3,9 +3,17 @@
 const lineFeed = 0x0A;
 const carriageReturn = 0x0D;
 const idField = Buffer.from('id:');
+const dataField = Buffer.from('data:');
 
-/** Bytes and number of the complete events, and the id of the last event that has one. */
-export type SplitEvents = {bytes: Buffer | undefined; count: number; lastEventId: string | undefined};
+/** Complete events. */
+export type SplitEvents = {
+	bytes: Buffer | undefined;
+	count: number;
+	/** Id of the last event that has one. */
+	lastEventId: string | undefined;
+	/** True when the last event with data has an id, so that a stream can continue after it; undefined without events with data. */
+	endsWithId: boolean | undefined;
+};
 
 /**
  * Splits a stream of server-sent events at event boundaries. An event that the backend server did not finish
@@ -38,12 +46,16 @@
 		const end = ends.at(-1);
 		if (end === undefined) {
 			this.#held = bytes;
-			return {bytes: undefined, count: 0, lastEventId: undefined};
+			return {
+				bytes: undefined, count: 0, lastEventId: undefined, endsWithId: undefined,
+			};
 		}
 
 		this.#held = bytes.subarray(end);
 		const complete = bytes.subarray(0, end);
-		return {bytes: complete, count: ends.length, lastEventId: findLastId(complete)};
+		return {
+			bytes: complete, count: ends.length, lastEventId: findLastId(complete), endsWithId: isLastEventIdentified(complete, ends),
+		};
 	}
 }
 
@@ -65,6 +77,28 @@
 const isBlank = (bytes: Buffer, start: number, end: number): boolean =>
 	end === start || (end === start + 1 && bytes[start] === carriageReturn);
 
+/** Checks the last event that has data; comments and other events without data are not repeated by a resumed stream. */
+const isLastEventIdentified = (bytes: Buffer, ends: readonly number[]): boolean | undefined => {
+	for (let index = ends.length - 1; index >= 0; index--) {
+		const event = bytes.subarray(ends[index - 1] ?? 0, ends[index]);
+		if (hasField(event, dataField)) {
+			return hasField(event, idField);
+		}
+	}
+
+	return undefined;
+};
+
+const hasField = (event: Buffer, field: Buffer): boolean => {
+	for (let at = event.indexOf(field); at !== -1; at = event.indexOf(field, at + 1)) {
+		if (at === 0 || event[at - 1] === lineFeed) {
+			return true;
+		}
+	}
+
+	return false;
+};
+
 const findLastId = (bytes: Buffer): string | undefined => {
 	for (let at = bytes.lastIndexOf(idField); at !== -1; at = at === 0 ? -1 : bytes.lastIndexOf(idField, at - 1)) {
 		if (at === 0 || bytes[at - 1] === lineFeed) {
--- a/packages/relay/src/front/relay-request.ts
+++ b/packages/relay/src/front/relay-request.ts
@@ -57,7 +57,7 @@
 		this.#request = request;
 		this.#envelope = services.wire.decodeRequest(request.headers);
 		this.#arrivedAt = services.timer.now();
-		this.#progress = {lastEventId: this.#envelope.lastEventId};
+		this.#progress = {lastEventId: this.#envelope.lastEventId, isResumable: true};
 		this.#writer = new AnswerWriter(response, () => services.getStoppingMs() !== undefined);
 	}
 
@@ -296,7 +296,7 @@
 	#isRetryAllowed(result: AttemptResult, route: Route, service: Service): boolean {
 		const {getBudget, timer, countEntries} = this.#services;
 		const isSafe = result.type === 'not_sent' || (result.type === 'not_run' && !this.#mayHaveRun) || isRepeatable(route);
-		const isAnswerable = this.#writer.isOpen || (this.#writer.canContinue && isRepeatable(route));
+		const isAnswerable = this.#writer.isOpen || (this.#writer.canContinue && isRepeatable(route) && this.#progress.isResumable);
 		if (!isSafe || !isAnswerable || this.#computeRemainingMs(route) <= 0 || this.#sentAttempts >= route.attemptLimit) {
 			return false;
 		}
--- a/packages/relay/src/front/run-attempt.ts
+++ b/packages/relay/src/front/run-attempt.ts
@@ -35,7 +35,11 @@
 const overduePassFactor = 4;
 
 /** Last event of a stream that the caller has received; the next attempt continues after it. */
-export type StreamProgress = {lastEventId: string | undefined};
+export type StreamProgress = {
+	lastEventId: string | undefined;
+	/** False once the caller has received an event without an id: a stream that continued would repeat it. */
+	isResumable: boolean;
+};
 
 /** Input of one attempt of a request. */
 export type AttemptOptions = {
@@ -142,7 +146,7 @@
 			return this.hold(chunk);
 		}
 
-		const {bytes, lastEventId} = this.#splitter.add(chunk);
+		const {bytes, lastEventId, endsWithId} = this.#splitter.add(chunk);
 		if (bytes === undefined) {
 			if (this.#splitter.heldBytes > unforwardedLimitBytes) {
 				this.#abort('an event of the stream is too long');
@@ -159,6 +163,7 @@
 		}
 
 		progress.lastEventId = lastEventId ?? progress.lastEventId;
+		progress.isResumable = endsWithId ?? progress.isResumable;
 		return writer.write(bytes);
 	}
 
@@ -263,13 +268,19 @@
 
 	/** Registers a stream for cancellation together with the other streams of its backend server, once the server is silent. */
 	#watchSilence(cancelAttempt: () => void): void {
-		const {services: {silentServers, timer}, options: {placed, route, isLast}} = this;
+		const {services: {silentServers, timer}, options: {placed, route, isLast, progress}} = this;
 		if (route.execution !== executionKinds.stream) {
 			return;
 		}
 
 		const dueAt = timer.now() + (placed.predictedFirstTokenMs * firstTokenFactor) + firstTokenMarginMs;
-		const attempt = silentServers.add(placed.server.id, dueAt, isRepeatable(route) && !isLast ? cancelAttempt : undefined);
+		const cancelResumable = (): void => {
+			if (progress.isResumable) {
+				cancelAttempt();
+			}
+		};
+
+		const attempt = silentServers.add(placed.server.id, dueAt, isRepeatable(route) && !isLast ? cancelResumable : undefined);
 		this.#postponeDueTime = attempt.postpone;
 		this.#cleanups.push(attempt.remove);
 	}
