--- a/packages/core/src/health/server-reachability.test.ts
+++ b/packages/core/src/health/server-reachability.test.ts
@@ -5,7 +5,7 @@
 	let reachability: ServerReachability;
 
 	beforeEach(() => {
-		reachability = new ServerReachability();
+		reachability = new ServerReachability(() => 400);
 	});
 
 	const probe = (reached: number, now: number, tried = 3): boolean => {
--- a/packages/core/src/health/server-reachability.ts
+++ b/packages/core/src/health/server-reachability.ts
@@ -1,8 +1,6 @@
 /** Result of opening connections to several backend servers at once. */
 export type ProbeResult = {tried: number; reached: number};
 
-/** Time without a byte from any backend server, while requests wait for answers, after which the servers are probed, in ms. */
-const silenceLimitMs = 400;
 /** Shortest time between two probes while servers are reached, in ms. */
 const suspicionIntervalMs = 250;
 /** Time between two probes while no server is reached, in ms. */
@@ -20,6 +18,9 @@
 	#probedAt = Number.NEGATIVE_INFINITY;
 	#goodProbes = 0;
 
+	/** `getSilenceLimitMs` returns the time without a byte from any server, while requests wait, after which the servers are probed. */
+	constructor(private readonly getSilenceLimitMs: () => number) {}
+
 	/** False after a probe that reached no server, until probes reach most servers again. */
 	get isReaching(): boolean {
 		return this.#isReaching;
@@ -38,7 +39,7 @@
 	/** True when the servers should be probed without a failed connection: all are silent, or none was reached before. */
 	isProbeDue(now: number): boolean {
 		return this.#isReaching
-			? now - (this.#waitingSince ?? now) >= silenceLimitMs && this.isProbeOutdated(now)
+			? now - (this.#waitingSince ?? now) >= this.getSilenceLimitMs() && this.isProbeOutdated(now)
 			: now - this.#probedAt >= recoveryIntervalMs;
 	}
 
--- a/packages/relay/src/peers/peer-message.ts
+++ b/packages/relay/src/peers/peer-message.ts
@@ -81,14 +81,18 @@
 
 /** Encodes a load report as JSON. */
 export const encodePeerMessage = (message: PeerMessage): Buffer => Buffer.from(JSON.stringify({
-	...message, loads: message.loads.map(load => encodeLoad(load)),
+	...encodeState(message), loads: message.loads.map(load => encodeLoad(load)),
 }));
 
 /** Encodes a summary as JSON; the field `summaryOf` distinguishes it from a load report. */
 export const encodeDomainSummary = ({failureDomain, ...summary}: DomainSummary): Buffer => Buffer.from(JSON.stringify({
-	...summary, summaryOf: failureDomain, loads: summary.loads.map(load => encodeLoad(load)),
+	...summary, summaryOf: failureDomain, loads: summary.loads.map(load => encodeLoad(load)), entries: summary.entries.map(entry => encodeState(entry)),
 }));
 
+/** Omits a flag that is almost always false, since each entry sends its state to all members twice a second. */
+const encodeState = <State extends EntryState>({isCutOff, ...state}: State): Omit<State, 'isCutOff'> & {isCutOff?: true} =>
+	isCutOff ? {...state, isCutOff} : state;
+
 /** Decodes a datagram that arrived at `now`; returns undefined when it is no load report, summary, crash report or limit report. */
 export const decodePeerDatagram = (bytes: Buffer, now: number): PeerDatagram | undefined => {
 	const value = parseJson(bytes.toString('utf8'));
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -82,7 +82,7 @@
 		const metrics = this.#metrics;
 		const getConnectTimeoutMs = (): number => this.#connections.connectTimeoutMs;
 		this.#reachability = new ReachabilityTask({
-			timer, log, metrics, openSocket, getConnectTimeoutMs, random: Math.random,
+			timer, bounds, log, metrics, openSocket, getConnectTimeoutMs, random: Math.random,
 			listServers: () => this.#storeState.listServers(),
 			notifyChange: () => {
 				// What failed before was the link of this entry, not the servers.
--- a/packages/relay/src/tunnels/reachability-task.ts
+++ b/packages/relay/src/tunnels/reachability-task.ts
@@ -1,17 +1,21 @@
 import {ServerReachability} from '@knapweedrack/core';
 import type {TimerService} from '@knapweedrack/entry/contracts';
+import type {RelayBounds} from '../contracts.js';
 import {openDirectConnection, type SocketOpener} from '../exchange/connection-opener.js';
 import type {DecisionLog} from '../logging/decision-log.js';
 import type {RelayMetrics} from '../metrics/relay-metrics.js';
 
 /** Interval between checks whether a probe is due, in ms. */
 const checkMs = 100;
+/** Silence of all backend servers after which they are probed, as a share of the settle time. */
+const silenceShare = 0.2;
 /** Number of backend servers that one probe opens connections to. */
 const probedServerCount = 3;
 
 /** Dependencies of the reachability task. */
 export type ReachabilityOptions = {
 	timer: TimerService;
+	bounds: Pick<RelayBounds, 'settleMs'>;
 	log: DecisionLog;
 	metrics: RelayMetrics;
 	openSocket: SocketOpener;
@@ -27,13 +31,14 @@
 /** Finds out whether this entry reaches backend servers by connections of its own. */
 export class ReachabilityTask {
 	readonly #options: ReachabilityOptions;
-	readonly #reachability = new ServerReachability();
+	readonly #reachability: ServerReachability;
 	/** Servers whose last connection failed; a probe prefers others. */
 	readonly #failedIds = new Set<string>();
 	#probe: Promise<boolean> | undefined;
 
 	constructor(options: ReachabilityOptions) {
 		this.#options = options;
+		this.#reachability = new ServerReachability(() => options.bounds.settleMs * silenceShare);
 		options.timer.subscribe(checkMs, now => {
 			if (this.#reachability.isProbeDue(now)) {
 				void this.#runProbe();
