--- /dev/null
+++ b/packages/relay/src/tunnels/tunnel-server.test.ts
@@ -0,0 +1,121 @@
+import {once} from 'node:events';
+import {request} from 'node:http';
+import {
+	connect, createServer, Socket, type AddressInfo, type Server,
+} from 'node:net';
+import {expect} from 'chai';
+import {createTimerService} from '@knapweedrack/entry/timer-service';
+import type {DecisionLog} from '../logging/decision-log.js';
+import {RelayMetrics} from '../metrics/relay-metrics.js';
+import {openTunnel} from './open-tunnel.js';
+import {TunnelServer, type TunnelServerOptions} from './tunnel-server.js';
+
+const host = '127.0.0.1';
+const log: DecisionLog = {
+	write: () => undefined, writeRequest: () => undefined, getOmitted: () => 0, flush: () => undefined,
+};
+
+describe('TunnelServer', () => {
+	const timer = createTimerService();
+	let backend: Server;
+	let accepted: Socket[];
+	let started: TunnelServer[];
+
+	beforeEach(async () => {
+		accepted = [];
+		started = [];
+		backend = createServer(socket => {
+			accepted.push(socket);
+			socket.on('error', () => undefined);
+		});
+		backend.listen(0, host);
+		await once(backend, 'listening');
+	});
+
+	afterEach(() => {
+		for (const server of started) {
+			server.close();
+		}
+
+		backend.close();
+		for (const socket of accepted) {
+			socket.destroy();
+		}
+	});
+
+	after(() => {
+		timer.stop();
+	});
+
+	/** Starts a tunnel server; returns its address. */
+	const start = async (changes: Partial<TunnelServerOptions> = {}): Promise<string> => {
+		const port = await findFreePort();
+		const server = new TunnelServer({
+			timer, log, metrics: new RelayMetrics(), openSocket: target => connect(target),
+			reachability: {isReaching: true, checkAfterFailure: async () => true},
+			findServerByAddress: () => ({id: 'a'}), getConnectTimeoutMs: () => 100, ...changes,
+		});
+		started.push(server);
+		await server.startListening(host, port);
+		return `${host}:${port}`;
+	};
+
+	const findFreePort = async (): Promise<number> => {
+		const server = createServer().listen(0, host);
+		await once(server, 'listening');
+		const {port} = server.address() as AddressInfo;
+		server.close();
+		await once(server, 'close');
+		return port;
+	};
+
+	const getBackendAddress = (): string => `${host}:${(backend.address() as AddressInfo).port}`;
+
+	/** Asks for a tunnel to a backend server; returns the code of the refusal, or undefined. */
+	const fetchRefusal = async (peerAddress: string, address = getBackendAddress()): Promise<string | undefined> => {
+		const tunnel = await openTunnel({
+			peerAddress, entryId: 'b', address, timeoutMs: 500,
+		});
+		if (tunnel.ok) {
+			tunnel.value.destroy();
+			return undefined;
+		}
+
+		return (tunnel.error as NodeJS.ErrnoException).code;
+	};
+
+	// Guards against connections to servers that stay open, and use their slots, because nobody is left to close them.
+	it('closes a connection whose tunnel was given up while it was being opened', async () => {
+		const opened = new Socket();
+		const peerAddress = await start({openSocket: () => opened});
+		const asked = request({
+			host, port: Number(peerAddress.split(':')[1]), method: 'CONNECT', path: getBackendAddress(), agent: false,
+		});
+		asked.on('error', () => undefined);
+		asked.end();
+		await once(asked, 'finish');
+		await new Promise(resolve => {
+			setTimeout(resolve, 20);
+		});
+		asked.socket?.resetAndDestroy();
+		await new Promise(resolve => {
+			setTimeout(resolve, 20);
+		});
+		opened.connect((backend.address() as AddressInfo).port, host);
+		await once(opened, 'close', {signal: AbortSignal.timeout(1000)});
+		await started[0]!.waitUntilClosed(timer.now() + 1000);
+		expect(started[0]!.size).to.equal(0);
+	});
+
+	// Guards against a refusal by this entry, or by a lost link of it, that the asking entry takes for the end of a server.
+	it('names why it opens no tunnel', async () => {
+		const refusedAddress = `${host}:1`;
+		expect(await fetchRefusal(await start())).to.equal(undefined);
+		expect(await fetchRefusal(await start(), refusedAddress)).to.equal('ECONNREFUSED');
+		expect(await fetchRefusal(await start({findServerByAddress: () => undefined}))).to.equal('UNKNOWN_SERVER');
+		const reachability = {isReaching: true, checkAfterFailure: async () => false};
+		expect(await fetchRefusal(await start({reachability}), refusedAddress)).to.equal('NO_SERVER_REACHED');
+		expect(await fetchRefusal(await start({reachability: {...reachability, isReaching: false}}))).to.equal('NO_SERVER_REACHED');
+		expect(await fetchRefusal(`${host}:1`)).to.equal('TUNNEL_PEER_LOST');
+	});
+});
--- a/packages/relay/src/tunnels/tunnel-server.ts
+++ b/packages/relay/src/tunnels/tunnel-server.ts
@@ -2,7 +2,7 @@
 import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import type {TimerService} from '@knapweedrack/entry/contracts';
-import {openDirectConnection, type SocketOpener} from '../exchange/connection-opener.js';
+import {configureSocket, openDirectConnection, type SocketOpener} from '../exchange/connection-opener.js';
 import {watchReset} from '../exchange/reset-watch.js';
 import type {DecisionLog} from '../logging/decision-log.js';
 import type {RelayMetrics} from '../metrics/relay-metrics.js';
@@ -20,7 +20,7 @@
 	log: DecisionLog;
 	metrics: RelayMetrics;
 	openSocket: SocketOpener;
-	reachability: ReachabilityTask;
+	reachability: Pick<ReachabilityTask, 'isReaching' | 'checkAfterFailure'>;
 	/** Finds a backend server by `host:port`; tunnels lead to nothing else. */
 	findServerByAddress: (address: string) => {id: string} | undefined;
 	/** Timeout of a connection to a backend server, in ms. */
@@ -106,6 +106,11 @@
 			return;
 		}
 
+		if (tunnel.destroyed) {
+			opened.value.socket.destroy();
+			return;
+		}
+
 		metrics.countEvent('tunnel.opened');
 		log.write('tunnel.opened', {sender, server: server.id, open: this.size});
 		passBytes(tunnel as Socket, opened.value.socket);
@@ -133,6 +138,7 @@
 
 /** Passes bytes in both directions until one side ends; a reset by the backend server stays a reset. */
 const passBytes = (tunnel: Socket, server: Socket): void => {
+	configureSocket(tunnel);
 	tunnel.write('HTTP/1.1 200 Connection Established\r\n\r\n');
 	watchReset(server, () => {
 		tunnel.resetAndDestroy();
