Probe the links after each failed connection

Cause: a failed connection was put down to its server while a probe of the last 250 ms had reached others. Links cut right after such a probe made refused connections count as the ends of servers, and content suspect (read; no run showed it). Change: each failed connection is followed by a probe of its own, or joins one that runs.

--- a/packages/core/src/health/server-reachability.ts
+++ b/packages/core/src/health/server-reachability.ts
@@ -1,7 +1,7 @@
 /** Result of opening connections to several backend servers at once. */
 export type ProbeResult = {tried: number; reached: number};
 
-/** Shortest time between two probes while servers are reached, in ms. */
+/** Shortest time between two probes because of silence, in ms. */
 const suspicionIntervalMs = 250;
 /** Time between two probes while no server is reached, in ms. */
 const recoveryIntervalMs = 500;
@@ -39,15 +39,10 @@
 	/** True when the servers should be probed without a failed connection: all are silent, or none was reached before. */
 	isProbeDue(now: number): boolean {
 		return this.#isReaching
-			? now - (this.#waitingSince ?? now) >= this.getSilenceLimitMs() && this.isProbeOutdated(now)
+			? now - (this.#waitingSince ?? now) >= this.getSilenceLimitMs() && now - this.#probedAt >= suspicionIntervalMs
 			: now - this.#probedAt >= recoveryIntervalMs;
 	}
 
-	/** True when the last probe is too old to tell whether a connection failed because of its server. */
-	isProbeOutdated(now: number): boolean {
-		return now - this.#probedAt >= suspicionIntervalMs;
-	}
-
 	/** Applies the result of a probe. */
 	applyProbe({tried, reached}: ProbeResult, now: number): void {
 		this.#probedAt = now;
--- a/packages/relay/src/tunnels/reachability-task.ts
+++ b/packages/relay/src/tunnels/reachability-task.ts
@@ -67,8 +67,8 @@
 	/** Records that a connection to a backend server failed; resolves to false when no other server is reached either. */
 	async checkAfterFailure(serverId: string): Promise<boolean> {
 		this.#failedIds.add(serverId);
-		const isKnown = !this.isReaching || !this.#reachability.isProbeOutdated(this.#options.timer.now());
-		return isKnown && this.#probe === undefined ? this.isReaching : this.#runProbe();
+		// An earlier probe says nothing: the links may have been cut since.
+		return this.isReaching && this.#runProbe();
 	}
 
 	/** Runs a probe, or joins the one that runs; resolves to the decision. */
