--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -210,7 +210,9 @@
 		const peerAddress = parseAddress(settings.peerAddress);
 		await this.#tunnels.startListening(peerAddress.host, peerAddress.port);
 		if (settings.metrics !== undefined) {
-			serveMetrics(this.#metrics, {...parseAddress(settings.metrics.address), path: settings.metrics.path});
+			serveMetrics(this.#metrics, {...parseAddress(settings.metrics.address), path: settings.metrics.path}).on('error', error => {
+				this.#log.write('metrics.not_served', {address: settings.metrics?.address, message: error.message});
+			});
 		}
 
 		this.#log.write('process.started', {
