Let only successes clear the record of crashes

Cause: on routes without streams any delimited answer counted as a completion, failures and rejections too. That deletes the record of the content at all entries and drops its crashes of the next ten seconds, so a server that fails one request of a wave makes the next wave as harmful as the first.

Change: only a whole success that carries the id of the request counts, on routes of streams one with an event.

Why it works: content that ends its server never gets a success, whereas a failure says nothing about whether the content was run to its end.

--- a/packages/relay/src/front/attempt-result.ts
+++ b/packages/relay/src/front/attempt-result.ts
@@ -16,10 +16,12 @@
 	/** Id of the entry that passed the request on; undefined when this entry sent it directly. */
 	tunnelPeerId?: string | undefined;
 	/**
-	 * True when the answer shows that the content was run to its end. A failure in place of a stream comes before the prompt is decoded,
-	 * and an answer that ends with its connection may end because its server does.
+	 * True when the answer shows that the content was run to its end: a whole success. A failure may come before the content is run, or
+	 * instead, and an answer that ends with its connection may end because its server does.
 	 */
 	hasCompleted?: boolean;
+	/** True when a length or chunks told the end of the answer, not the end of its connection. */
+	isDelimited?: boolean;
 } & (
 	/** The whole answer was forwarded. */
 	| {type: 'delivered'}
--- a/packages/relay/src/front/record-crash-evidence.ts
+++ b/packages/relay/src/front/record-crash-evidence.ts
@@ -38,7 +38,7 @@
 const recordAnswer = (services: RelayServices, ended: EndedAttempt, result: AttemptResult): void => {
 	if (result.hasCompleted) {
 		services.quarantine.recordCompletion(listFingerprints(ended));
-	} else if (result.type === 'delivered') {
+	} else if (!result.isDelimited) {
 		recordLoss(services, ended, lossKinds.close);
 	}
 };
--- a/packages/relay/src/front/run-attempt.ts
+++ b/packages/relay/src/front/run-attempt.ts
@@ -90,6 +90,7 @@
 	#latestEventAt = 0;
 	#longestPauseMs = 0;
 	#hasCompleted = false;
+	#isDelimited = false;
 	#isOver = false;
 	#postponeDueTime: ((dueAt: number) => void) | undefined;
 	#running: RunningAttempt | undefined;
@@ -361,11 +362,18 @@
 			return;
 		}
 
-		const hasRun = this.#mode === answerModes.stream || this.options.route.execution !== executionKinds.stream;
-		this.#hasCompleted = hasRun && end.isDelimited;
+		this.#isDelimited = end.isDelimited;
+		this.#hasCompleted = end.isDelimited && this.#isResultOfRun(this.#head);
 		this.#finish(endHandlers[this.#mode](this, this.#head));
 	}
 
+	/** True for a success that answers this request, on routes of streams with at least one event. A failure, a rejection or an answer to another request proves no run. */
+	#isResultOfRun({status, envelope}: AnswerHead): boolean {
+		const {requestId, route} = this.options;
+		const hasContent = route.execution !== executionKinds.stream || (this.#mode === answerModes.stream && this.#firstByteAt !== undefined);
+		return hasContent && status >= okStatus && status < redirectStatus && envelope.requestId === requestId;
+	}
+
 	#finish(result: AttemptResult): void {
 		if (this.#isOver) {
 			return;
@@ -382,7 +390,7 @@
 		}
 
 		this.resolve({
-			...result, firstByteAt: this.#firstByteAt, longestPauseMs: this.#longestPauseMs, hasCompleted: this.#hasCompleted,
+			...result, firstByteAt: this.#firstByteAt, longestPauseMs: this.#longestPauseMs, hasCompleted: this.#hasCompleted, isDelimited: this.#isDelimited,
 			hasHead: this.#head !== undefined, requestsPerSecondLimit: this.#head?.envelope.requestsPerSecondLimit,
 			tunnelPeerId: this.#connection?.tunnelPeerId,
 		});
