Count a whole success that is no stream of events as a completion

Cause: asked for an event on routes of streams, so a whole answer of another form no longer cleared its parts. Six of seven cases of crash-part.test.ts failed: sound prompts were refused because they share a part with one that ends servers.

Change: only an answer that is a stream of events needs an event.

--- a/packages/relay/src/front/run-attempt.ts
+++ b/packages/relay/src/front/run-attempt.ts
@@ -367,11 +367,11 @@
 		this.#finish(endHandlers[this.#mode](this, this.#head));
 	}
 
-	/** True for a success that answers this request, on routes of streams with at least one event. A failure, a rejection or an answer to another request proves no run. */
-	#isResultOfRun({status, envelope}: AnswerHead): boolean {
+	/** True for a success that answers this request; a stream of events has at least one. A failure, a rejection or an answer to another request proves no run. */
+	#isResultOfRun(head: AnswerHead): boolean {
 		const {requestId, route} = this.options;
-		const hasContent = route.execution !== executionKinds.stream || (this.#mode === answerModes.stream && this.#firstByteAt !== undefined);
-		return hasContent && status >= okStatus && status < redirectStatus && envelope.requestId === requestId;
+		const hasRun = route.execution !== executionKinds.stream || (this.#mode === answerModes.stream && (!isEventStream(head) || this.#firstByteAt !== undefined));
+		return hasRun && head.status >= okStatus && head.status < redirectStatus && head.envelope.requestId === requestId;
 	}
 
 	#finish(result: AttemptResult): void {
