Count crashes that follow a completion

Cause: each completion made the register drop all crashes of the content in the next ten seconds, since entries could not tell whether a crash that another one reported was earlier than a completion. The same window covered up every wave that followed a wrong completion.

Change: a crash has the time at which its attempt was lost. A completion refutes the crashes before it and no later ones. Reports carry ages in place of times; records of entries of earlier versions and stored ones have none and count as before: refuted for ten seconds after a completion, unless the same crash is known with its time.

Why it works: sound content that was lost with its server completes again later, which clears it; content that ends servers does not.

--- a/packages/core/src/quarantine/crash-register.test.ts
+++ b/packages/core/src/quarantine/crash-register.test.ts
@@ -64,19 +64,51 @@
 	});
 
 	describe('recordCompletion', () => {
-		it('clears a fingerprint and ignores crashes that follow soon', () => {
-			register.recordCrash('x', buildCrash('s1', 1), 0);
+		it('clears a fingerprint and ignores the crashes before', () => {
+			register.recordCrash('x', buildCrash('s1', 1, {lostAt: 0}), 0);
 			expect(register.recordCompletion('x', 10, {isObserved: true})).to.equal(true);
-			expect(register.recordCrash('x', buildCrash('s2', 1), 20).isChanged).to.equal(false);
-			expect(register.mergeRecord({fingerprint: 'x', standing: 'quarantined', crashes: [1, 2, 3].map(length => buildCrash(`s${length}`, length))}, 30).isChanged).to.equal(false);
-			expect(register.getRecord('x', 30)).to.equal(undefined);
+			expect(register.recordCrash('x', buildCrash('s2', 1, {lostAt: 9}), 20_000).isChanged).to.equal(false);
+			const received = {fingerprint: 'x', standing: 'quarantined' as const, crashes: [1, 2, 3].map(length => buildCrash(`s${length}`, length, {lostAt: length}))};
+			expect(register.mergeRecord(received, 20_000).isChanged).to.equal(false);
+			expect(register.isRefutedHere(received, 20_000)).to.equal(true);
+			expect(register.getRecord('x', 20_000)).to.equal(undefined);
 		});
 
-		// Guards against content that completed once and may end servers for ever after, for example after a release.
-		it('counts crashes again some time after a completion', () => {
+		// Guards against content that completed some seconds before and then ends servers, for example after a release.
+		it('counts the crashes after a completion', () => {
 			register.recordCompletion('x', 0, {isObserved: true});
+			const crashes = [1, 2, 3].map(length => buildCrash(`s${length}`, length, {lostAt: length}));
+			expect(register.recordCrash('x', crashes[0]!, 10).isChanged).to.equal(true);
+			const received = {fingerprint: 'x', standing: 'quarantined' as const, crashes};
+			expect(register.isRefutedHere(received, 20)).to.equal(false);
+			expect(register.mergeRecord(received, 20).record!.standing).to.equal('quarantined');
+		});
+
+		// Guards against a late message of a completion that clears crashes which followed it.
+		it('keeps the crashes that followed a completion of which another entry tells late', () => {
+			for (const [index, lostAt] of [5, 15, 16].entries()) {
+				register.recordCrash('x', buildCrash(`s${index}`, index + 1, {lostAt}), 20);
+			}
+
+			expect(register.recordCompletion('x', 30, {isObserved: false, ageMs: 20})).to.equal(true);
+			expect(register.getRecord('x', 30)!.crashes.map(({serverId}) => serverId).toSorted()).to.deep.equal(['s1', 's2']);
+			expect(register.getRecord('x', 30)!.standing).to.equal('suspect');
+			expect(register.recordCompletion('x', 30, {isObserved: false, ageMs: 20})).to.equal(false);
+		});
+
+		// Guards against reports of entries of earlier versions, and stored records, that count although the content has completed since.
+		it('ignores crashes of an unknown time for some seconds after a completion', () => {
+			register.recordCompletion('x', 0, {isObserved: true});
+			expect(register.recordCrash('x', buildCrash('s1', 1), 10_000).isChanged).to.equal(false);
 			expect(register.recordCrash('x', buildCrash('s1', 1), 10_001).isChanged).to.equal(true);
 		});
+
+		// Guards against a stored record, which has no times, that clears the crashes from which it was written.
+		it('counts a crash of an unknown time that it knows itself', () => {
+			register.recordCompletion('x', 0, {isObserved: true});
+			register.recordCrash('x', buildCrash('s1', 1, {lostAt: 1}), 2);
+			expect(register.isRefutedHere({fingerprint: 'x', standing: 'suspect', crashes: [buildCrash('s1', 1)]}, 3)).to.equal(false);
+		});
 	});
 
 	describe('bounds', () => {
--- a/packages/core/src/quarantine/crash-register.ts
+++ b/packages/core/src/quarantine/crash-register.ts
@@ -7,7 +7,7 @@
 export const chainLimit = 3;
 /** Number of servers that ended under a fingerprint after which it runs only once at a time, at one entry, while it is not quarantined. */
 export const trialLimit = 3;
-/** Time before a crash in which a completion shows that the content did not cause it, in ms. */
+/** Time for which a completion refutes crashes of an unknown time, in ms. */
 const completionValidMs = 10_000;
 /** Time after its last new crash for which a record is kept, in ms. */
 export const crashRecordMs = 86_400_000;
@@ -28,15 +28,19 @@
 	isChanged: boolean;
 };
 
-/** Completion of a run with a fingerprint; `isObserved` when this entry saw it. */
+/** How and when a run has completed: seen by this entry or another one, and how long before `now`, in ms. */
+export type CompletionReport = {isObserved: boolean; ageMs?: number};
+
+/** Last completion of a run with a fingerprint; `isObserved` when this entry saw it. */
 type Completion = {at: number; isObserved: boolean};
 
 type KeptRecord = {record: FingerprintRecord; changedAt: number};
 
 /**
  * Crashes by fingerprint, of a whole request or of one part, as this entry knows them. The registers of all entries converge by merging
- * each other's records, so no entry owns a fingerprint and none of them is needed to decide. A completed run clears a fingerprint: content
- * that ends its server never completes, whereas other requests that were lost with a server complete when they run again.
+ * each other's records, so no entry owns a fingerprint and none of them is needed to decide. A completed run refutes the crashes
+ * before it: content that ends its server never completes, whereas other requests that were lost with a server complete when they run
+ * again. Crashes after the completion count, since content may begin to end servers.
  */
 export class CrashRegister {
 	/** Records, least recently changed first. */
@@ -79,7 +83,7 @@
 		return kept?.record;
 	}
 
-	/** True when a run of the content completed so recently that a crash now has another cause. */
+	/** True when a run of the content completed some seconds ago. */
 	hasCompletedRecently(fingerprint: string, now: number): boolean {
 		return (this.getCompletionAgeMs(fingerprint, now) ?? Number.POSITIVE_INFINITY) <= completionValidMs;
 	}
@@ -89,51 +93,83 @@
 		return this.hasCompletedRecently(fingerprint, now) && this.#completions.get(fingerprint)!.isObserved;
 	}
 
+	/** True when a completion that this entry itself saw refutes crashes of another entry's record. */
+	isRefutedHere({fingerprint, crashes}: FingerprintRecord, now: number): boolean {
+		return (this.#completions.get(fingerprint)?.isObserved ?? false) && crashes.some(crash => this.#isRefuted(fingerprint, crash, now));
+	}
+
 	/** Time since a run of the content completed, in ms; undefined when none is known. */
 	getCompletionAgeMs(fingerprint: string, now: number): number | undefined {
 		const completion = this.#completions.get(fingerprint);
 		return completion && now - completion.at;
 	}
 
-	/** Adds a crash unless the content has completed recently. */
+	/** Adds a crash unless the content has completed since. */
 	recordCrash(fingerprint: string, crash: FingerprintCrash, now: number): RegisterEffect {
 		return this.#addCrashes(fingerprint, [crash], now);
 	}
 
-	/** Adds the crashes of another entry's record unless the content has completed recently. */
+	/** Adds the crashes of another entry's record but those that a completion refutes. */
 	mergeRecord({fingerprint, crashes}: FingerprintRecord, now: number): RegisterEffect {
 		return this.#addCrashes(fingerprint, crashes, now);
 	}
 
-	/** Records that a run of the content has completed, here (`isObserved`) or at another entry; returns whether that removed a record. */
-	recordCompletion(fingerprint: string, now: number, {isObserved}: {isObserved: boolean}): boolean {
-		this.#completions.delete(fingerprint);
-		this.#completions.set(fingerprint, {at: now, isObserved});
+	/** Records that a run of the content has completed; returns whether that refuted crashes. */
+	recordCompletion(fingerprint: string, now: number, {isObserved, ageMs = 0}: CompletionReport): boolean {
+		const at = now - ageMs;
+		if (at >= (this.#completions.get(fingerprint)?.at ?? Number.NEGATIVE_INFINITY)) {
+			this.#completions.delete(fingerprint);
+			this.#completions.set(fingerprint, {at, isObserved});
+		}
+
 		if (this.#completions.size > this.#completedLimit) {
 			const [oldest] = this.#completions.keys();
 			this.#completions.delete(oldest!);
 		}
 
-		return this.#delete(fingerprint);
+		return this.#removeRefuted(fingerprint, at);
 	}
 
 	#addCrashes(fingerprint: string, crashes: readonly FingerprintCrash[], now: number): RegisterEffect {
 		const known = this.getRecord(fingerprint, now);
-		if (this.hasCompletedRecently(fingerprint, now)) {
-			return {record: known, isChanged: false};
-		}
-
-		const merged = mergeCrashes(known?.crashes ?? [], crashes);
+		const merged = mergeCrashes(known?.crashes ?? [], crashes.filter(crash => !this.#isRefuted(fingerprint, crash, now)));
 		if (merged === known?.crashes || merged.length === 0) {
 			return {record: known, isChanged: false};
 		}
 
-		const standing = computeChainLength(merged) >= chainLimit ? 'quarantined' : 'suspect';
-		const record: FingerprintRecord = {fingerprint, standing, crashes: merged};
+		const record = buildRecord(fingerprint, merged);
 		this.#keep(record, now);
 		return {record, isChanged: true};
 	}
 
+	/** True when the content has completed since a crash. A crash that is known counts, although another entry does not tell its time. */
+	#isRefuted(fingerprint: string, crash: FingerprintCrash, now: number): boolean {
+		const completion = this.#completions.get(fingerprint);
+		if (completion === undefined) {
+			return false;
+		}
+
+		return crash.lostAt === undefined
+			? now - completion.at <= completionValidMs && !this.#records.get(fingerprint)?.record.crashes.some(known => isSameCrash(known, crash))
+			: crash.lostAt <= completion.at;
+	}
+
+	/** Removes the crashes before a completion, and those of an unknown time. */
+	#removeRefuted(fingerprint: string, completedAt: number): boolean {
+		const kept = this.#records.get(fingerprint);
+		const crashes = kept?.record.crashes.filter(({lostAt = Number.NEGATIVE_INFINITY}) => lostAt > completedAt) ?? [];
+		if (kept === undefined || crashes.length === 0) {
+			return this.#delete(fingerprint);
+		}
+
+		if (crashes.length === kept.record.crashes.length) {
+			return false;
+		}
+
+		this.#keep(buildRecord(fingerprint, crashes), kept.changedAt);
+		return true;
+	}
+
 	#delete(fingerprint: string): boolean {
 		const isDeleted = this.#records.delete(fingerprint);
 		if (isDeleted) {
@@ -155,6 +191,9 @@
 	}
 }
 
+const buildRecord = (fingerprint: string, crashes: FingerprintCrash[]): FingerprintRecord =>
+	({fingerprint, standing: computeChainLength(crashes) >= chainLimit ? 'quarantined' : 'suspect', crashes});
+
 /** Length of the longest chain among crashes; 0 without a crash. A server ends only once, so a chain is no longer than the number of servers. */
 export const computeChainLength = (crashes: readonly FingerprintCrash[]): number =>
 	Math.min(countCrashedServers(crashes), Math.max(0, ...crashes.map(crash => getChainLength(crash))));
--- a/packages/core/src/quarantine/fingerprint-record.ts
+++ b/packages/core/src/quarantine/fingerprint-record.ts
@@ -13,6 +13,8 @@
 	 * of attempts that ran at the same time are in the same position, since one event may have ended all their servers.
 	 */
 	chainLength?: number | undefined;
+	/** Time at which the attempt was lost, on the clock of the entry that holds the record, in ms; undefined when unknown. */
+	lostAt?: number | undefined;
 };
 
 /** One attempt to run a request with this fingerprint. */
--- a/packages/core/src/quarantine/lost-attempts.ts
+++ b/packages/core/src/quarantine/lost-attempts.ts
@@ -9,6 +9,8 @@
 	serverId: string;
 	/** Incarnation of the server; undefined when the server does not state it. */
 	bootId: string | undefined;
+	/** Time at which the attempt was lost, in ms; undefined when unknown. */
+	lostAt?: number | undefined;
 };
 
 /** Time after which a lost attempt no longer counts when its server ends, in ms; the store removes a silent server sooner. */
@@ -16,7 +18,8 @@
 /** Most lost attempts kept; the oldest are dropped. */
 const lostAttemptLimit = 2048;
 
-type KeptAttempt = LostAttempt & {lostAt: number};
+/** A lost attempt with the time at which it was lost, in ms. */
+export type KeptAttempt = LostAttempt & {lostAt: number};
 
 /**
  * Attempts that ended without an answer while it is unknown whether their server has ended. Only an attempt whose server ended
@@ -50,7 +53,7 @@
 	}
 
 	/** Lost attempts whose servers are being checked. */
-	listUnsettled(): LostAttempt[] {
+	listUnsettled(): KeptAttempt[] {
 		return [...this.#unsettled].filter(attempt => this.#attempts.has(attempt));
 	}
 
@@ -60,7 +63,7 @@
 	}
 
 	/** Removes and returns the attempts that were lost on a server that has ended; `bootId` selects all incarnations but the given one. */
-	removeEnded(serverId: string, now: number, bootId?: string): LostAttempt[] {
+	removeEnded(serverId: string, now: number, bootId?: string): KeptAttempt[] {
 		this.#removeOld(now);
 		const ended = [...this.#attempts].filter(attempt => attempt.serverId === serverId && (bootId === undefined || (attempt.bootId !== undefined && attempt.bootId !== bootId)));
 		for (const attempt of ended) {
--- a/packages/protocol/src/state/state-records.ts
+++ b/packages/protocol/src/state/state-records.ts
@@ -43,15 +43,22 @@
 
 const run = z.object({attemptId: identifier, serverId: identifier});
 
+/** Crash of a server while it ran content. */
+export const fingerprintCrashSchema = z.object({
+	attemptId: identifier, serverId: identifier, bootId: identifier.optional(), companions: z.array(identifier), entryId: identifier.optional(),
+	chainLength: count.optional(),
+});
+
+const fingerprintFields = {fingerprint: identifier, standing: z.enum(['suspect', 'quarantined']), run: run.optional()};
+
 /** Record of content that was running on a server when it crashed, stored as `quarantine/FINGERPRINT`. */
-export const fingerprintRecordSchema: z.ZodType<FingerprintRecord> = z.object({
-	fingerprint: identifier,
-	standing: z.enum(['suspect', 'quarantined']),
-	crashes: z.array(z.object({
-		attemptId: identifier, serverId: identifier, bootId: identifier.optional(), companions: z.array(identifier), entryId: identifier.optional(),
-		chainLength: count.optional(),
-	})),
-	run: run.optional(),
+export const fingerprintRecordSchema: z.ZodType<FingerprintRecord> = z.object({...fingerprintFields, crashes: z.array(fingerprintCrashSchema)});
+
+/** Such a record as an entry sends it to another one. */
+export const reportedRecordSchema = z.object({
+	...fingerprintFields,
+	/** `ageMs` is the time since the attempt was lost. Earlier versions of the entry do not send it. */
+	crashes: z.array(fingerprintCrashSchema.extend({ageMs: z.number().nonnegative().optional()})),
 });
 
 const counts = z.record(z.string(), count);
--- a/packages/relay/src/peers/peer-message.ts
+++ b/packages/relay/src/peers/peer-message.ts
@@ -119,7 +119,7 @@
 };
 
 const decodeReport = (value: unknown, now: number): PeerDatagram | undefined => {
-	const crashReport = decodeCrashReport(value);
+	const crashReport = decodeCrashReport(value, now);
 	if (crashReport !== undefined) {
 		return {type: 'crash_report', report: crashReport};
 	}
--- a/packages/relay/src/peers/peer-report-task.ts
+++ b/packages/relay/src/peers/peer-report-task.ts
@@ -121,7 +121,7 @@
 
 	/** Sends crash reports to one entry, or to all entries that this one reports to. */
 	sendCrashReport(report: CrashReport, recipientId?: string): void {
-		this.#sendReport(encodeCrashReport(report), recipientId);
+		this.#sendReport(encodeCrashReport(report, this.#options.timer.now()), recipientId);
 	}
 
 	/** Sends a limit report to one entry, or to all entries that this one reports to. */
--- a/packages/relay/src/quarantine/quarantine-model-fixture.test.ts
+++ b/packages/relay/src/quarantine/quarantine-model-fixture.test.ts
@@ -184,7 +184,7 @@
 
 	#loseAttempt({request, number, process, positions, attemptId}: Attempt, serverId: string, bootId: string): void {
 		const attempt = {
-			positions, attemptId, serverId, bootId,
+			positions, attemptId, serverId, bootId, lostAt: this.clock.now,
 		};
 		process.quarantine.endRun(request.fingerprints);
 		const settle = process.lost.add(attempt, this.clock.now);
--- a/packages/relay/src/quarantine/quarantine-model.test.ts
+++ b/packages/relay/src/quarantine/quarantine-model.test.ts
@@ -88,9 +88,11 @@
 			kind: fc.constant('kill'), entry, atMs: fc.nat(20_000), runMs: fc.integer({min: 600, max: 2500}), copies: fc.constant(0),
 		});
 		const events = fc.tuple(fc.array(request, {minLength: 5, maxLength: 30}), fc.array(kill, {minLength: 0, maxLength: 6}));
+		/** Runs that end before this time complete; all others end their servers. */
+		const soundUntilMs = fc.oneof(fc.constant(0), fc.nat(8000));
 		// One in ten datagrams is lost.
 		const losses = fc.infiniteStream(fc.nat(9).map(value => value === 0));
-		await fc.assert(fc.asyncProperty(events, losses, async ([requests, kills], lostDatagrams) => {
+		await fc.assert(fc.asyncProperty(events, soundUntilMs, losses, async ([requests, kills], completesUntil, lostDatagrams) => {
 			const model = new QuarantineModel(() => lostDatagrams.next().value as boolean, serverCount);
 			for (let index = 0; index < 5; index++) {
 				model.startProcess(`e${index}`);
@@ -103,7 +105,7 @@
 					}
 
 					for (let copy = 0; copy < event.copies; copy++) {
-						model.request(`e${(event.entry + copy) % 5}`, {fingerprints: [content], runMs: event.runMs, endsServer: true});
+						model.request(`e${(event.entry + copy) % 5}`, {fingerprints: [content], runMs: event.runMs, endsServer: event.atMs + event.runMs >= completesUntil});
 					}
 				});
 			}
--- a/packages/relay/src/quarantine/quarantine-records.ts
+++ b/packages/relay/src/quarantine/quarantine-records.ts
@@ -109,6 +109,9 @@
 	/** Puts a record into the store. One that another entry has created in the meantime is read by the watch and compared first. */
 	async #put(record: FingerprintRecord, isNew: boolean): ReturnType<ObjectStore['put']> {
 		const {store, codec, readWallClock} = this.#options;
-		return store.put(codec.quarantinePrefix + record.fingerprint, codec.encodeQuarantine({record, quarantinedAtMs: readWallClock()}), isNew ? {create: true} : undefined);
+		return store.put(codec.quarantinePrefix + record.fingerprint, codec.encodeQuarantine({record: removeTimes(record), quarantinedAtMs: readWallClock()}), isNew ? {create: true} : undefined);
 	}
 }
+
+/** Removes the times of the crashes, which hold on the clock of one process only. */
+const removeTimes = (record: FingerprintRecord): FingerprintRecord => ({...record, crashes: record.crashes.map(({lostAt, ...crash}) => crash)});
--- a/packages/relay/src/quarantine/quarantine-task.test.ts
+++ b/packages/relay/src/quarantine/quarantine-task.test.ts
@@ -68,7 +68,7 @@
 			isFirstServing = false;
 			task.recordCompletion(['x']);
 			expect(task.isRefused(['x'])).to.equal(false);
-			expect(reports.at(-1)).to.deep.include({cleared: ['x']});
+			expect(reports.at(-1)!.cleared.map(({fingerprint}) => fingerprint)).to.deep.equal(['x']);
 		});
 	});
 
--- a/packages/relay/src/quarantine/quarantine-task.ts
+++ b/packages/relay/src/quarantine/quarantine-task.ts
@@ -132,20 +132,20 @@
 	}
 
 	/** Records a crash that this entry has observed. */
-	recordCrash({positions, attemptId, serverId, bootId}: LostAttempt, evidence: CrashEvidence): void {
+	recordCrash({positions, attemptId, serverId, bootId, lostAt}: LostAttempt, evidence: CrashEvidence): void {
 		const {entryId, timer, log, metrics} = this.#options;
 		const effects = positions.map(({fingerprint, chainLength}) => ({
 			fingerprint, chainLength,
 			...this.#register.recordCrash(fingerprint, {
-				attemptId, serverId, bootId, entryId, chainLength, companions: [],
+				attemptId, serverId, bootId, entryId, chainLength, companions: [], lostAt,
 			}, timer.now()),
 		}));
 		const [content, ...parts] = effects.map(({fingerprint, chainLength, isChanged, record}) => ({
-			content: fingerprint, chainLength, isCounted: isChanged, crashes: record?.crashes.length ?? 0,
+			content: fingerprint, chainLength, isCounted: isChanged, crashes: record?.crashes.length ?? 0, lastCompletionMs: this.#register.getCompletionAgeMs(fingerprint, timer.now()),
 		}));
 		metrics.countEvent('content.server_crashed');
 		log.writeRequest('content.server_crashed', undefined, {
-			...content, parts, server: serverId, bootId, attempt: attemptId, evidence,
+			...content, parts, server: serverId, bootId, attempt: attemptId, evidence, lostMs: lostAt === undefined ? undefined : Math.round(timer.now() - lostAt),
 		});
 		const changed = effects.filter(({isChanged}) => isChanged).map(({record}) => record!);
 		this.#share(changed);
@@ -161,7 +161,7 @@
 	/** Merges the crash report of another entry. */
 	acceptCrashReport({entryId: sender, failureDomain, records, cleared}: CrashReport): void {
 		const {isForwarder, timer, log} = this.#options;
-		const removed = cleared.filter(fingerprint => this.#register.recordCompletion(fingerprint, timer.now(), {isObserved: false}));
+		const removed = cleared.filter(({fingerprint, ageMs}) => this.#register.recordCompletion(fingerprint, timer.now(), {isObserved: false, ageMs})).map(({fingerprint}) => fingerprint);
 		for (const fingerprint of removed) {
 			log.writeRequest('content.cleared', undefined, {content: fingerprint, reason: 'completed at another entry', peer: sender});
 			void this.#records.delete(fingerprint);
@@ -255,7 +255,7 @@
 	#merge(records: readonly FingerprintRecord[], source: string): Array<{received: FingerprintRecord; record: FingerprintRecord; isChanged: boolean}> {
 		const {timer, log} = this.#options;
 		const now = timer.now();
-		const completed = records.filter(({fingerprint}) => this.#register.hasObservedCompletion(fingerprint, now));
+		const completed = records.filter(record => this.#register.isRefutedHere(record, now));
 		this.#shareClearing(completed.map(({fingerprint}) => fingerprint), 'completed here before');
 		const merged = records.flatMap(received => {
 			const {record, isChanged} = this.#register.mergeRecord(received, now);
@@ -355,9 +355,10 @@
 	}
 
 	#send(records: FingerprintRecord[], cleared: string[], recipientId?: string): void {
-		const {entryId, failureDomain, sendCrashReport} = this.#options;
+		const {entryId, failureDomain, sendCrashReport, timer} = this.#options;
 		sendCrashReport({
-			entryId, failureDomain, records, cleared,
+			entryId, failureDomain, records,
+			cleared: cleared.map(fingerprint => ({fingerprint, ageMs: this.#register.getCompletionAgeMs(fingerprint, timer.now()) ?? 0})),
 		}, recipientId);
 	}
 }
