Recognize the end of all servers of the only service

Cause: a refused connection counted as the end of a server only while the entry reached another one, since its own links may be cut. When all servers of the only service have ended, nothing is reached, and nothing counted until the store no longer listed the servers.

Change: an entry that reaches no server asks other entries for a connection to the server. The server has ended when they are refused too, or when none of them reaches any server; an entry that gives no answer shows nothing.

Why it works: a cut of one entry's links leaves the others connected, so they do not confirm the end.

--- a/packages/relay/src/peers/peer-report-task.test.ts
+++ b/packages/relay/src/peers/peer-report-task.test.ts
@@ -69,7 +69,7 @@
 			entryId: id, failureDomain, timer, log, metrics, store: store as ObjectStore, codec: codec as StoreCodec,
 			detection: new CrashDetectionTask({
 				timer, metrics, connections: new BackendConnections({openConnection: createDirectOpener(openTcpSocket), isUsable: () => true, notifyReceived: () => undefined}),
-				openSocket: openTcpSocket, checkReach: async () => true, findServer: () => undefined, notifyCrash: () => undefined,
+				openSocket: openTcpSocket, confirmEnd: async () => true, findServer: () => undefined, notifyCrash: () => undefined,
 			}),
 			sendCrashReport(report, recipientId) {
 				task.sendCrashReport(report, recipientId);
--- a/packages/relay/src/quarantine/crash-detection-task.ts
+++ b/packages/relay/src/quarantine/crash-detection-task.ts
@@ -39,8 +39,8 @@
 	metrics: RelayMetrics;
 	connections: BackendConnections;
 	openSocket: SocketOpener;
-	/** Resolves to false when this entry reaches no other backend server either, after it could not connect to one. */
-	checkReach: (serverId: string) => Promise<boolean>;
+	/** Resolves to false when a refused connection may be the fault of the links of this entry. */
+	confirmEnd: (server: {id: string; address: string}) => Promise<boolean>;
 	/** Returns a backend server as the store lists it. */
 	findServer: (serverId: string) => KnownServer | undefined;
 	/** Called for each lost attempt whose backend server has ended. */
@@ -100,10 +100,10 @@
 
 	/** True when a backend server has no open connection left and its address refuses a new one. */
 	async #isRefusing(serverId: string, address: string): Promise<boolean> {
-		const {timer, connections, openSocket, checkReach} = this.#options;
+		const {timer, connections, openSocket, confirmEnd} = this.#options;
 		await waitFor(timer, closeSpreadMs);
 		const isRefused = connections.countOpen(serverId) === 0 && await isRefusing(openSocket, address, connections.connectTimeoutMs);
-		return isRefused && checkReach(serverId);
+		return isRefused && confirmEnd({id: serverId, address});
 	}
 }
 
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -174,7 +174,7 @@
 		});
 		this.#crashDetection = new CrashDetectionTask({
 			timer, metrics, connections: this.#connections, openSocket,
-			checkReach: async serverId => this.#reachability.checkAfterFailure(serverId),
+			confirmEnd: async server => connector.confirmEnd(server, getConnectTimeoutMs()),
 			findServer: serverId => this.#storeState.findServer(serverId),
 			notifyCrash: (attempt, evidence) => {
 				this.#quarantine.recordCrash(attempt, evidence);
--- a/packages/relay/src/tunnels/server-connector.ts
+++ b/packages/relay/src/tunnels/server-connector.ts
@@ -9,6 +9,9 @@
 /** Time for a tunnel as a multiple of the connect timeout: the connection to the other entry, and its connection to the server. */
 const tunnelTimeoutFactor = 2;
 
+/** Errors of a tunnel to a backend server that has ended, unless the links of all entries are cut. */
+const endCodes = new Set<string | undefined>(['ECONNREFUSED', 'NO_SERVER_REACHED']);
+
 /** Another entry that can pass connections on. */
 export type TunnelPeer = {id: string; peerAddress: string};
 
@@ -54,6 +57,24 @@
 		return await this.#openThroughPeers(server, timeoutMs) ?? createError(new TunnelError('NO_SERVER_REACHED', 'neither this entry nor another one reaches a backend server'));
 	}
 
+	/**
+	 * Resolves to true when a backend server that refused a connection has ended: this entry reaches others, or another entry gets no
+	 * connection to it either. When no entry reaches any server, their links are not the cause.
+	 */
+	async confirmEnd(server: {id: string; address: string}, timeoutMs: number): Promise<boolean> {
+		if (await this.#options.reachability.checkAfterFailure(server.id)) {
+			return true;
+		}
+
+		const tunnel = await this.#openThroughPeers(server, timeoutMs);
+		if (tunnel?.ok) {
+			tunnel.value.socket.destroy();
+			return false;
+		}
+
+		return tunnel === undefined || endCodes.has((tunnel.error as NodeJS.ErrnoException).code);
+	}
+
 	/** True while requests may use an open connection: direct ones while servers are reached, others while their entry passes them on. */
 	isUsable(tunnelPeerId: string | undefined): boolean {
 		const {reachability, listTunnelPeers} = this.#options;
