Leave servers alone that ask for a backoff

Cause: nothing read the time. A rejection paused a server for 100 ms, and a paused server was only ranked last.

The later of two ends holds; nothing else ends it. After it one request is sent, and the others once it is accepted or 500 ms have passed; a request that was turned away once does not try a second such server. An entry that passes connections on is told, and tells those that use it. When all servers back off, requests are refused at once, not run, with the time at which the first is back plus up to 500 ms. Times in seconds, with fractions, or as a date; of repeated ones the longest; zero, negative and others are ignored, longer ones than an hour are cut. Log lines name servers, time left and age.

Why it works: the bound is between one entry and one incarnation, and the entry counts from the arrival of the answer, which is later than its sending.

--- /dev/null
+++ b/packages/core/src/server-notices/index.ts
@@ -0,0 +1,2 @@
+export * from './leaving-servers.js';
+export * from './server-backoff-table.js';
--- a/packages/relay/src/contracts.ts
+++ b/packages/relay/src/contracts.ts
@@ -96,6 +96,10 @@
 	causeAddress: string | undefined;
 	/** Requests per second that the backend server accepts from all entries together; undefined when it names no limit. */
 	requestsPerSecondLimit: number | undefined;
+	/** Time for which the backend server wants no further request from this entry, in ms; undefined when it does not say so. */
+	backoffMs: number | undefined;
+	/** The backend server is about to end. */
+	isLeaving: boolean;
 };
 
 /** Maps requests and answers to HTTP headers; implemented by the platform adapter, which alone knows the header names. */
--- a/packages/relay/src/exchange/backend-connections.ts
+++ b/packages/relay/src/exchange/backend-connections.ts
@@ -15,6 +15,9 @@
  */
 const keepAliveMarginMs = 1000;
 
+/** Code of the error when a backend server has meanwhile asked for no requests. */
+export const barredCode = 'SERVER_BARRED';
+
 /** Error code of a connection that was reset, in place of that of the operating system. */
 export const resetCode = 'CONNECTION_RESET';
 
@@ -41,6 +44,8 @@
 	openConnection: ConnectionOpener;
 	/** True while requests may use an open connection, by the entry that passes it on. */
 	isUsable: (tunnelPeerId: string | undefined) => boolean;
+	/** True when no request may reach a backend server now, which may change while a connection is opened. */
+	isBarred: (serverId: string) => boolean;
 	/** Called when bytes arrive on any connection. */
 	notifyReceived: () => void;
 };
@@ -133,7 +138,7 @@
 	#receivedBytes = 0;
 	#notifyBytes: ((receivedBytes: number) => void) | undefined;
 
-	constructor(server: ServerAddress, private readonly options: ConnectionOptions) {
+	constructor(private readonly server: ServerAddress, private readonly options: ConnectionOptions) {
 		const {openConnection, connectTimeoutMs} = options;
 		this.client = new Client(`http://${server.address}`, {
 			pipelining: 1,
@@ -169,6 +174,12 @@
 			return;
 		}
 
+		if (this.options.isBarred(this.server.id)) {
+			result.value.socket.destroy();
+			callback(new BarredServerError(), null);
+			return;
+		}
+
 		this.tunnelPeerId = result.value.tunnelPeerId;
 		this.#watch(result.value.socket);
 		callback(null, result.value.socket);
@@ -204,6 +215,15 @@
 	}
 };
 
+/** No request may reach the backend server any more. */
+class BarredServerError extends Error {
+	readonly code = barredCode;
+
+	constructor() {
+		super('the backend server wants no requests now');
+	}
+}
+
 /** Connection pools by backend server id, so that a restarted server with a new id gets new connections at the same address. */
 export class BackendConnections {
 	readonly #servers = new Map<string, ServerConnections>();
--- a/packages/relay/src/exchange/memory-reservation.ts
+++ b/packages/relay/src/exchange/memory-reservation.ts
@@ -1,6 +1,8 @@
 import {randomBytes} from 'node:crypto';
 import type {TimerService} from '@knapweedrack/entry/contracts';
-import type {EngineOrderCodec, RelayBounds} from '../contracts.js';
+import type {EngineOrderCodec, RelayBounds, WireCodec} from '../contracts.js';
+import {misdirectedStatus} from '../front/attempt-result.js';
+import type {ServerNoticeTask} from '../server-notices/server-notice-task.js';
 import type {KnownServer} from '../store-state/store-state-task.js';
 import type {DecisionLog} from '../logging/decision-log.js';
 import type {BackendConnections} from './backend-connections.js';
@@ -25,6 +27,8 @@
 export type ReservationServices = {
 	connections: BackendConnections;
 	orders: EngineOrderCodec;
+	wire: Pick<WireCodec, 'decodeAnswer'>;
+	serverNotices: ServerNoticeTask;
 	timer: TimerService;
 	log: DecisionLog;
 	/** `reservationMs` bounds how long memory stays reserved after the entry has crashed. */
@@ -45,13 +49,24 @@
  * cannot deadlock by each holding memory that the other needs.
  */
 export const reserveMemory = async (services: ReservationServices, parts: readonly ReservedPart[], requestId: string | undefined): Promise<MemoryReservation | undefined> => {
-	const {orders, timer, log, bounds: {reservationMs}} = services;
+	const {orders, wire, serverNotices, timer, log, bounds: {reservationMs}} = services;
 	const leaseMs = reservationMs * leaseShare;
 	const id = randomBytes(6).toString('hex');
 	const held: ReservedPart[] = [];
 	const sendPartOrder = async ({server}: ReservedPart, body: string): Promise<OrderResult> => {
 		const connection = services.connections.acquire(server, orderConnectionLimit);
-		return connection === undefined ? 'refused' : sendOrder(connection, orders, {serverId: server.id, body});
+		if (connection === undefined) {
+			return 'refused';
+		}
+
+		const sentAt = timer.now();
+		return sendOrder(connection, orders, {
+			serverId: server.id, body, notifyAnswer(status, headers) {
+				if (status !== misdirectedStatus) {
+					serverNotices.recordAnswer(server, wire.decodeAnswer(status, headers), {sentAt, tunnelPeerId: connection.tunnelPeerId});
+				}
+			},
+		});
 	};
 
 	/** Renewals without an answer so far. */
@@ -74,7 +89,7 @@
 	};
 
 	for (const part of parts.toSorted((a, b) => a.server.id < b.server.id ? -1 : 1)) {
-		const result = await sendPartOrder(part, orders.encodeReservation({id, tokens: part.tokens, holdMs: leaseMs}));
+		const result = serverNotices.isBarred(part.server) ? 'refused' : await sendPartOrder(part, orders.encodeReservation({id, tokens: part.tokens, holdMs: leaseMs}));
 		// An order without an answer may have been executed, so its memory is released as well.
 		if (result !== 'refused') {
 			held.push(part);
--- a/packages/relay/src/exchange/reset-order.test.ts
+++ b/packages/relay/src/exchange/reset-order.test.ts
@@ -21,7 +21,9 @@
 	let serve: (socket: Socket) => void;
 
 	beforeEach(async () => {
-		connections = new BackendConnections({openConnection: createDirectOpener(openTcpSocket), isUsable: () => true, notifyReceived: () => undefined});
+		connections = new BackendConnections({
+			openConnection: createDirectOpener(openTcpSocket), isUsable: () => true, isBarred: () => false, notifyReceived: () => undefined,
+		});
 		server = createServer(socket => {
 			socket.on('error', () => undefined);
 			socket.once('data', () => {
@@ -52,7 +54,7 @@
 				},
 				handleEnd: resolve,
 			}, () => ({
-				requestId: undefined, isNotRun: false, isSigned: true, causeAddress: undefined, requestsPerSecondLimit: undefined,
+				requestId: undefined, isNotRun: false, isSigned: true, causeAddress: undefined, requestsPerSecondLimit: undefined, backoffMs: undefined, isLeaving: false,
 			}));
 		});
 		return attempt as Attempt;
--- a/packages/relay/src/front/attempt-result.ts
+++ b/packages/relay/src/front/attempt-result.ts
@@ -13,6 +13,8 @@
 	hasHead?: boolean;
 	/** Requests per second that the backend server accepts from all entries, as its answer names it; undefined without a limit. */
 	requestsPerSecondLimit?: number | undefined;
+	/** Time for which the backend server wants no further request, as its answer says, in ms. */
+	backoffMs?: number | undefined;
 	/** Id of the entry that passed the request on; undefined when this entry sent it directly. */
 	tunnelPeerId?: string | undefined;
 	/**
--- a/packages/relay/src/front/compute-retry-delay.test.ts
+++ b/packages/relay/src/front/compute-retry-delay.test.ts
@@ -2,7 +2,7 @@
 import {computeRetryDelayMs, type RefusedRequest} from './compute-retry-delay.js';
 
 const refused: RefusedRequest = {
-	reason: 'noServer', isQuarantined: false, targetMs: 300, callerLeftMs: 9000, random: 0,
+	reason: 'noServer', isQuarantined: false, backoffMs: undefined, targetMs: 300, callerLeftMs: 9000, random: 0,
 };
 
 describe('computeRetryDelayMs', () => {
@@ -18,6 +18,16 @@
 		expect(computeRetryDelayMs({...refused, reason: 'quarantined'})).to.equal(150);
 	});
 
+	// Guards against callers that return while all backend servers still back off, or all at once when the first of them is back.
+	it('lets callers return after the first backend server, spread over time', () => {
+		expect(computeRetryDelayMs({
+			...refused, reason: 'serversBackingOff', backoffMs: 4000, callerLeftMs: 600,
+		})).to.equal(4000);
+		expect(computeRetryDelayMs({
+			...refused, reason: 'serversBackingOff', backoffMs: 4000, random: 0.5,
+		})).to.equal(4250);
+	});
+
 	it('never exceeds a third of the time that the caller has left, beyond the shortest delay', () => {
 		expect(computeRetryDelayMs({...refused, reason: 'overloaded', callerLeftMs: 900})).to.equal(300);
 		expect(computeRetryDelayMs({...refused, callerLeftMs: 30})).to.equal(150);
--- a/packages/relay/src/front/compute-retry-delay.ts
+++ b/packages/relay/src/front/compute-retry-delay.ts
@@ -4,6 +4,8 @@
 const retryAfterRangeMs = {least: 150, most: 600};
 /** Addition to the retry delay of quarantined content, in ms. */
 const quarantinedRetryAfterMs = 60_000;
+/** Range by which callers return later than the first backend server, in ms, so that they do not return all at once. */
+const backoffSpreadMs = 500;
 /** Maximum retry delay as a share of the caller's remaining time; callers ignore a longer one. */
 const retryAfterShare = 1 / 3;
 
@@ -12,6 +14,8 @@
 	reason: AnswerReason;
 	/** True when the content is refused until its record expires. */
 	isQuarantined: boolean;
+	/** Time until the first backend server accepts requests again, in ms; undefined unless all of them are backing off. */
+	backoffMs: number | undefined;
 	/** Target of the route in ms; 0 without a route. */
 	targetMs: number;
 	/** Time until the caller stops waiting, in ms. */
@@ -22,9 +26,14 @@
 
 /**
  * Computes a random retry delay in ms, so that callers do not all return at once. When overloaded, adds the route's target, since
- * slots and engines become free in about that time; quarantined content is refused again whenever it returns.
+ * slots and engines become free in about that time; quarantined content is refused again whenever it returns. While all backend servers
+ * back off, an earlier return would be refused again, so that the delay is not limited by the caller's time.
  */
-export const computeRetryDelayMs = ({reason, isQuarantined, targetMs, callerLeftMs, random}: RefusedRequest): number => {
+export const computeRetryDelayMs = ({reason, isQuarantined, backoffMs, targetMs, callerLeftMs, random}: RefusedRequest): number => {
+	if (backoffMs !== undefined) {
+		return backoffMs + (random * backoffSpreadMs);
+	}
+
 	const {least, most} = retryAfterRangeMs;
 	const overloadMs = reason === 'overloaded' ? targetMs : 0;
 	const quarantineMs = reason === 'quarantined' && isQuarantined ? quarantinedRetryAfterMs : 0;
--- a/packages/relay/src/front/relay-request.ts
+++ b/packages/relay/src/front/relay-request.ts
@@ -5,8 +5,10 @@
 } from '@knapweedrack/core';
 import {waitFor} from '@knapweedrack/entry/timer-service';
 import type {RequestEnvelope} from '../contracts.js';
+import {barredCode} from '../exchange/backend-connections.js';
 import {reserveMemory, type MemoryReservation} from '../exchange/memory-reservation.js';
 import type {PlacedRequest, PlacementDemand} from '../placement/placement-task.js';
+import type {KnownServer} from '../store-state/store-state-task.js';
 import {answerReasons, type AnswerReason} from './answer-reasons.js';
 import {AnswerWriter} from './answer-writer.js';
 import type {AttemptResult} from './attempt-result.js';
@@ -180,6 +182,12 @@
 				return;
 			}
 
+			if (!this.#isStillUsable(placed)) {
+				reservation.release();
+				placed.release();
+				continue;
+			}
+
 			this.#excludedServerIds.add(placed.server.id);
 			const result = await this.#runPlacedAttempt(placed, service, {...work, reservations: reservation.ids});
 			reservation.release();
@@ -194,6 +202,12 @@
 		}
 	}
 
+	/** False when a backend server of a placement has meanwhile asked for no requests, or must not get any for another reason. */
+	#isStillUsable({server, helpers}: PlacedRequest): boolean {
+		const {storeState, serverNotices} = this.#services;
+		return [server, ...helpers].every(each => storeState.isUsable(each) && !serverNotices.isBarred(each));
+	}
+
 	/** Ends the request and returns true when its content must not run. */
 	#isRefusedByQuarantine(): boolean {
 		if (!this.#services.quarantine.isRefused(this.#fingerprints, {hasRun: this.#mayHaveRun})) {
@@ -231,6 +245,7 @@
 		const {log, metrics, timer} = this.#services;
 		const sentAt = timer.now();
 		const mayHaveRunBefore = this.#mayHaveRun;
+		const holds = this.#services.serverNotices.describeHolds(this.#services.storeState.listUsableServers(service.name));
 		const positions = this.#services.quarantine.startRun(this.#fingerprints);
 		const result = await runAttempt(this.#services, {
 			request: this.#request, requestId: this.#envelope.requestId, body, route, service, placed, workspace, reservations,
@@ -261,7 +276,7 @@
 		log.writeRequest('attempt', this.#envelope.requestId, {
 			route: route.name, server: placed.server.id, inputs: placed.inputs, outcome: result.type,
 			...('cause' in result && {cause: result.cause}), ...('causeAddress' in result && {causeAddress: result.causeAddress}), ...('head' in result && {status: result.head.status}),
-			limit: result.requestsPerSecondLimit, tunnel: result.tunnelPeerId,
+			limit: result.requestsPerSecondLimit, backoffMs: result.backoffMs, holds, tunnel: result.tunnelPeerId,
 			predictedMs: Math.round(placed.predictedFirstTokenMs),
 			firstByteMs: result.firstByteAt === undefined ? undefined : Math.round(result.firstByteAt - sentAt),
 			longestPauseMs: result.longestPauseMs === undefined ? undefined : Math.round(result.longestPauseMs),
@@ -284,7 +299,8 @@
 		}
 
 		const signal = signalsByResult.get(result.type);
-		if (signal !== undefined) {
+		const isBarred = result.type === 'not_sent' && result.cause === barredCode;
+		if (signal !== undefined && !isBarred) {
 			placement.recordSignal(serverId, signal);
 		}
 	}
@@ -336,10 +352,22 @@
 	}
 
 	#answerUnplaced(): void {
-		const {storeState} = this.#services;
-		const hasServer = this.#route?.targets.some(({service}) => storeState.listUsableServers(service).length > 0) ?? false;
+		const hasServer = this.#listUsableServers().length > 0;
 		const notRunReason = hasServer ? 'overloaded' : 'noServer';
-		this.#answer(this.#mayHaveRun ? 'serverFailed' : notRunReason);
+		const refusalReason = this.#computeBackoffMs() === undefined ? notRunReason : 'serversBackingOff';
+		this.#answer(this.#mayHaveRun ? 'serverFailed' : refusalReason);
+	}
+
+	#listUsableServers(): KnownServer[] {
+		const {storeState} = this.#services;
+		return this.#route?.targets.flatMap(({service}) => storeState.listUsableServers(service)) ?? [];
+	}
+
+	/** Time until the first usable backend server accepts requests, in ms; undefined while one accepts them now or none is usable. */
+	#computeBackoffMs(): number | undefined {
+		const holds = this.#listUsableServers().map(server => this.#services.serverNotices.getHold(server)?.leftMs ?? 0);
+		const backoffMs = Math.min(...holds);
+		return holds.length > 0 && backoffMs > 0 ? backoffMs : undefined;
 	}
 
 	#answerFailed(result: AttemptResult, route: Route): void {
@@ -357,6 +385,7 @@
 		return computeRetryDelayMs({
 			reason,
 			isQuarantined: quarantine.isQuarantined(this.#fingerprints),
+			backoffMs: retryReasons.has(reason) ? this.#computeBackoffMs() : undefined,
 			targetMs: this.#route?.targetMs ?? 0,
 			callerLeftMs: (this.#envelope.deadlineMs ?? Number.POSITIVE_INFINITY) - (timer.now() - this.#arrivedAt),
 			random: random(),
@@ -384,6 +413,7 @@
 			configuration: this.#services.storeState.table?.configuration.version, configurationAgeMs: Math.round(this.#services.storeState.computeConfigurationAgeMs()),
 			tokens: this.#envelope.prompt?.promptTokens, content: this.#fingerprints[0], parts: this.#fingerprints.slice(1),
 			...(reason === 'quarantined' && this.#describeQuarantine()),
+			holds: this.#services.serverNotices.describeHolds(this.#listUsableServers()),
 		});
 		this.#writer.writeOwnAnswer(status, wire.encodeOwnAnswer({requestId: this.#envelope.requestId, retryAfterMs}));
 	}
@@ -395,6 +425,9 @@
  */
 const notRunStatuses = new Set([408, 421, 429, 503]);
 
+/** Reasons of refusals that hold only while all backend servers back off, if they do. */
+const retryReasons = new Set<AnswerReason>(['serversBackingOff', 'notRunByServers', 'timeoutNotRun']);
+
 const signalsByResult = new Map<AttemptResult['type'], HealthSignal>([
 	['delivered', healthSignals.answered],
 	['failed', healthSignals.failed],
--- a/packages/relay/src/front/relay-services.ts
+++ b/packages/relay/src/front/relay-services.ts
@@ -11,6 +11,7 @@
 import type {CrashDetectionTask} from '../quarantine/crash-detection-task.js';
 import type {QuarantineTask} from '../quarantine/quarantine-task.js';
 import type {ServerLimitTask} from '../server-limits/server-limit-task.js';
+import type {ServerNoticeTask} from '../server-notices/server-notice-task.js';
 
 /** Services of the process that a request uses. */
 export type RelayServices = {
@@ -27,6 +28,7 @@
 	crashDetection: CrashDetectionTask;
 	quarantine: QuarantineTask;
 	serverLimits: ServerLimitTask;
+	serverNotices: ServerNoticeTask;
 	orders: EngineOrderCodec;
 	/** Returns the retry budget of a service. */
 	getBudget: (service: string) => SharedRetryBudget;
--- a/packages/relay/src/front/run-attempt.ts
+++ b/packages/relay/src/front/run-attempt.ts
@@ -86,6 +86,7 @@
 	#head: AnswerHead | undefined;
 	#heldChunks: Buffer[] = [];
 	#heldBytes = 0;
+	#sentAt = 0;
 	#firstByteAt: number | undefined;
 	#latestEventAt = 0;
 	#longestPauseMs = 0;
@@ -111,6 +112,7 @@
 			return;
 		}
 
+		this.#sentAt = this.services.timer.now();
 		const running = startAttempt(
 			connection,
 			{
@@ -301,8 +303,13 @@
 	#handleHead(head: AnswerHead): void {
 		this.#head = head;
 		this.#mode = this.#selectMode(head);
+		const {services: {serverLimits, serverNotices}, options: {placed: {server}}} = this;
 		if (isFromServer(head)) {
-			this.services.serverLimits.recordAnswer(this.options.placed.server, head.envelope.requestsPerSecondLimit);
+			serverLimits.recordAnswer(server, head.envelope.requestsPerSecondLimit);
+		}
+
+		if (isFromServer(head) || hasRequestId(head)) {
+			serverNotices.recordAnswer(server, head.envelope, {sentAt: this.#sentAt, tunnelPeerId: this.#connection?.tunnelPeerId});
 		}
 	}
 
@@ -391,7 +398,7 @@
 
 		this.resolve({
 			...result, firstByteAt: this.#firstByteAt, longestPauseMs: this.#longestPauseMs, hasCompleted: this.#hasCompleted, isDelimited: this.#isDelimited,
-			hasHead: this.#head !== undefined, requestsPerSecondLimit: this.#head?.envelope.requestsPerSecondLimit,
+			hasHead: this.#head !== undefined, requestsPerSecondLimit: this.#head?.envelope.requestsPerSecondLimit, backoffMs: this.#head?.envelope.backoffMs,
 			tunnelPeerId: this.#connection?.tunnelPeerId,
 		});
 	}
@@ -412,6 +419,9 @@
 const isFromServer = ({status, envelope}: AnswerHead): boolean =>
 	status !== misdirectedStatus && (envelope.isSigned || envelope.isNotRun || envelope.requestsPerSecondLimit !== undefined);
 
+/** True when an answer carries the id of the request, as failures of the backend server do that have no signature. */
+const hasRequestId = ({status, envelope}: AnswerHead): boolean => status !== misdirectedStatus && envelope.requestId !== undefined;
+
 /** A successful answer without a signature, or with an encoded body, does not come from the backend server itself. */
 const isUnusable = ({status, envelope, headers}: AnswerHead): boolean =>
 	status < redirectStatus && (!envelope.isSigned || headers['content-encoding'] !== undefined);
--- a/packages/relay/src/peers/peer-message.ts
+++ b/packages/relay/src/peers/peer-message.ts
@@ -2,6 +2,7 @@
 import {z} from 'zod';
 import {decodeCrashReport, type CrashReport} from '../quarantine/crash-report.js';
 import {decodeLimitReport, type LimitReport} from '../server-limits/limit-report.js';
+import {decodeNoticeReport, type NoticeReport} from '../server-notices/notice-report.js';
 import {
 	decodeLoad, encodeLoad, loadSchema, type ReportedLoad,
 } from './load-codec.js';
@@ -77,7 +78,8 @@
 	| {type: 'entry'; message: PeerMessage}
 	| {type: 'summary'; summary: DomainSummary}
 	| {type: 'crash_report'; report: CrashReport}
-	| {type: 'limit_report'; report: LimitReport};
+	| {type: 'limit_report'; report: LimitReport}
+	| {type: 'notice_report'; report: NoticeReport};
 
 /** Encodes a load report as JSON. */
 export const encodePeerMessage = (message: PeerMessage): Buffer => Buffer.from(JSON.stringify({
@@ -93,7 +95,7 @@
 const encodeState = <State extends EntryState>({isCutOff, ...state}: State): Omit<State, 'isCutOff'> & {isCutOff?: true} =>
 	isCutOff ? {...state, isCutOff} : state;
 
-/** Decodes a datagram that arrived at `now`; returns undefined when it is no load report, summary, crash report or limit report. */
+/** Decodes a datagram that arrived at `now`; returns undefined when it is of no known type. */
 export const decodePeerDatagram = (bytes: Buffer, now: number): PeerDatagram | undefined => {
 	const value = parseJson(bytes.toString('utf8'));
 	const message = messageSchema.safeParse(value);
@@ -125,7 +127,12 @@
 	}
 
 	const limitReport = decodeLimitReport(value, now);
-	return limitReport && {type: 'limit_report', report: limitReport};
+	if (limitReport !== undefined) {
+		return {type: 'limit_report', report: limitReport};
+	}
+
+	const noticeReport = decodeNoticeReport(value);
+	return noticeReport && {type: 'notice_report', report: noticeReport};
 };
 
 const parseJson = (text: string): unknown => {
--- a/packages/relay/src/peers/peer-report-task.test.ts
+++ b/packages/relay/src/peers/peer-report-task.test.ts
@@ -68,7 +68,9 @@
 		return new QuarantineTask({
 			entryId: id, failureDomain, timer, log, metrics, store: store as ObjectStore, codec: codec as StoreCodec,
 			detection: new CrashDetectionTask({
-				timer, metrics, connections: new BackendConnections({openConnection: createDirectOpener(openTcpSocket), isUsable: () => true, notifyReceived: () => undefined}),
+				timer, metrics, connections: new BackendConnections({
+					openConnection: createDirectOpener(openTcpSocket), isUsable: () => true, isBarred: () => false, notifyReceived: () => undefined,
+				}),
 				openSocket: openTcpSocket, confirmEnd: async () => true, findServer: () => undefined, notifyCrash: () => undefined,
 			}),
 			sendCrashReport(report, recipientId) {
@@ -92,6 +94,7 @@
 				member.quarantine.acceptCrashReport(report);
 			},
 			acceptLimitReport: () => undefined,
+			acceptNoticeReport: () => undefined,
 			notifyStarted(entryId) {
 				member.quarantine.handleEntryStarted(entryId);
 			},
--- a/packages/relay/src/peers/peer-report-task.ts
+++ b/packages/relay/src/peers/peer-report-task.ts
@@ -7,6 +7,7 @@
 import type {RelayMetrics} from '../metrics/relay-metrics.js';
 import {encodeCrashReport, type CrashReport} from '../quarantine/crash-report.js';
 import {encodeLimitReport, type LimitReport} from '../server-limits/limit-report.js';
+import {encodeNoticeReport, type NoticeReport} from '../server-notices/notice-report.js';
 import type {ReportedLoad} from './load-codec.js';
 import {selectTopology, type ReportTopology} from './report-topology.js';
 import {
@@ -49,6 +50,7 @@
 	acceptCrashReport: (report: CrashReport) => void;
 	/** Called with the limit reports of other entries. */
 	acceptLimitReport: (report: LimitReport) => void;
+	acceptNoticeReport: (report: NoticeReport) => void;
 	/** Called when an entry reports to this one for the first time, after a restart or a silence, or with another readiness. */
 	notifyStarted: (entryId: string) => void;
 };
@@ -129,6 +131,11 @@
 		this.#sendReport(encodeLimitReport(report, this.#options.timer.now()), recipientId);
 	}
 
+	/** Sends a notice report to one entry, or to all entries that this one reports to. */
+	sendNoticeReport(report: NoticeReport, recipientId?: string): void {
+		this.#sendReport(encodeNoticeReport(report), recipientId);
+	}
+
 	/** True when the entries that this one reports to do not all receive the crash reports of a failure domain from its sender. */
 	isForwarder(failureDomain: string): boolean {
 		const {collectorIds, isCollector} = this.#topology;
@@ -224,6 +231,11 @@
 				this.#options.acceptLimitReport(datagram.report);
 				break;
 			}
+
+			case 'notice_report': {
+				this.#options.acceptNoticeReport(datagram.report);
+				break;
+			}
 		}
 	}
 
--- a/packages/relay/src/placement/placement-task.ts
+++ b/packages/relay/src/placement/placement-task.ts
@@ -5,6 +5,7 @@
 import type {TimerService} from '@knapweedrack/entry/contracts';
 import type {ReservedPart} from '../exchange/memory-reservation.js';
 import type {ServerLimitTask} from '../server-limits/server-limit-task.js';
+import type {ServerNoticeTask} from '../server-notices/server-notice-task.js';
 import type {StoreStateTask, KnownServer} from '../store-state/store-state-task.js';
 
 /**
@@ -48,6 +49,7 @@
 /** Dependencies of the placement task. */
 export type PlacementOptions = {
 	serverLimits: Pick<ServerLimitTask, 'hasRoom' | 'isLimited' | 'consume'>;
+	serverNotices: Pick<ServerNoticeTask, 'getHold' | 'isUnconfirmed' | 'recordSent'>;
 	storeState: StoreStateTask;
 	timer: TimerService;
 	failureDomain: string;
@@ -72,10 +74,13 @@
 
 	/** Selects backend servers for a request; returns `wait` when one may accept it soon, undefined when none can. */
 	place(service: Service, demand: PlacementDemand, excluded: ReadonlySet<string>): PlacedRequest | 'wait' | undefined {
-		const {storeState, timer, serverLimits} = this.#options;
+		const {storeState, timer, serverLimits, serverNotices} = this.#options;
 		const now = timer.now();
 		const usable = storeState.listUsableServers(service.name);
-		const servers = usable.filter(server => !excluded.has(server.id) && this.#isColdRequestAllowed(service, server, now) && serverLimits.hasRoom(server));
+		const open = usable.filter(server => !excluded.has(server.id) && this.#isColdRequestAllowed(service, server, now) && serverLimits.hasRoom(server) && serverNotices.getHold(server) === undefined);
+		// A request that one server has turned away does not try another one that may do so, too.
+		const confirmed = excluded.size === 0 ? open : open.filter(server => !serverNotices.isUnconfirmed(server));
+		const servers = confirmed.length === 0 ? open : confirmed;
 		const placed = service.engine === undefined
 			? this.#placePlain(servers, now)
 			: this.#placePrompt(service.engine, servers, demand, now);
@@ -85,6 +90,7 @@
 
 		if (placed !== undefined && placed !== 'wait') {
 			serverLimits.consume(placed.server);
+			serverNotices.recordSent(placed.server);
 		}
 
 		return placed;
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -23,6 +23,7 @@
 import {ServerConnector} from './tunnels/server-connector.js';
 import {TunnelServer} from './tunnels/tunnel-server.js';
 import {ServerLimitTask} from './server-limits/server-limit-task.js';
+import {ServerNoticeTask} from './server-notices/server-notice-task.js';
 
 /** Time reserved at the end of the grace period for closing connections, in ms. */
 const connectionCloseMs = 400;
@@ -60,6 +61,7 @@
 	readonly #crashDetection: CrashDetectionTask;
 	readonly #quarantine: QuarantineTask;
 	readonly #serverLimits: ServerLimitTask;
+	readonly #serverNotices: ServerNoticeTask;
 	readonly #reachability: ReachabilityTask;
 	readonly #tunnels: TunnelServer;
 	readonly #connections: BackendConnections;
@@ -95,9 +97,15 @@
 			entryId: settings.entryId, metrics, openSocket, reachability: this.#reachability, random: Math.random,
 			listTunnelPeers: () => this.#listTunnelPeers(),
 		});
+		const isBarred = (serverId: string): boolean => {
+			const server = this.#storeState.findServer(serverId);
+			return server !== undefined && this.#serverNotices.isBarred(server);
+		};
+
 		this.#connections = new BackendConnections({
 			openConnection: async (server, timeoutMs) => connector.open(server, timeoutMs),
 			isUsable: tunnelPeerId => connector.isUsable(tunnelPeerId),
+			isBarred,
 			notifyReceived: () => {
 				this.#reachability.recordReceived();
 			},
@@ -105,6 +113,7 @@
 		this.#tunnels = new TunnelServer({
 			timer, log, metrics, openSocket, reachability: this.#reachability, getConnectTimeoutMs,
 			findServerByAddress: address => this.#storeState.findServerByAddress(address),
+			isBarred,
 		});
 		this.#storeState = new StoreStateTask({
 			entryId: settings.entryId,
@@ -136,8 +145,16 @@
 			},
 			isForwarder: failureDomain => this.#peers.isForwarder(failureDomain),
 		});
+		this.#serverNotices = new ServerNoticeTask({
+			entryId: settings.entryId, failureDomain: settings.failureDomain, timer, log, metrics,
+			listTunnelSenders: serverId => this.#tunnels.listSenders(serverId),
+			sendNoticeReport: (report, recipientId) => {
+				this.#peers.sendNoticeReport(report, recipientId);
+			},
+			isForwarder: failureDomain => this.#peers.isForwarder(failureDomain),
+		});
 		this.#placement = new PlacementTask({
-			serverLimits: this.#serverLimits,
+			serverLimits: this.#serverLimits, serverNotices: this.#serverNotices,
 			storeState: this.#storeState, timer, failureDomain: settings.failureDomain, random: Math.random, countEntries: () => this.#countEntries(),
 			notifyLoad: serverId => {
 				this.#peers.notifyLoad(serverId);
@@ -162,6 +179,9 @@
 			acceptLimitReport: report => {
 				this.#serverLimits.acceptLimitReport(report);
 			},
+			acceptNoticeReport: report => {
+				this.#serverNotices.acceptNoticeReport(report);
+			},
 			acceptCrashReport: report => {
 				this.#quarantine.acceptCrashReport(report);
 			},
@@ -191,7 +211,7 @@
 		});
 		const services: RelayServices = {
 			bounds, wire, timer, log, metrics, storeState: this.#storeState, placement: this.#placement, connections: this.#connections, reachability: this.#reachability, orders: options.orders, silentServers,
-			crashDetection: this.#crashDetection, quarantine: this.#quarantine, serverLimits: this.#serverLimits,
+			crashDetection: this.#crashDetection, quarantine: this.#quarantine, serverLimits: this.#serverLimits, serverNotices: this.#serverNotices,
 			getBudget: service => this.#getBudget(service),
 			countEntries: () => this.#countEntries(),
 			getStoppingMs: () => this.#stoppingSince === undefined ? undefined : timer.now() - this.#stoppingSince,
--- a/packages/relay/src/tunnels/tunnel-server.ts
+++ b/packages/relay/src/tunnels/tunnel-server.ts
@@ -2,6 +2,7 @@
 import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import type {TimerService} from '@knapweedrack/entry/contracts';
+import {barredCode} from '../exchange/backend-connections.js';
 import {configureSocket, openDirectConnection, type SocketOpener} from '../exchange/connection-opener.js';
 import {watchReset} from '../exchange/reset-watch.js';
 import type {DecisionLog} from '../logging/decision-log.js';
@@ -23,6 +24,8 @@
 	reachability: Pick<ReachabilityTask, 'isReaching' | 'checkAfterFailure'>;
 	/** Finds a backend server by `host:port`; tunnels lead to nothing else. */
 	findServerByAddress: (address: string) => {id: string} | undefined;
+	/** True when no request from this entry may reach a backend server now. */
+	isBarred: (serverId: string) => boolean;
 	/** Timeout of a connection to a backend server, in ms. */
 	getConnectTimeoutMs: () => number;
 };
@@ -34,7 +37,8 @@
 export class TunnelServer {
 	readonly #options: TunnelServerOptions;
 	readonly #server: Server;
-	readonly #tunnels = new Set<Duplex>();
+	/** Open tunnels, with the entry that uses each and the backend server that it leads to. */
+	readonly #tunnels = new Map<Duplex, {sender: string | undefined; serverId: string}>();
 
 	constructor(options: TunnelServerOptions) {
 		this.#options = options;
@@ -51,6 +55,12 @@
 		return this.#tunnels.size;
 	}
 
+	/** Ids of the entries that use tunnels to a backend server. */
+	listSenders(serverId: string): string[] {
+		const senders = [...this.#tunnels.values()].filter(tunnel => tunnel.serverId === serverId).map(({sender}) => sender);
+		return [...new Set(senders)].filter(sender => sender !== undefined);
+	}
+
 	/** Opens the listener; rejects when it cannot be opened. */
 	async startListening(host: string, port: number): Promise<void> {
 		return new Promise((resolve, reject) => {
@@ -77,7 +87,7 @@
 	close(): void {
 		this.#server.close();
 		this.#server.closeAllConnections();
-		for (const tunnel of this.#tunnels) {
+		for (const tunnel of this.#tunnels.keys()) {
 			tunnel.destroy();
 		}
 	}
@@ -94,7 +104,7 @@
 			return;
 		}
 
-		this.#tunnels.add(tunnel);
+		this.#tunnels.set(tunnel, {sender: typeof sender === 'string' ? sender : undefined, serverId: server.id});
 		tunnel.on('close', () => {
 			this.#tunnels.delete(tunnel);
 		});
@@ -106,6 +116,12 @@
 			return;
 		}
 
+		if (this.#options.isBarred(server.id)) {
+			opened.value.socket.destroy();
+			this.#refuse(tunnel, {sender, address, code: barredCode});
+			return;
+		}
+
 		if (tunnel.destroyed) {
 			opened.value.socket.destroy();
 			return;
@@ -121,6 +137,10 @@
 			return 'UNKNOWN_SERVER';
 		}
 
+		if (this.#options.isBarred(server.id)) {
+			return barredCode;
+		}
+
 		if (!this.#options.reachability.isReaching) {
 			return 'NO_SERVER_REACHED';
 		}
