Stop sending to servers that say they leave

Cause: only the store's list told that a server drains, and it may be late, away or never say so.

Change: Server-Leaving in the head of any answer (successes, failures, streams at their head, orders) takes precedence over the store for that incarnation and for good, also when the store lists it again. Open streams go on. The entry tells the others, and those that start; none opens a tunnel to such a server.

Why it works: an answer that says so comes before the entry could pass it on, and no request is placed or sent after it.

--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -118,6 +118,7 @@
 		this.#storeState = new StoreStateTask({
 			entryId: settings.entryId,
 			store, codec, timer, log, metrics, bounds,
+			isLeaving: server => this.#serverNotices.isLeaving(server),
 			readClocks: () => ({monotonic: performance.now(), wall: Date.now()}),
 			notifyServers: serverIds => {
 				this.#placement.retain(serverIds);
@@ -175,6 +176,7 @@
 			notifyStarted: entryId => {
 				this.#quarantine.handleEntryStarted(entryId);
 				this.#serverLimits.handleEntryStarted(entryId);
+				this.#serverNotices.handleEntryStarted(entryId);
 			},
 			acceptLimitReport: report => {
 				this.#serverLimits.acceptLimitReport(report);
--- a/packages/relay/src/store-state/store-state-task.ts
+++ b/packages/relay/src/store-state/store-state-task.ts
@@ -65,6 +65,8 @@
 	metrics: RelayMetrics;
 	bounds: RelayBounds;
 	readClocks: () => ClockReading;
+	/** True when a backend server itself has said that it leaves, whatever the store lists. */
+	isLeaving: (server: RegisteredServer) => boolean;
 	/** Called after a change of the set of backend servers. */
 	notifyServers: (serverIds: ReadonlySet<string>) => void;
 	/** Called after a new version of the configuration was applied. */
@@ -134,10 +136,10 @@
 		return [...this.#servers.values()].filter(server => this.isUsable(server));
 	}
 
-	/** True while a backend server may receive new requests: it is known, not draining, and its failure domain is in service. */
+	/** True while a backend server may receive new requests: it is known, neither draining nor leaving, and its failure domain is in service. */
 	isUsable({id, failureDomain}: {id: string; failureDomain: string}): boolean {
 		const server = this.#servers.get(id);
-		return server !== undefined && !server.isDraining && !this.#outages.has(failureDomain)
+		return server !== undefined && !server.isDraining && !this.#outages.has(failureDomain) && !this.#options.isLeaving(server)
 			&& (server.usableUntil === undefined || this.#options.timer.now() < server.usableUntil);
 	}
 
