--- a/packages/relay/src/placement/placement-task.ts
+++ b/packages/relay/src/placement/placement-task.ts
@@ -77,7 +77,8 @@
 		const {storeState, timer, serverLimits, serverNotices} = this.#options;
 		const now = timer.now();
 		const usable = storeState.listUsableServers(service.name);
-		const open = usable.filter(server => !excluded.has(server.id) && this.#isColdRequestAllowed(service, server, now) && serverLimits.hasRoom(server) && serverNotices.getHold(server) === undefined);
+		const open = usable.filter(server => !excluded.has(server.id) && this.#isColdRequestAllowed(service, server, now)
+			&& serverLimits.hasRoom(server) && serverNotices.getHold(server) === undefined);
 		// A request that one server has turned away does not try another one that may do so, too.
 		const confirmed = excluded.size === 0 ? open : open.filter(server => !serverNotices.isUnconfirmed(server));
 		const servers = confirmed.length === 0 ? open : confirmed;
