Ask who answers at the address of a server that was lost

Cause: after a lost connection the end of a server was only shown by a refused connection. One that was accepted left the attempt without evidence until the store no longer listed the server, later than the next wave.

Change: when a server has no open connection left and its address accepts one, a health check for its id goes there, one at a time for each server.

Why it works: the id in the check is that of the lost incarnation, so the answer tells the two apart without the store.

--- a/packages/core/src/traffic/traffic-configuration.ts
+++ b/packages/core/src/traffic/traffic-configuration.ts
@@ -50,6 +50,8 @@
 	engine: EngineProfile | undefined;
 	/** Longest published one-way delay between the failure domains of its backend servers, in ms. */
 	longestDelayMs: number;
+	/** Path of the health check of its backend servers; undefined when there is none. */
+	healthPath: string | undefined;
 };
 
 /** A customer and the credentials that identify its requests. */
--- a/packages/relay/src/peers/peer-report-task.test.ts
+++ b/packages/relay/src/peers/peer-report-task.test.ts
@@ -71,7 +71,7 @@
 				timer, metrics, connections: new BackendConnections({
 					openConnection: createDirectOpener(openTcpSocket), isUsable: () => true, isBarred: () => false, notifyReceived: () => undefined,
 				}),
-				openSocket: openTcpSocket, confirmEnd: async () => true, findServer: () => undefined, notifyCrash: () => undefined,
+				openSocket: openTcpSocket, confirmEnd: async () => true, checkReplaced: async () => false, findServer: () => undefined, notifyCrash: () => undefined,
 			}),
 			sendCrashReport(report, recipientId) {
 				task.sendCrashReport(report, recipientId);
--- a/packages/relay/src/quarantine/crash-detection-task.ts
+++ b/packages/relay/src/quarantine/crash-detection-task.ts
@@ -41,6 +41,8 @@
 	openSocket: SocketOpener;
 	/** Resolves to false when a refused connection may be the fault of the links of this entry. */
 	confirmEnd: (server: {id: string; address: string}) => Promise<boolean>;
+	/** Resolves to true when another incarnation answers at the address of a backend server. */
+	checkReplaced: (server: {id: string; address: string}) => Promise<boolean>;
 	/** Returns a backend server as the store lists it. */
 	findServer: (serverId: string) => KnownServer | undefined;
 	/** Called for each lost attempt whose backend server has ended. */
@@ -51,6 +53,8 @@
 export class CrashDetectionTask {
 	readonly #options: CrashDetectionOptions;
 	readonly #lost = new LostAttempts();
+	/** Running checks whether a server was replaced, by its id. */
+	readonly #checks = new Map<string, Promise<boolean>>();
 
 	constructor(options: CrashDetectionOptions) {
 		this.#options = options;
@@ -65,8 +69,9 @@
 	async recordLoss(attempt: LostAttempt, address: string, kind: LossKind): Promise<void> {
 		const {timer, metrics} = this.#options;
 		const settle = this.#lost.add(attempt, timer.now());
-		if (kind !== lossKinds.silence && await this.#isRefusing(attempt.serverId, address)) {
-			this.#report(attempt.serverId, crashEvidence.refused);
+		const evidence = kind === lossKinds.silence ? undefined : await this.#findEvidence({id: attempt.serverId, address});
+		if (evidence !== undefined) {
+			this.#report(attempt.serverId, evidence);
 		}
 
 		metrics.countEvent(`attempt.lost_${kind}`);
@@ -98,22 +103,39 @@
 		}
 	}
 
-	/** True when a backend server has no open connection left and its address refuses a new one. */
-	async #isRefusing(serverId: string, address: string): Promise<boolean> {
+	/** Looks for evidence that a backend server without an open connection has ended. */
+	async #findEvidence(server: {id: string; address: string}): Promise<CrashEvidence | undefined> {
 		const {timer, connections, openSocket, confirmEnd} = this.#options;
 		await waitFor(timer, closeSpreadMs);
-		const isRefused = connections.countOpen(serverId) === 0 && await isRefusing(openSocket, address, connections.connectTimeoutMs);
-		return isRefused && confirmEnd({id: serverId, address});
+		if (connections.countOpen(server.id) > 0) {
+			return undefined;
+		}
+
+		const failure = await tryConnect(openSocket, server.address, connections.connectTimeoutMs);
+		if (failure === 'ECONNREFUSED') {
+			return await confirmEnd(server) ? crashEvidence.refused : undefined;
+		}
+
+		return failure === undefined && await this.#checkReplaced(server) ? crashEvidence.misdirected : undefined;
+	}
+
+	/** Checks a server once for all attempts that it lost at the same time, since the check takes a slot. */
+	async #checkReplaced(server: {id: string; address: string}): Promise<boolean> {
+		const check = this.#checks.get(server.id) ?? this.#options.checkReplaced(server);
+		this.#checks.set(server.id, check);
+		const isReplaced = await check;
+		this.#checks.delete(server.id);
+		return isReplaced;
 	}
 }
 
-/** Opens a TCP connection and closes it again; true only when it was refused. */
-const isRefusing = async (openSocket: SocketOpener, address: string, timeoutMs: number): Promise<boolean> => {
+/** Opens a TCP connection and closes it again; returns the code of the error, or undefined when it was accepted. */
+const tryConnect = async (openSocket: SocketOpener, address: string, timeoutMs: number): Promise<string | undefined> => {
 	const opened = await openDirectConnection(openSocket, address, timeoutMs);
 	if (opened.ok) {
 		opened.value.socket.destroy();
-		return false;
+		return undefined;
 	}
 
-	return (opened.error as NodeJS.ErrnoException).code === 'ECONNREFUSED';
+	return (opened.error as NodeJS.ErrnoException).code ?? opened.error.message;
 };
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -17,6 +17,7 @@
 import {RelayMetrics, serveMetrics} from './metrics/relay-metrics.js';
 import {PeerReportTask} from './peers/peer-report-task.js';
 import {PlacementTask} from './placement/placement-task.js';
+import {checkReplaced} from './quarantine/check-replaced.js';
 import {CrashDetectionTask} from './quarantine/crash-detection-task.js';
 import {QuarantineTask} from './quarantine/quarantine-task.js';
 import {ReachabilityTask} from './tunnels/reachability-task.js';
@@ -197,6 +198,11 @@
 		this.#crashDetection = new CrashDetectionTask({
 			timer, metrics, connections: this.#connections, openSocket,
 			confirmEnd: async server => connector.confirmEnd(server, getConnectTimeoutMs()),
+			checkReplaced: async server => {
+				const service = this.#storeState.findServer(server.id)?.service;
+				const healthPath = service === undefined ? undefined : this.#storeState.table?.findService(service)?.healthPath;
+				return healthPath !== undefined && checkReplaced({connections: this.#connections, wire}, {...server, healthPath});
+			},
 			findServer: serverId => this.#storeState.findServer(serverId),
 			notifyCrash: (attempt, evidence) => {
 				this.#quarantine.recordCrash(attempt, evidence);
