--- a/packages/testkit/src/users-platform/runner.ts
+++ b/packages/testkit/src/users-platform/runner.ts
@@ -24,10 +24,11 @@
 export type Runner = StandIn & {id: string; received: RunnerRequest[]; reservations: ReservationLedger};
 
 const orderPath = '/-/order';
+const healthPath = '/health';
 
 /**
  * Starts a stand-in runner that answers 421 to requests addressed to another id.
- * The `handlers`, which runners may share, answer one request each, in order; `answer` answers all further requests.
+ * It answers health checks itself. The `handlers`, which runners may share, answer one request each, in order; `answer` answers all further requests.
  * Port 0 selects a free port.
  */
 export const startRunner = async (id: string, handlers: RunnerHandler[] = [], {answer = answerDefault, port = 0}: {answer?: RunnerHandler; port?: number} = {}): Promise<Runner> => {
@@ -53,6 +54,11 @@
 			return;
 		}
 
+		if (request.url === healthPath) {
+			response.writeHead(200, {'X-Runner-Id': id, 'content-length': 0}).end();
+			return;
+		}
+
 		const runnerRequest: RunnerRequest = {
 			method: request.method ?? '', path: request.url ?? '', headers: request.headers, rawHeaders: request.rawHeaders, body: Buffer.concat(parts),
 			connectionClosed: waitForClose(response),
