Give a silent attempt up only for another one

Cause: an attempt whose server was silent was cancelled, and only then was it decided whether another one may follow. Without a server for it, beyond the retry budget, or for content that is refused, the caller got a cut stream or 502 although its server went on.

Evidence: the four cases of silent-server.test.ts fail without the change (cut streams, 502) and pass with it; serving and isolated-entry tests pass.

Change: before it is cancelled, an attempt asks whether a retry is possible now; if not, it is asked again later and left to run.

Why it works: a retry is the only reason to give up an answer that may still come.

--- a/packages/core/src/retry/shared-retry-budget.ts
+++ b/packages/core/src/retry/shared-retry-budget.ts
@@ -38,18 +38,23 @@
 		this.#removeOld(now);
 	}
 
-	/** Takes one retry; false when the share of this entry is used up. `entries` is the number of entries that may be alive. */
-	tryConsume(now: number, entries: number): boolean {
+	/** True while the share of this entry allows one more retry. `entries` is the number of entries that may be alive. */
+	hasRoom(now: number, entries: number): boolean {
 		this.#removeOld(now);
 		const {ratio, windowMs} = this.#bound;
 		const slack = now - this.startedAt < windowMs ? 0 : this.#bound.slack;
 		const allowance = usedBoundShare * ((ratio * this.#requests.length) + (slack / Math.max(1, entries)));
-		if (this.#retries.length + 1 > allowance) {
-			return false;
+		return this.#retries.length + 1 <= allowance;
+	}
+
+	/** Takes one retry; false when the share of this entry is used up. */
+	tryConsume(now: number, entries: number): boolean {
+		const isAllowed = this.hasRoom(now, entries);
+		if (isAllowed) {
+			this.#retries.push(now);
 		}
 
-		this.#retries.push(now);
-		return true;
+		return isAllowed;
 	}
 
 	#removeOld(now: number): void {
--- a/packages/relay/src/front/relay-request.ts
+++ b/packages/relay/src/front/relay-request.ts
@@ -251,6 +251,7 @@
 			request: this.#request, requestId: this.#envelope.requestId, body, route, service, placed, workspace, reservations,
 			remainingMs: this.#computeRemainingMs(route), arrivedAt: this.#arrivedAt, writer: this.#writer, progress: this.#progress,
 			isLast: this.#sentAttempts + 1 >= route.attemptLimit,
+			isRetryPossible: () => this.#isRetryPossible(service),
 			setCancel: cancel => {
 				this.#cancelAttempt = cancel;
 			},
@@ -326,6 +327,14 @@
 		return isWithinBudget;
 	}
 
+	/** True while a request that may run twice could be sent to another backend server now. */
+	#isRetryPossible(service: Service): boolean {
+		const {getBudget, timer, countEntries, storeState, serverNotices, quarantine} = this.#services;
+		return getBudget(service.name).hasRoom(timer.now(), countEntries())
+			&& storeState.listUsableServers(service.name).some(server => !this.#excludedServerIds.has(server.id) && serverNotices.getHold(server) === undefined)
+			&& !quarantine.isRefused(this.#fingerprints, {hasRun: true});
+	}
+
 	#computeRemainingMs(route: Route): number {
 		const elapsedMs = this.#services.timer.now() - this.#arrivedAt;
 		return Math.min(route.timeoutMs, this.#envelope.deadlineMs ?? Number.POSITIVE_INFINITY) - elapsedMs;
--- a/packages/relay/src/front/run-attempt.ts
+++ b/packages/relay/src/front/run-attempt.ts
@@ -20,6 +20,8 @@
 const unforwardedLimitBytes = 1024 * 1024;
 /** Multiple of a route's target after which an attempt without an answer is cancelled in favour of another backend server. */
 const silentTargetFactor = 2;
+/** Interval at which a silent attempt is checked again while no other attempt could follow it, in ms. */
+const silenceCheckMs = 50;
 /** Share of the remaining time that an attempt may wait for an answer when another attempt can follow. */
 const attemptTimeShare = 0.5;
 
@@ -59,6 +61,8 @@
 	progress: StreamProgress;
 	/** True when the attempt limit allows no other attempt after this one. */
 	isLast: boolean;
+	/** True while another attempt could follow now: there is a server for it, and it is within the retry budget. */
+	isRetryPossible: () => boolean;
 	setCancel: (cancel: () => void) => void;
 	setSent: () => void;
 };
@@ -261,12 +265,21 @@
 			return;
 		}
 
-		const silentMs = Math.min(remainingMs * attemptTimeShare, route.targetMs * silentTargetFactor);
-		this.#cleanups.push(this.services.timer.schedule(silentMs, () => {
-			if (this.#mode === answerModes.waiting) {
+		const check = (): void => {
+			if (this.#isOver || this.#mode !== answerModes.waiting) {
+				return;
+			}
+
+			// A silent server may still answer, so the attempt is given up only for another one.
+			if (this.options.isRetryPossible()) {
 				cancelAttempt();
+			} else {
+				this.#cleanups.push(this.services.timer.schedule(silenceCheckMs, check));
 			}
-		}));
+		};
+
+		const silentMs = Math.min(remainingMs * attemptTimeShare, route.targetMs * silentTargetFactor);
+		this.#cleanups.push(this.services.timer.schedule(silentMs, check));
 	}
 
 	/** Registers a stream for cancellation together with the other streams of its backend server, once the server is silent. */
@@ -278,7 +291,7 @@
 
 		const dueAt = timer.now() + (placed.predictedFirstTokenMs * firstTokenFactor) + firstTokenMarginMs;
 		const cancelResumable = (): void => {
-			if (progress.isResumable) {
+			if (progress.isResumable && this.options.isRetryPossible()) {
 				cancelAttempt();
 			}
 		};
