Split the checks of answers and of servers from requests and attempts

What they ask of an answer and of the servers of a route are functions of their own files now. A server that backs off or leaves 'refuses requests' in names and in the error code of a tunnel, in place of 'barred'. No change of behaviour.

--- a/packages/relay/src/exchange/backend-connections.ts
+++ b/packages/relay/src/exchange/backend-connections.ts
@@ -16,7 +16,7 @@
 const keepAliveMarginMs = 1000;
 
 /** Code of the error when a backend server has meanwhile asked for no requests. */
-export const barredCode = 'SERVER_BARRED';
+export const refusingServerCode = 'SERVER_REFUSES_REQUESTS';
 
 /** Error code of a connection that was reset, in place of that of the operating system. */
 export const resetCode = 'CONNECTION_RESET';
@@ -45,7 +45,7 @@
 	/** True while requests may use an open connection, by the entry that passes it on. */
 	isUsable: (tunnelPeerId: string | undefined) => boolean;
 	/** True when no request may reach a backend server now, which may change while a connection is opened. */
-	isBarred: (serverId: string) => boolean;
+	isRefusingRequests: (serverId: string) => boolean;
 	/** Called when bytes arrive on any connection. */
 	notifyReceived: () => void;
 };
@@ -174,9 +174,9 @@
 			return;
 		}
 
-		if (this.options.isBarred(this.server.id)) {
+		if (this.options.isRefusingRequests(this.server.id)) {
 			result.value.socket.destroy();
-			callback(new BarredServerError(), null);
+			callback(new RefusingServerError(), null);
 			return;
 		}
 
@@ -216,8 +216,8 @@
 };
 
 /** No request may reach the backend server any more. */
-class BarredServerError extends Error {
-	readonly code = barredCode;
+class RefusingServerError extends Error {
+	readonly code = refusingServerCode;
 
 	constructor() {
 		super('the backend server wants no requests now');
--- a/packages/relay/src/exchange/memory-reservation.ts
+++ b/packages/relay/src/exchange/memory-reservation.ts
@@ -89,7 +89,7 @@
 	};
 
 	for (const part of parts.toSorted((a, b) => a.server.id < b.server.id ? -1 : 1)) {
-		const result = serverNotices.isBarred(part.server) ? 'refused' : await sendPartOrder(part, orders.encodeReservation({id, tokens: part.tokens, holdMs: leaseMs}));
+		const result = serverNotices.isRefusingRequests(part.server) ? 'refused' : await sendPartOrder(part, orders.encodeReservation({id, tokens: part.tokens, holdMs: leaseMs}));
 		// An order without an answer may have been executed, so its memory is released as well.
 		if (result !== 'refused') {
 			held.push(part);
--- a/packages/relay/src/front/relay-request.ts
+++ b/packages/relay/src/front/relay-request.ts
@@ -5,10 +5,9 @@
 } from '@knapweedrack/core';
 import {waitFor} from '@knapweedrack/entry/timer-service';
 import type {RequestEnvelope} from '../contracts.js';
-import {barredCode} from '../exchange/backend-connections.js';
+import {refusingServerCode} from '../exchange/backend-connections.js';
 import {reserveMemory, type MemoryReservation} from '../exchange/memory-reservation.js';
 import type {PlacedRequest, PlacementDemand} from '../placement/placement-task.js';
-import type {KnownServer} from '../store-state/store-state-task.js';
 import {answerReasons, type AnswerReason} from './answer-reasons.js';
 import {AnswerWriter} from './answer-writer.js';
 import type {AttemptResult} from './attempt-result.js';
@@ -18,6 +17,9 @@
 import {runAttempt, type StreamProgress} from './run-attempt.js';
 import {readRequestBody} from './request-body.js';
 import type {RelayServices} from './relay-services.js';
+import {
+	computeBackoffMs, isPlacementUsable, isRetryPossible, listUsableServers,
+} from './server-availability.js';
 
 /**
  * Share of the grace period of a planned stop after which new streams are refused, because they would not finish before the
@@ -182,7 +184,7 @@
 				return;
 			}
 
-			if (!this.#isStillUsable(placed)) {
+			if (!isPlacementUsable(this.#services, placed)) {
 				reservation.release();
 				placed.release();
 				continue;
@@ -202,12 +204,6 @@
 		}
 	}
 
-	/** False when a backend server of a placement has meanwhile asked for no requests, or must not get any for another reason. */
-	#isStillUsable({server, helpers}: PlacedRequest): boolean {
-		const {storeState, serverNotices} = this.#services;
-		return [server, ...helpers].every(each => storeState.isUsable(each) && !serverNotices.isBarred(each));
-	}
-
 	/** Ends the request and returns true when its content must not run. */
 	#isRefusedByQuarantine(): boolean {
 		if (!this.#services.quarantine.isRefused(this.#fingerprints, {hasRun: this.#mayHaveRun})) {
@@ -251,7 +247,7 @@
 			request: this.#request, requestId: this.#envelope.requestId, body, route, service, placed, workspace, reservations,
 			remainingMs: this.#computeRemainingMs(route), arrivedAt: this.#arrivedAt, writer: this.#writer, progress: this.#progress,
 			isLast: this.#sentAttempts + 1 >= route.attemptLimit,
-			isRetryPossible: () => this.#isRetryPossible(service),
+			isRetryPossible: () => isRetryPossible(this.#services, {service, excludedServerIds: this.#excludedServerIds, fingerprints: this.#fingerprints}),
 			setCancel: cancel => {
 				this.#cancelAttempt = cancel;
 			},
@@ -300,8 +296,8 @@
 		}
 
 		const signal = signalsByResult.get(result.type);
-		const isBarred = result.type === 'not_sent' && result.cause === barredCode;
-		if (signal !== undefined && !isBarred) {
+		const isRefusingRequests = result.type === 'not_sent' && result.cause === refusingServerCode;
+		if (signal !== undefined && !isRefusingRequests) {
 			placement.recordSignal(serverId, signal);
 		}
 	}
@@ -327,14 +323,6 @@
 		return isWithinBudget;
 	}
 
-	/** True while a request that may run twice could be sent to another backend server now. */
-	#isRetryPossible(service: Service): boolean {
-		const {getBudget, timer, countEntries, storeState, serverNotices, quarantine} = this.#services;
-		return getBudget(service.name).hasRoom(timer.now(), countEntries())
-			&& storeState.listUsableServers(service.name).some(server => !this.#excludedServerIds.has(server.id) && serverNotices.getHold(server) === undefined)
-			&& !quarantine.isRefused(this.#fingerprints, {hasRun: true});
-	}
-
 	#computeRemainingMs(route: Route): number {
 		const elapsedMs = this.#services.timer.now() - this.#arrivedAt;
 		return Math.min(route.timeoutMs, this.#envelope.deadlineMs ?? Number.POSITIVE_INFINITY) - elapsedMs;
@@ -361,24 +349,12 @@
 	}
 
 	#answerUnplaced(): void {
-		const hasServer = this.#listUsableServers().length > 0;
-		const notRunReason = hasServer ? 'overloaded' : 'noServer';
-		const refusalReason = this.#computeBackoffMs() === undefined ? notRunReason : 'serversBackingOff';
+		const servers = listUsableServers(this.#services, this.#route);
+		const notRunReason = servers.length > 0 ? 'overloaded' : 'noServer';
+		const refusalReason = computeBackoffMs(this.#services, servers) === undefined ? notRunReason : 'serversBackingOff';
 		this.#answer(this.#mayHaveRun ? 'serverFailed' : refusalReason);
 	}
 
-	#listUsableServers(): KnownServer[] {
-		const {storeState} = this.#services;
-		return this.#route?.targets.flatMap(({service}) => storeState.listUsableServers(service)) ?? [];
-	}
-
-	/** Time until the first usable backend server accepts requests, in ms; undefined while one accepts them now or none is usable. */
-	#computeBackoffMs(): number | undefined {
-		const holds = this.#listUsableServers().map(server => this.#services.serverNotices.getHold(server)?.leftMs ?? 0);
-		const backoffMs = Math.min(...holds);
-		return holds.length > 0 && backoffMs > 0 ? backoffMs : undefined;
-	}
-
 	#answerFailed(result: AttemptResult, route: Route): void {
 		if (result.type === 'failed' && this.#writer.isOpen && (isRepeatable(route) || !notRunStatuses.has(result.head.status))) {
 			this.#services.metrics.countAnswer(route.name, 'server_status');
@@ -394,7 +370,7 @@
 		return computeRetryDelayMs({
 			reason,
 			isQuarantined: quarantine.isQuarantined(this.#fingerprints),
-			backoffMs: retryReasons.has(reason) ? this.#computeBackoffMs() : undefined,
+			backoffMs: backoffReasons.has(reason) ? computeBackoffMs(this.#services, listUsableServers(this.#services, this.#route)) : undefined,
 			targetMs: this.#route?.targetMs ?? 0,
 			callerLeftMs: (this.#envelope.deadlineMs ?? Number.POSITIVE_INFINITY) - (timer.now() - this.#arrivedAt),
 			random: random(),
@@ -422,7 +398,7 @@
 			configuration: this.#services.storeState.table?.configuration.version, configurationAgeMs: Math.round(this.#services.storeState.computeConfigurationAgeMs()),
 			tokens: this.#envelope.prompt?.promptTokens, content: this.#fingerprints[0], parts: this.#fingerprints.slice(1),
 			...(reason === 'quarantined' && this.#describeQuarantine()),
-			holds: this.#services.serverNotices.describeHolds(this.#listUsableServers()),
+			holds: this.#services.serverNotices.describeHolds(listUsableServers(this.#services, this.#route)),
 		});
 		this.#writer.writeOwnAnswer(status, wire.encodeOwnAnswer({requestId: this.#envelope.requestId, retryAfterMs}));
 	}
@@ -434,8 +410,8 @@
  */
 const notRunStatuses = new Set([408, 421, 429, 503]);
 
-/** Reasons of refusals that hold only while all backend servers back off, if they do. */
-const retryReasons = new Set<AnswerReason>(['serversBackingOff', 'notRunByServers', 'timeoutNotRun']);
+/** Reasons of refusals for which a caller should return once the first backend server accepts requests, while all of them back off. */
+const backoffReasons = new Set<AnswerReason>(['serversBackingOff', 'notRunByServers', 'timeoutNotRun']);
 
 const signalsByResult = new Map<AttemptResult['type'], HealthSignal>([
 	['delivered', healthSignals.answered],
--- a/packages/relay/src/front/run-attempt.ts
+++ b/packages/relay/src/front/run-attempt.ts
@@ -11,7 +11,10 @@
 import type {PlacedRequest} from '../placement/placement-task.js';
 import {lossKinds} from '../quarantine/crash-detection-task.js';
 import type {AnswerWriter} from './answer-writer.js';
-import {misdirectedStatus, type AttemptResult} from './attempt-result.js';
+import {
+	hasRequestId, isEventStream, isFromServer, isSuccessOf, isUnusable,
+} from './answer-checks.js';
+import type {AttemptResult} from './attempt-result.js';
 import type {RelayServices} from './relay-services.js';
 
 /** Bytes of an answer that are buffered until it is complete, so that the request can be retried when the connection fails. */
@@ -387,11 +390,11 @@
 		this.#finish(endHandlers[this.#mode](this, this.#head));
 	}
 
-	/** True for a success that answers this request; a stream of events has at least one. A failure, a rejection or an answer to another request proves no run. */
+	/** True when the content was run to its end; a stream of events has at least one. */
 	#isResultOfRun(head: AnswerHead): boolean {
 		const {requestId, route} = this.options;
-		const hasRun = route.execution !== executionKinds.stream || (this.#mode === answerModes.stream && (!isEventStream(head) || this.#firstByteAt !== undefined));
-		return hasRun && head.status >= okStatus && head.status < redirectStatus && head.envelope.requestId === requestId;
+		const isStreamRun = this.#mode === answerModes.stream && (!isEventStream(head) || this.#firstByteAt !== undefined);
+		return (route.execution !== executionKinds.stream || isStreamRun) && isSuccessOf(head, requestId);
 	}
 
 	#finish(result: AttemptResult): void {
@@ -421,24 +424,10 @@
 const tooManyRequestsStatus = 429;
 const serverErrorStatus = 500;
 const badGatewayStatus = 502;
-const redirectStatus = 300;
-
-const isEventStream = ({headers}: AnswerHead): boolean => headers['content-type']?.startsWith('text/event-stream') ?? false;
 
 const computeOverduePauseMs = ({engine}: Service): number =>
 	engine === undefined ? minOverduePauseMs : Math.max(minOverduePauseMs, computeFullPassMs(engine) * overduePassFactor);
 
-/** True when an answer comes from the backend server itself, not from another incarnation at its address. */
-const isFromServer = ({status, envelope}: AnswerHead): boolean =>
-	status !== misdirectedStatus && (envelope.isSigned || envelope.isNotRun || envelope.requestsPerSecondLimit !== undefined);
-
-/** True when an answer carries the id of the request, as failures of the backend server do that have no signature. */
-const hasRequestId = ({status, envelope}: AnswerHead): boolean => status !== misdirectedStatus && envelope.requestId !== undefined;
-
-/** A successful answer without a signature, or with an encoded body, does not come from the backend server itself. */
-const isUnusable = ({status, envelope, headers}: AnswerHead): boolean =>
-	status < redirectStatus && (!envelope.isSigned || headers['content-encoding'] !== undefined);
-
 const dataHandlers: Record<AnswerMode, (task: AttemptTask, chunk: Buffer) => boolean> = {
 	waiting: () => true,
 	stream: (task, chunk) => task.passEvents(chunk),
--- a/packages/relay/src/peers/peer-report-task.test.ts
+++ b/packages/relay/src/peers/peer-report-task.test.ts
@@ -69,7 +69,7 @@
 			entryId: id, failureDomain, timer, log, metrics, store: store as ObjectStore, codec: codec as StoreCodec,
 			detection: new CrashDetectionTask({
 				timer, metrics, connections: new BackendConnections({
-					openConnection: createDirectOpener(openTcpSocket), isUsable: () => true, isBarred: () => false, notifyReceived: () => undefined,
+					openConnection: createDirectOpener(openTcpSocket), isUsable: () => true, isRefusingRequests: () => false, notifyReceived: () => undefined,
 				}),
 				openSocket: openTcpSocket, confirmEnd: async () => true, checkReplaced: async () => false, findServer: () => undefined, notifyCrash: () => undefined,
 			}),
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -98,15 +98,15 @@
 			entryId: settings.entryId, metrics, openSocket, reachability: this.#reachability, random: Math.random,
 			listTunnelPeers: () => this.#listTunnelPeers(),
 		});
-		const isBarred = (serverId: string): boolean => {
+		const isRefusingRequests = (serverId: string): boolean => {
 			const server = this.#storeState.findServer(serverId);
-			return server !== undefined && this.#serverNotices.isBarred(server);
+			return server !== undefined && this.#serverNotices.isRefusingRequests(server);
 		};
 
 		this.#connections = new BackendConnections({
 			openConnection: async (server, timeoutMs) => connector.open(server, timeoutMs),
 			isUsable: tunnelPeerId => connector.isUsable(tunnelPeerId),
-			isBarred,
+			isRefusingRequests,
 			notifyReceived: () => {
 				this.#reachability.recordReceived();
 			},
@@ -114,7 +114,7 @@
 		this.#tunnels = new TunnelServer({
 			timer, log, metrics, openSocket, reachability: this.#reachability, getConnectTimeoutMs,
 			findServerByAddress: address => this.#storeState.findServerByAddress(address),
-			isBarred,
+			isRefusingRequests,
 		});
 		this.#storeState = new StoreStateTask({
 			entryId: settings.entryId,
--- a/packages/relay/src/server-notices/server-notice-task.ts
+++ b/packages/relay/src/server-notices/server-notice-task.ts
@@ -78,7 +78,7 @@
 	}
 
 	/** True when no request may reach a server: it backs off or leaves. */
-	isBarred(server: ServerIncarnation): boolean {
+	isRefusingRequests(server: ServerIncarnation): boolean {
 		return this.isLeaving(server) || this.#backoffs.isBackingOff(server, this.#options.timer.now());
 	}
 
--- a/packages/relay/src/tunnels/tunnel-server.test.ts
+++ b/packages/relay/src/tunnels/tunnel-server.test.ts
@@ -53,7 +53,7 @@
 		const server = new TunnelServer({
 			timer, log, metrics: new RelayMetrics(), openSocket: target => connect(target),
 			reachability: {isReaching: true, checkAfterFailure: async () => true},
-			findServerByAddress: () => ({id: 'a'}), isBarred: () => false, getConnectTimeoutMs: () => 100, ...changes,
+			findServerByAddress: () => ({id: 'a'}), isRefusingRequests: () => false, getConnectTimeoutMs: () => 100, ...changes,
 		});
 		started.push(server);
 		await server.startListening(host, port);
@@ -113,7 +113,7 @@
 		expect(await fetchRefusal(await start())).to.equal(undefined);
 		expect(await fetchRefusal(await start(), refusedAddress)).to.equal('ECONNREFUSED');
 		expect(await fetchRefusal(await start({findServerByAddress: () => undefined}))).to.equal('UNKNOWN_SERVER');
-		expect(await fetchRefusal(await start({isBarred: () => true}))).to.equal('SERVER_BARRED');
+		expect(await fetchRefusal(await start({isRefusingRequests: () => true}))).to.equal('SERVER_REFUSES_REQUESTS');
 		const reachability = {isReaching: true, checkAfterFailure: async () => false};
 		expect(await fetchRefusal(await start({reachability}), refusedAddress)).to.equal('NO_SERVER_REACHED');
 		expect(await fetchRefusal(await start({reachability: {...reachability, isReaching: false}}))).to.equal('NO_SERVER_REACHED');
--- a/packages/relay/src/tunnels/tunnel-server.ts
+++ b/packages/relay/src/tunnels/tunnel-server.ts
@@ -2,7 +2,7 @@
 import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import type {TimerService} from '@knapweedrack/entry/contracts';
-import {barredCode} from '../exchange/backend-connections.js';
+import {refusingServerCode} from '../exchange/backend-connections.js';
 import {configureSocket, openDirectConnection, type SocketOpener} from '../exchange/connection-opener.js';
 import {watchReset} from '../exchange/reset-watch.js';
 import type {DecisionLog} from '../logging/decision-log.js';
@@ -25,7 +25,7 @@
 	/** Finds a backend server by `host:port`; tunnels lead to nothing else. */
 	findServerByAddress: (address: string) => {id: string} | undefined;
 	/** True when no request from this entry may reach a backend server now. */
-	isBarred: (serverId: string) => boolean;
+	isRefusingRequests: (serverId: string) => boolean;
 	/** Timeout of a connection to a backend server, in ms. */
 	getConnectTimeoutMs: () => number;
 };
@@ -116,9 +116,9 @@
 			return;
 		}
 
-		if (this.#options.isBarred(server.id)) {
+		if (this.#options.isRefusingRequests(server.id)) {
 			opened.value.socket.destroy();
-			this.#refuse(tunnel, {sender, address, code: barredCode});
+			this.#refuse(tunnel, {sender, address, code: refusingServerCode});
 			return;
 		}
 
@@ -137,8 +137,8 @@
 			return 'UNKNOWN_SERVER';
 		}
 
-		if (this.#options.isBarred(server.id)) {
-			return barredCode;
+		if (this.#options.isRefusingRequests(server.id)) {
+			return refusingServerCode;
 		}
 
 		if (!this.#options.reachability.isReaching) {
