Send notices of servers again

Cause: a notice that a server leaves or backs off went to other entries in one datagram. When it was lost, the entry that had passed the answer on went on sending to the server.

Change: notices are sent twice more, 500 and 1,000 ms later, with the time that is left and their age. An entry that knows one already ignores it.

--- a/packages/core/src/server-notices/server-backoff-table.ts
+++ b/packages/core/src/server-notices/server-backoff-table.ts
@@ -20,6 +20,11 @@
 export class ServerBackoffTable {
 	readonly #backoffs = new Map<string, Backoff>();
 
+	/** Number of servers whose backoff is kept. */
+	get size(): number {
+		return this.#backoffs.size;
+	}
+
 	/** Records that a server wants no request for a time; returns whether its backoff ends later than was known. */
 	record({id, bootId}: ServerIncarnation, backoffMs: number, {now, ageMs = 0}: {now: number; ageMs?: number}): boolean {
 		this.#removeOld(now);
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -248,6 +248,7 @@
 		});
 		this.#quarantine.start();
 		this.#serverLimits.start();
+		this.#serverNotices.start();
 		await this.#storeState.start();
 		await this.#registration.start();
 	}
@@ -325,6 +326,7 @@
 		this.#storeState.stop();
 		this.#quarantine.stop();
 		this.#serverLimits.stop();
+		this.#serverNotices.stop();
 		this.#peers.close();
 		await this.#connections.close();
 		this.timer.stop();
--- a/packages/relay/src/server-notices/server-notice-task.ts
+++ b/packages/relay/src/server-notices/server-notice-task.ts
@@ -7,6 +7,9 @@
 import type {RelayMetrics} from '../metrics/relay-metrics.js';
 import type {NoticeReport, ServerNotice} from './notice-report.js';
 
+/** Interval at which notices are sent again, in ms, and number of repetitions, since datagrams may be lost. */
+const resendMs = 500;
+const resendCount = 2;
 /** Most servers that one log line names. */
 const describedServerLimit = 8;
 
@@ -25,6 +28,9 @@
 	isForwarder: (failureDomain: string) => boolean;
 };
 
+/** A notice that is still to be sent again, at the time of its last sending. */
+type Resend = {notice: ServerNotice; sentAt: number; recipientId: string | undefined; left: number};
+
 /** A backend server that gets no request now, as described in the log; times in ms. */
 export type DescribedHold = {server: string; leftMs: number; ageMs: number};
 
@@ -33,11 +39,23 @@
 	readonly #options: ServerNoticeOptions;
 	readonly #backoffs = new ServerBackoffTable();
 	readonly #leaving = new LeavingServers();
+	#resends: Resend[] = [];
+	#unsubscribe: (() => void) | undefined;
 
 	constructor(options: ServerNoticeOptions) {
 		this.#options = options;
 	}
 
+	start(): void {
+		this.#unsubscribe = this.#options.timer.subscribe(resendMs, now => {
+			this.#resend(now);
+		});
+	}
+
+	stop(): void {
+		this.#unsubscribe?.();
+	}
+
 	/** Records an answer of a server to a request that was sent at `sentAt`; `tunnelPeerId` is the entry that passed both on, if any. */
 	recordAnswer(server: ServerIncarnation, {backoffMs, isLeaving}: Pick<AnswerEnvelope, 'backoffMs' | 'isLeaving'>, {sentAt, tunnelPeerId}: {sentAt: number; tunnelPeerId: string | undefined}): void {
 		const {id, bootId} = server;
@@ -99,6 +117,10 @@
 
 	/** Describes for the log which of these servers get no request now; undefined for none. */
 	describeHolds(servers: readonly ServerIncarnation[]): DescribedHold[] | undefined {
+		if (this.#backoffs.size === 0) {
+			return undefined;
+		}
+
 		const holds = servers.flatMap(server => {
 			const hold = this.getHold(server);
 			return hold === undefined ? [] : [{server: server.id, leftMs: Math.round(hold.leftMs), ageMs: Math.round(hold.ageMs)}];
@@ -137,8 +159,28 @@
 		});
 	}
 
-	#send(notices: ServerNotice[], recipientId?: string): void {
-		const {entryId, failureDomain, sendNoticeReport} = this.#options;
+	#resend(now: number): void {
+		const resends = this.#resends;
+		this.#resends = [];
+		for (const {notice, sentAt, recipientId, left} of resends) {
+			const elapsedMs = now - sentAt;
+			const backoffMs = notice.backoffMs === undefined ? undefined : notice.backoffMs - elapsedMs;
+			if (notice.isLeaving || (backoffMs ?? 0) > 0) {
+				this.#send([{...notice, backoffMs, ageMs: notice.ageMs + elapsedMs}], recipientId, left);
+			}
+		}
+	}
+
+	/** Sends notices, and again as many times as `repetitions` says. */
+	#send(notices: ServerNotice[], recipientId?: string, repetitions = resendCount): void {
+		const {entryId, failureDomain, sendNoticeReport, timer} = this.#options;
+		if (repetitions > 0) {
+			const sentAt = timer.now();
+			this.#resends.push(...notices.map(notice => ({
+				notice, sentAt, recipientId, left: repetitions - 1,
+			})));
+		}
+
 		sendNoticeReport({entryId, failureDomain, notices}, recipientId);
 	}
 }
