Log why a request was not retried and how long its server was silent

retry.refused gives the reason, attempt has silentMs, server.silent lists the request ids. Decisions are unchanged.

--- a/packages/relay/src/front/attempt-result.ts
+++ b/packages/relay/src/front/attempt-result.ts
@@ -9,6 +9,8 @@
 export type AttemptResult = {
 	firstByteAt?: number | undefined;
 	longestPauseMs?: number | undefined;
+	/** Time from the dispatch, or from the last event, to the end of the attempt, in ms. */
+	silentMs?: number;
 	/** True when the backend server has sent the head of an answer. */
 	hasHead?: boolean;
 	/** Requests per second that the backend server accepts from all entries, as its answer names it; undefined without a limit. */
--- a/packages/relay/src/front/relay-request.ts
+++ b/packages/relay/src/front/relay-request.ts
@@ -15,6 +15,7 @@
 import {hashContent, hashPart} from './hash-content.js';
 import {recordCrashEvidence} from './record-crash-evidence.js';
 import {runAttempt, type StreamProgress} from './run-attempt.js';
+import {retryRefusals, type RetryRefusal} from './retry-refusals.js';
 import {readRequestBody} from './request-body.js';
 import type {RelayServices} from './relay-services.js';
 import {
@@ -197,7 +198,9 @@
 				return;
 			}
 
-			if (!this.#isRetryAllowed(result, route, service)) {
+			const refusal = this.#findRetryRefusal(result, route, service);
+			if (refusal !== undefined) {
+				this.#services.log.writeRequest('retry.refused', this.#envelope.requestId, {route: route.name, reason: refusal, outcome: result.type});
 				this.#answerFailed(result, route);
 				return;
 			}
@@ -277,6 +280,7 @@
 			predictedMs: Math.round(placed.predictedFirstTokenMs),
 			firstByteMs: result.firstByteAt === undefined ? undefined : Math.round(result.firstByteAt - sentAt),
 			longestPauseMs: result.longestPauseMs === undefined ? undefined : Math.round(result.longestPauseMs),
+			silentMs: result.silentMs === undefined ? undefined : Math.round(result.silentMs),
 			waitedMs: Math.round(sentAt - this.#arrivedAt),
 			durationMs: Math.round(timer.now() - sentAt), configuration: this.#services.storeState.table?.configuration.version,
 			tokens: this.#envelope.prompt?.promptTokens, content: this.#fingerprints[0], parts: this.#fingerprints.slice(1),
@@ -306,21 +310,32 @@
 	 * A request may be retried when it was not run or may run twice, and while an answer can still be sent to its caller. The retry
 	 * must be within the attempt limit, the deadline and the retry budget of the service; an attempt that was not sent uses no budget.
 	 */
-	#isRetryAllowed(result: AttemptResult, route: Route, service: Service): boolean {
+	#findRetryRefusal(result: AttemptResult, route: Route, service: Service): RetryRefusal | undefined {
 		const {getBudget, timer, countEntries} = this.#services;
 		const isSafe = result.type === 'not_sent' || (result.type === 'not_run' && !this.#mayHaveRun) || isRepeatable(route);
-		const isAnswerable = this.#writer.isOpen || (this.#writer.canContinue && isRepeatable(route) && this.#progress.isResumable);
-		if (!isSafe || !isAnswerable || this.#computeRemainingMs(route) <= 0 || this.#sentAttempts >= route.attemptLimit) {
-			return false;
+		if (!isSafe) {
+			return retryRefusals.mayHaveRun;
+		}
+
+		if (!this.#writer.isOpen && !(this.#writer.canContinue && isRepeatable(route) && this.#progress.isResumable)) {
+			return retryRefusals.notResumable;
+		}
+
+		if (this.#computeRemainingMs(route) <= 0) {
+			return retryRefusals.deadline;
+		}
+
+		if (this.#sentAttempts >= route.attemptLimit) {
+			return retryRefusals.attemptLimit;
 		}
 
 		if (result.type === 'not_sent') {
-			return true;
+			return undefined;
 		}
 
 		const isWithinBudget = getBudget(service.name).tryConsume(timer.now(), countEntries());
 		this.#services.metrics.countRetry(service.name, isWithinBudget);
-		return isWithinBudget;
+		return isWithinBudget ? undefined : retryRefusals.budget;
 	}
 
 	#computeRemainingMs(route: Route): number {
--- a/packages/relay/src/front/run-attempt.ts
+++ b/packages/relay/src/front/run-attempt.ts
@@ -299,7 +299,7 @@
 			}
 		};
 
-		const attempt = silentServers.add(placed.server.id, dueAt, isRepeatable(route) && !isLast ? cancelResumable : undefined);
+		const attempt = silentServers.add({serverId: placed.server.id, requestId: this.options.requestId}, dueAt, isRepeatable(route) && !isLast ? cancelResumable : undefined);
 		this.#postponeDueTime = attempt.postpone;
 		this.#cleanups.push(attempt.remove);
 	}
@@ -413,7 +413,7 @@
 		}
 
 		this.resolve({
-			...result, firstByteAt: this.#firstByteAt, longestPauseMs: this.#longestPauseMs, hasCompleted: this.#hasCompleted, isDelimited: this.#isDelimited,
+			...result, firstByteAt: this.#firstByteAt, longestPauseMs: this.#longestPauseMs, silentMs: this.services.timer.now() - Math.max(this.#sentAt, this.#latestEventAt), hasCompleted: this.#hasCompleted, isDelimited: this.#isDelimited,
 			hasHead: this.#head !== undefined, requestsPerSecondLimit: this.#head?.envelope.requestsPerSecondLimit, backoffMs: this.#head?.envelope.backoffMs,
 			tunnelPeerId: this.#connection?.tunnelPeerId,
 		});
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -162,9 +162,9 @@
 				this.#peers.notifyLoad(serverId);
 			},
 		});
-		const silentServers = new SilentServerTask(timer, serverId => {
+		const silentServers = new SilentServerTask(timer, (serverId, requestIds) => {
 			this.#placement.recordSignal(serverId, healthSignals.lost);
-			log.write('server.silent', {server: serverId});
+			log.write('server.silent', {server: serverId, requestIds});
 		});
 		const bootId = randomBytes(8).toString('hex');
 		this.#peers = new PeerReportTask({
