Read what has arrived before a server counts as silent

After the process was busy, its timers run before it reads the sockets, so bytes that had arrived counted as overdue: the server was reported silent, its health fell, and another attempt took a retry from the budget.

Change: overdue attempts are looked up again in the check phase of the event loop, which comes after the sockets were read, and reported only if they are still overdue.

--- a/packages/relay/src/exchange/silent-server-task.ts
+++ b/packages/relay/src/exchange/silent-server-task.ts
@@ -1,5 +1,6 @@
 import {OverdueAttempts} from '@knapweedrack/core';
 import type {TimerService} from '@knapweedrack/entry/contracts';
+import {runAfterInput} from './run-after-input.js';
 
 /** Interval between checks for silent backend servers, in ms; much shorter than the inter-token latency that callers tolerate. */
 const checkMs = 100;
@@ -24,9 +25,15 @@
 	#silentServerIds: ReadonlySet<string> = new Set();
 
 	/** `reportSilent` is called for each backend server that falls silent, with the ids of its requests, before its attempts are notified. */
-	constructor(private readonly timer: TimerService, private readonly reportSilent: (serverId: string, requestIds: Array<string | undefined>) => void) {
+	constructor(timer: TimerService, private readonly reportSilent: (serverId: string, requestIds: Array<string | undefined>) => void) {
 		timer.subscribe(checkMs, now => {
-			this.#check(now);
+			if (this.#overdue.listSilent(now).length > 0) {
+				runAfterInput(() => {
+					this.#notifySilent(timer.now());
+				});
+			} else {
+				this.#silentServerIds = new Set();
+			}
 		});
 	}
 
@@ -49,7 +56,7 @@
 		};
 	}
 
-	#check(now: number): void {
+	#notifySilent(now: number): void {
 		const silent = this.#overdue.listSilent(now);
 		const serverIds = new Set(silent.map(({serverId}) => serverId));
 		for (const serverId of serverIds) {
--- a/packages/relay/src/front/run-attempt.ts
+++ b/packages/relay/src/front/run-attempt.ts
@@ -8,6 +8,7 @@
 } from '../exchange/attempt.js';
 import type {BackendConnection} from '../exchange/backend-connections.js';
 import {EventSplitter} from '../exchange/event-splitter.js';
+import {runAfterInput} from '../exchange/run-after-input.js';
 import type {PlacedRequest} from '../placement/placement-task.js';
 import {lossKinds} from '../quarantine/crash-detection-task.js';
 import type {AnswerWriter} from './answer-writer.js';
@@ -300,12 +301,18 @@
 
 		const report = (): void => {
 			if (!this.#isOver && this.#mode === answerModes.waiting) {
-				this.#cleanups.push(timer.schedule(silenceReportMs, report));
+				scheduleReport(silenceReportMs);
 				notifySilent();
 			}
 		};
 
-		this.#cleanups.push(timer.schedule(Math.min(remainingMs * attemptTimeShare, route.targetMs * silentTargetFactor), report));
+		const scheduleReport = (delayMs: number): void => {
+			this.#cleanups.push(timer.schedule(delayMs, () => {
+				this.#cleanups.push(runAfterInput(report));
+			}));
+		};
+
+		scheduleReport(Math.min(remainingMs * attemptTimeShare, route.targetMs * silentTargetFactor));
 	}
 
 	/** Watches a stream together with the other streams of its backend server, which is silent once the bytes of all of them are overdue. */
