Let no bytes be due while a slow caller makes the entry pause reading

A caller that read nothing for 1.4 s made the entry stop reading from its server, whose bytes then counted as overdue: another attempt was started, and on the stream was cancelled for it.

Change: an attempt whose answer is paused does not count for whether its server is silent; the next bytes are due again once reading resumes.

--- a/packages/relay/src/exchange/silent-server-task.ts
+++ b/packages/relay/src/exchange/silent-server-task.ts
@@ -12,6 +12,8 @@
 export type WatchedAttempt = {
 	/** Sets the time by which the next bytes are due, on the clock of the timer service. */
 	postpone: (dueAt: number) => void;
+	/** No bytes are due until `postpone` is called: the attempt does not count while this process reads nothing from it. */
+	pause: () => void;
 	/** Stops watching; must be called once the attempt has ended. */
 	remove: () => void;
 };
@@ -49,6 +51,9 @@
 			postpone: due => {
 				this.#overdue.set(key, serverId, due);
 			},
+			pause: () => {
+				this.#overdue.remove(key);
+			},
 			remove: () => {
 				this.#overdue.remove(key);
 				this.#subscribers.delete(key);
--- a/packages/relay/src/front/run-attempt.ts
+++ b/packages/relay/src/front/run-attempt.ts
@@ -9,6 +9,7 @@
 import type {BackendConnection} from '../exchange/backend-connections.js';
 import {EventSplitter} from '../exchange/event-splitter.js';
 import {runAfterInput} from '../exchange/run-after-input.js';
+import type {WatchedAttempt} from '../exchange/silent-server-task.js';
 import type {PlacedRequest} from '../placement/placement-task.js';
 import {lossKinds} from '../quarantine/crash-detection-task.js';
 import type {AnswerWriter} from './answer-writer.js';
@@ -121,7 +122,9 @@
 	#hasCompleted = false;
 	#isDelimited = false;
 	#isOver = false;
-	#postponeDueTime: ((dueAt: number) => void) | undefined;
+	#watched: WatchedAttempt | undefined;
+	/** True while nothing is read from the backend server, because the caller has not taken what was written. */
+	#isPaused = false;
 	#running: RunningAttempt | undefined;
 	#connection: BackendConnection | undefined;
 
@@ -160,6 +163,10 @@
 		});
 		this.#cleanups.push(this.options.writer.subscribeToDrain(() => {
 			running.resume();
+			if (this.#isPaused) {
+				this.#isPaused = false;
+				this.#postponeDueTime();
+			}
 		}));
 		const {notifySilent} = this.options;
 		if (notifySilent !== undefined) {
@@ -323,9 +330,8 @@
 		}
 
 		const dueAt = timer.now() + (placed.predictedFirstTokenMs * firstTokenFactor) + firstTokenMarginMs;
-		const attempt = silentServers.add({serverId: placed.server.id, requestId}, dueAt, notifySilent);
-		this.#postponeDueTime = attempt.postpone;
-		this.#cleanups.push(attempt.remove);
+		this.#watched = silentServers.add({serverId: placed.server.id, requestId}, dueAt, notifySilent);
+		this.#cleanups.push(this.#watched.remove);
 	}
 
 	#buildListener(): AttemptListener {
@@ -370,7 +376,13 @@
 			return true;
 		}
 
-		return dataHandlers[this.#mode](this, chunk);
+		const canContinue = dataHandlers[this.#mode](this, chunk);
+		if (!canContinue) {
+			this.#isPaused = true;
+			this.#watched?.pause();
+		}
+
+		return canContinue;
 	}
 
 	#recordEvents(placed: PlacedRequest): void {
@@ -383,7 +395,11 @@
 		}
 
 		this.#latestEventAt = now;
-		this.#postponeDueTime?.(now + computeOverduePauseMs(this.options.service));
+		this.#postponeDueTime();
+	}
+
+	#postponeDueTime(): void {
+		this.#watched?.postpone(this.services.timer.now() + computeOverduePauseMs(this.options.service));
 	}
 
 	/** Records the time to the first byte that the caller receives. A retried stream may have sent that byte in an earlier attempt. */
