Never end a stream with an answer that is no stream

What callers saw: found by the test of slow callers. After events of one server, a 200 with a plain body of another one was appended to the stream and ended it as complete: events missing, bytes of two runs joined.

Cause: whether an answer may continue a stream was decided by the kind of the route alone, not by that of the answers.

Change: once a caller has the head of a stream of events, an attempt with an answer of another kind counts as broken.

Why it works: the head of an answer comes before any of its bytes, so none of them reaches the caller.

--- a/packages/relay/src/front/request-attempts.ts
+++ b/packages/relay/src/front/request-attempts.ts
@@ -56,7 +56,7 @@
 	constructor(services: RelayServices, admitted: AdmittedRequest) {
 		this.#services = services;
 		this.#admitted = admitted;
-		this.#progress = {lastEventId: admitted.envelope.lastEventId, isResumable: true};
+		this.#progress = {lastEventId: admitted.envelope.lastEventId, isResumable: true, isEventStream: false};
 	}
 
 	/** Number of attempts that sent bytes of the request to a backend server. */
--- a/packages/relay/src/front/run-attempt.ts
+++ b/packages/relay/src/front/run-attempt.ts
@@ -46,6 +46,8 @@
 	lastEventId: string | undefined;
 	/** False once the caller has received an event without an id: a stream that continued would repeat it. */
 	isResumable: boolean;
+	/** True once the caller has received the head of a stream of events, which only another such stream can continue. */
+	isEventStream: boolean;
 };
 
 /** Input of one attempt of a request. */
@@ -199,6 +201,7 @@
 		this.#recordEvents(placed);
 		if (writer.isOpen) {
 			writer.start(this.#head!);
+			progress.isEventStream = isEventStream(this.#head!);
 			this.#recordFirstByte();
 		}
 
@@ -261,7 +264,7 @@
 	endHeld(head: AnswerHead): AttemptResult {
 		const {writer} = this.options;
 		if (!writer.isOpen) {
-			return {type: 'broken', cause: 'the answer is not a stream, but an earlier attempt has begun to stream to the caller', loss: undefined};
+			return {type: 'broken', cause: noStreamCause, loss: undefined};
 		}
 
 		if (!this.options.claimAnswer()) {
@@ -357,6 +360,10 @@
 		if (isFromServer(head) || hasRequestId(head)) {
 			serverNotices.recordAnswer(server, head.envelope, {sentAt: this.#sentAt, tunnelPeerId: this.#connection?.tunnelPeerId});
 		}
+
+		if (this.#mode === answerModes.stream && this.options.progress.isEventStream && !isEventStream(head)) {
+			this.#abort(noStreamCause);
+		}
 	}
 
 	#selectMode(head: AnswerHead): AnswerMode {
@@ -461,6 +468,7 @@
 	}
 }
 
+const noStreamCause = 'the answer is not a stream, but an earlier attempt has begun to stream to the caller';
 const okStatus = 200;
 const tooManyRequestsStatus = 429;
 const serverErrorStatus = 500;
