Renew reserved memory over a new connection while its engine wants no requests

What callers saw: a running answer whose KV cache is spread over several engines could be cut when the lease of a part ended, although neither the caller nor the engines had ended anything.

Cause: a connection that has just been opened is dropped while its server backs off or leaves, so that no request reaches it. Renewals and releases of reserved memory use the same pool. Once the idle connection of the pool had been closed (after its keep-alive timeout, or by the server), no renewal reached an engine that had answered 503 with Retry-After to another request, or that had said it leaves, until the lease had ended. platform.md says that renewals and releases are sent all the same.

Evidence: the new test makes an engine that holds memory back off, closes its idle connections and counts the reserved tokens while the stream goes on.

Change: acquire takes ignoresRefusal, which renewals and releases set; new reservations and requests are still dropped.

Result: the test passes. It works because the check is made when the connection is open, by the purpose for which it was acquired. Not covered: renewals through a tunnel, whose peer refuses new tunnels to a server that backs off from it.

--- a/packages/relay/src/exchange/backend-connections.ts
+++ b/packages/relay/src/exchange/backend-connections.ts
@@ -62,8 +62,9 @@
 	}
 
 	/** Acquires the most recently used idle connection, because the others may be about to close, or opens a new one. */
-	acquire(): BackendConnection {
+	acquire(ignoresRefusal: boolean): BackendConnection {
 		const client = this.#idle.pop() ?? this.#open();
+		client.ignoresRefusal = ignoresRefusal;
 		let isReleased = false;
 		return {
 			get tunnelPeerId() {
@@ -133,6 +134,8 @@
 	readonly client: Client;
 	wasReset = false;
 	isOpen = false;
+	/** True when a connection may be opened although no request may reach the backend server. */
+	ignoresRefusal = false;
 	tunnelPeerId: string | undefined;
 	notifyEnd: (() => void) | undefined;
 	#receivedBytes = 0;
@@ -174,7 +177,7 @@
 			return;
 		}
 
-		if (this.options.isRefusingRequests(this.server.id)) {
+		if (!this.ignoresRefusal && this.options.isRefusingRequests(this.server.id)) {
 			result.value.socket.destroy();
 			callback(new RefusingServerError(), null);
 			return;
@@ -253,8 +256,11 @@
 		}
 	}
 
-	/** Acquires a connection to a backend server; returns undefined when none is idle and `limit` connections exist. */
-	acquire(server: {id: string; address: string}, limit: number): BackendConnection | undefined {
+	/**
+	 * Acquires a connection to a backend server; returns undefined when none is idle and `limit` connections exist. With `ignoresRefusal`
+	 * it is also opened while the server wants no requests, for what keeps or ends work that the server has accepted before.
+	 */
+	acquire(server: {id: string; address: string}, limit: number, {ignoresRefusal = false} = {}): BackendConnection | undefined {
 		const known = this.#servers.get(server.id);
 		const connections = known?.address === server.address ? known : new ServerConnections(server, {...this.options, connectTimeoutMs: this.#connectTimeoutMs});
 		if (known !== undefined && known !== connections) {
@@ -263,7 +269,7 @@
 
 		this.#servers.set(server.id, connections);
 		connections.closeUnusable();
-		return connections.idle === 0 && connections.size >= limit ? undefined : connections.acquire();
+		return connections.idle === 0 && connections.size >= limit ? undefined : connections.acquire(ignoresRefusal);
 	}
 
 	/** Closes the connections to all other backend servers, once their open requests have ended. */
--- a/packages/relay/src/exchange/memory-reservation.ts
+++ b/packages/relay/src/exchange/memory-reservation.ts
@@ -53,8 +53,8 @@
 	const leaseMs = reservationMs * leaseShare;
 	const id = randomBytes(6).toString('hex');
 	const held: ReservedPart[] = [];
-	const sendPartOrder = async ({server}: ReservedPart, body: string): Promise<OrderResult> => {
-		const connection = services.connections.acquire(server, orderConnectionLimit);
+	const sendPartOrder = async ({server}: ReservedPart, body: string, {ignoresRefusal = true} = {}): Promise<OrderResult> => {
+		const connection = services.connections.acquire(server, orderConnectionLimit, {ignoresRefusal});
 		if (connection === undefined) {
 			return 'refused';
 		}
@@ -89,7 +89,7 @@
 	};
 
 	for (const part of parts.toSorted((a, b) => a.server.id < b.server.id ? -1 : 1)) {
-		const result = serverNotices.isRefusingRequests(part.server) ? 'refused' : await sendPartOrder(part, orders.encodeReservation({id, tokens: part.tokens, holdMs: leaseMs}));
+		const result = serverNotices.isRefusingRequests(part.server) ? 'refused' : await sendPartOrder(part, orders.encodeReservation({id, tokens: part.tokens, holdMs: leaseMs}), {ignoresRefusal: false});
 		// An order without an answer may have been executed, so its memory is released as well.
 		if (result !== 'refused') {
 			held.push(part);
--- a/packages/testkit/src/users-platform/runner.ts
+++ b/packages/testkit/src/users-platform/runner.ts
@@ -21,7 +21,13 @@
 export type RunnerHandler = (request: RunnerRequest, response: ServerResponse) => Promise<void> | void;
 
 /** A running runner with the requests that it has received and the memory reserved on it. */
-export type Runner = StandIn & {id: string; received: RunnerRequest[]; reservations: ReservationLedger};
+export type Runner = StandIn & {
+	id: string;
+	received: RunnerRequest[];
+	reservations: ReservationLedger;
+	/** Closes the connections that have no open request. */
+	closeIdleConnections: () => void;
+};
 
 const orderPath = '/-/order';
 const healthPath = '/health';
@@ -73,6 +79,9 @@
 	return {
 		id, received, reservations,
 		address: `${loopbackHost}:${boundPort}`,
+		closeIdleConnections() {
+			server.closeIdleConnections();
+		},
 		async close() {
 			server.close();
 			server.closeAllConnections();
