Renew the first parts of a memory reservation while the last ones are reserved

What callers saw: a prompt whose memory is spread over several engines could be cut soon after it had been sent, because the memory of its first part was free again.

Cause: the parts are reserved one after the other, and renewals began when the last one was held. A lease runs from the arrival of its order, so with engines that answer slowly (an order is given up after 600 ms, and there are up to 16 parts) the first lease ended before its first renewal.

Evidence: the new test lets each engine take 0.8 of the lease bound for its first order.

Change: renewals begin with the first part; they stop when a part is not reserved.

It works because each renewal tick covers the parts that are held at that moment.

--- a/packages/relay/src/exchange/memory-reservation.ts
+++ b/packages/relay/src/exchange/memory-reservation.ts
@@ -88,8 +88,15 @@
 		}
 	};
 
+	// The leases of the first parts run while further ones are being reserved.
+	const unsubscribe = timer.subscribe(Math.round(leaseMs * renewShare), () => {
+		for (const part of held) {
+			void renew(part);
+		}
+	});
 	for (const part of parts.toSorted((a, b) => a.server.id < b.server.id ? -1 : 1)) {
-		const result = serverNotices.isRefusingRequests(part.server) ? 'refused' : await sendPartOrder(part, orders.encodeReservation({id, tokens: part.tokens, holdMs: leaseMs}), {ignoresRefusal: false});
+		const body = orders.encodeReservation({id, tokens: part.tokens, holdMs: leaseMs});
+		const result = serverNotices.isRefusingRequests(part.server) ? 'refused' : await sendPartOrder(part, body, {ignoresRefusal: false});
 		// An order without an answer may have been executed, so its memory is released as well.
 		if (result !== 'refused') {
 			held.push(part);
@@ -99,16 +106,12 @@
 			log.writeRequest('reservation.failed', requestId, {
 				server: part.server.id, reservation: id, tokens: part.tokens, result,
 			});
+			unsubscribe();
 			release();
 			return undefined;
 		}
 	}
 
-	const unsubscribe = timer.subscribe(Math.round(leaseMs * renewShare), () => {
-		for (const part of held) {
-			void renew(part);
-		}
-	});
 	return {
 		ids: new Map(held.map(({server}) => [server.id, id])),
 		release() {
