Finish requests that arrive while a stopping entry waits for tunnels

What callers saw: a request on a kept connection to a stopping entry ended with a closed connection in the middle of its run, well within the grace period.

Cause: a planned stop waited until no request had been open for 300 ms, then for the tunnels of other entries, and closed the front as soon as the last tunnel was gone, whatever requests had arrived during that wait. Without tunnels the second wait still took one check (25 ms), in which the same could happen.

Change: the entry waits for the tunnels first and for the requests last, and again while new tunnels are open.

It works because the front is closed in the same turn of the event loop in which it was found idle. Not covered by a test: the 25 ms without tunnels, which the same change removes.

--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -318,8 +318,12 @@
 		void this.#registration.stop();
 		const deadline = now + bounds.graceMs - connectionCloseMs;
 		await waitFor(this.timer, Math.min(bounds.entryListLifetimeMs * staleListFactor, (deadline - now) / 2));
-		await this.#front.waitUntilIdle(idleBeforeStopMs, deadline);
-		await this.#tunnels.waitUntilClosed(deadline);
+		// Requests arrive on kept connections until the front closes, so the wait for them comes last.
+		do {
+			await this.#tunnels.waitUntilClosed(deadline);
+			await this.#front.waitUntilIdle(idleBeforeStopMs, deadline);
+		} while (this.#tunnels.size > 0 && this.timer.now() < deadline);
+
 		this.#log.write('process.stopped', {openRequests: this.#front.openRequests});
 		this.#front.close();
 		this.#tunnels.close();
