Finish a running answer before refusing unreadable bytes behind its request

What callers saw: a caller that had begun to send its next request on the same connection lost the running answer. The stream ended with "HTTP/1.1 408 Request Timeout" (or 400) among its chunks, once the head timeout of the configuration had passed or the bytes were no request.

Cause: the handler of unreadable requests wrote its answer to the connection at once, whatever answer was being written, and ended it.

Change: while the answer to an earlier whole request is unfinished, the refusal waits until that answer is over. When the late head has become a request by then, there is no refusal.

It works because answers are sent in the order of their requests.

--- a/packages/relay/src/front/front-server.ts
+++ b/packages/relay/src/front/front-server.ts
@@ -20,6 +20,8 @@
 export class FrontServer {
 	readonly #server: Server;
 	readonly #openResponses = new Set<ServerResponse>();
+	/** Connections whose further bytes are no request, and whose last answer is not finished. */
+	readonly #unreadableSockets = new WeakSet<Duplex>();
 	#totalCount = 0;
 
 	constructor(private readonly services: RelayServices) {
@@ -29,7 +31,7 @@
 			void this.#serve(request, response);
 		});
 		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket: Duplex) => {
-			this.#answerUnreadable(error, socket);
+			this.#handleUnreadable(error, socket);
 		});
 	}
 
@@ -118,13 +120,39 @@
 		}
 	}
 
-	#answerUnreadable(error: NodeJS.ErrnoException, socket: Duplex): void {
+	#handleUnreadable(error: NodeJS.ErrnoException, socket: Duplex): void {
 		this.services.metrics.countEvent('caller.unreadable');
 		if (!socket.writable || error.code === 'ECONNRESET') {
 			socket.destroy();
 			return;
 		}
 
+		const unfinished = this.#findUnfinished(socket);
+		if (unfinished === undefined) {
+			this.#answerUnreadable(error, socket);
+		} else if (!this.#unreadableSockets.has(socket)) {
+			// Answers are sent in the order of their requests. A late head may have become a request by then.
+			this.#unreadableSockets.add(socket);
+			unfinished.once('close', () => {
+				this.#unreadableSockets.delete(socket);
+				if (this.#findUnfinished(socket) === undefined) {
+					this.#answerUnreadable(error, socket);
+				}
+			});
+		}
+	}
+
+	/** Finds the unfinished answer to the last request that was read whole on a connection. */
+	#findUnfinished(socket: Duplex): ServerResponse | undefined {
+		return [...this.#openResponses].findLast(({req}) => req.socket === socket && req.complete);
+	}
+
+	#answerUnreadable(error: NodeJS.ErrnoException, socket: Duplex): void {
+		if (!socket.writable) {
+			socket.destroy();
+			return;
+		}
+
 		const status = unreadableStatuses.get(error.code ?? '') ?? '400 Bad Request';
 		this.services.log.writeRequest('caller.unreadable', undefined, {code: error.code, status});
 		socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
