Pass on answers whose reason phrase Node.js does not write

What callers saw: a request that had been read and run got no answer; its connection was closed at the timeout of the route, or at once for a stream.

Cause: the reason phrase of the backend server's answer was handed to writeHead, which throws on characters outside Latin-1 and on control characters. The exception was thrown in a callback of the HTTP client, so that the attempt of a whole answer never ended. The writer had already noted that the answer was started; the head of a continued stream would then have been written without that of its server.

Change: such a reason phrase is replaced by the usual one of the status.

It works because the status alone has a meaning; header values need nothing, since both parsers read and write them as Latin-1.

--- a/packages/relay/src/front/caller-answer.ts
+++ b/packages/relay/src/front/caller-answer.ts
@@ -5,6 +5,9 @@
 	'connection', 'keep-alive', 'proxy-connection', 'proxy-authenticate', 'proxy-authorization', 'te', 'trailer', 'transfer-encoding', 'upgrade',
 ]);
 
+/** Reason phrases that Node.js writes; it throws on others. */
+const writableTextPattern = /^[\t\u0020-\u007E\u0080-\u00FF]*$/v;
+
 /** Lower-case names of the hop-by-hop headers, including those listed in the `Connection` header. */
 export const listConnectionHeaders = (connection: string | undefined): Set<string> => {
 	const names = new Set(connectionHeaders);
@@ -24,10 +27,11 @@
 /** Writes the head of an answer; `close` asks the caller to use another connection for its next request. */
 export const writeHead = (response: ServerResponse, head: {status: number; statusText?: string; headers: OutgoingHttpHeaders; close: boolean}): void => {
 	const headers = head.close ? {...head.headers, connection: 'close'} : head.headers;
-	if (head.statusText === undefined || head.statusText === '') {
-		response.writeHead(head.status, headers);
+	const {status, statusText = ''} = head;
+	if (statusText !== '' && writableTextPattern.test(statusText)) {
+		response.writeHead(status, statusText, headers);
 	} else {
-		response.writeHead(head.status, head.statusText, headers);
+		response.writeHead(status, headers);
 	}
 };
 
