Repeat a renewal of reserved memory that has no answer

What callers saw: a prompt whose memory is spread over several engines was cut when two renewals in a row were lost, for example because an engine resets connections beyond its limit. Nothing in the log told why.

Cause: a renewal without an answer was ignored until the next one, a third of the lease later. After two, the third came when the lease had ended. The result of a renewal was not logged.

Evidence: the new test loses the next two orders of each engine with their connections while a stream runs. On the commit before it failed with "expected true to equal false" (the memory had lapsed between the end of the lease and the third renewal, 22 ms in this test).

Change: a renewal without an answer is repeated once after 100 ms, unless the memory was released or a later renewal runs meanwhile. A renewal that fails has a log line, reservation.renewal_failed. A refused one is not repeated, since the engine has decided.

It works because a lease now holds two renewals with two tries each.

--- a/packages/relay/src/exchange/memory-reservation.ts
+++ b/packages/relay/src/exchange/memory-reservation.ts
@@ -1,5 +1,6 @@
 import {randomBytes} from 'node:crypto';
 import type {TimerService} from '@knapweedrack/entry/contracts';
+import {waitFor} from '@knapweedrack/entry/timer-service';
 import type {EngineOrderCodec, RelayBounds, WireCodec} from '../contracts.js';
 import {misdirectedStatus} from '../front/attempt-result.js';
 import type {ServerNoticeTask} from '../server-notices/server-notice-task.js';
@@ -8,9 +9,12 @@
 import type {BackendConnections} from './backend-connections.js';
 import {sendOrder, type OrderResult} from './engine-orders.js';
 
-/** Renewal interval as a share of the lease, short enough that the lease survives one lost renewal. */
+/** Renewal interval as a share of the lease, short enough that the lease survives a lost renewal and its repetition. */
 const renewShare = 0.35;
 
+/** Delay before a renewal without an answer is repeated, in ms. */
+const renewalRetryMs = 100;
+
 /**
  * Lease as a share of the time in which memory must be released after its last request. The rest covers a renewal that arrives after
  * the engine has ended the request, when the entry ends as well and cannot release the memory.
@@ -71,16 +75,31 @@
 
 	/** Renewals without an answer so far. */
 	const renewals = new Map<ReservedPart, Promise<OrderResult>>();
-	const renew = async (part: ReservedPart): Promise<void> => {
+	let isReleased = false;
+	/** Renews a part, and once more when that has no answer. */
+	const renew = async (part: ReservedPart, retries = 1): Promise<void> => {
 		const renewal = sendPartOrder(part, orders.encodeReservation({id, tokens: part.tokens, holdMs: leaseMs}));
 		renewals.set(part, renewal);
-		await renewal;
+		const result = await renewal;
 		if (renewals.get(part) === renewal) {
 			renewals.delete(part);
 		}
+
+		if (result === 'done' || isReleased) {
+			return;
+		}
+
+		log.writeRequest('reservation.renewal_failed', requestId, {server: part.server.id, reservation: id, result});
+		if (result === 'unknown' && retries > 0) {
+			await waitFor(timer, renewalRetryMs);
+			if (!isReleased && !renewals.has(part)) {
+				await renew(part, retries - 1);
+			}
+		}
 	};
 
 	const release = (): void => {
+		isReleased = true;
 		for (const part of held) {
 			void releasePart(part, sendPartOrder, {body: orders.encodeRelease(id), renewal: renewals.get(part)}, result => {
 				log.writeRequest('reservation.release_failed', requestId, {server: part.server.id, reservation: id, result});
--- a/packages/testkit/src/users-platform/reservation-ledger.ts
+++ b/packages/testkit/src/users-platform/reservation-ledger.ts
@@ -13,6 +13,8 @@
 	readonly orders: ReservationOrder[] = [];
 	/** Most tokens that may be reserved at the same time; orders beyond it are refused. */
 	memoryTokens = Number.POSITIVE_INFINITY;
+	/** Number of orders, from the next one on, that are lost with their connection. */
+	lostOrders = 0;
 
 	constructor(private readonly held = new Map<string, Reservation>()) {}
 
--- a/packages/testkit/src/users-platform/runner.ts
+++ b/packages/testkit/src/users-platform/runner.ts
@@ -54,6 +54,12 @@
 			return;
 		}
 
+		if (request.url === orderPath && reservations.lostOrders > 0) {
+			reservations.lostOrders--;
+			request.socket.destroy();
+			return;
+		}
+
 		if (request.url === orderPath) {
 			const status = await reservations.handleOrder(Buffer.concat(parts).toString());
 			response.writeHead(status, {'content-length': 0}).end();
