Use connections that were established while the process was busy

What callers saw: a 503 (not run) although all servers were sound, after the entry itself had been busy for longer than the connect timeout (150 ms and up), for example with a new version.

Cause: timers run before sockets are read. After a long turn of the event loop the timeout of a connection was handled before the connection that had been established meanwhile, and each server tried counted as unreachable.

Change: the timeout of connections to backend servers and to other entries (tunnels) takes effect once the events that wait at the sockets were handled.

It works because setImmediate runs after the next poll of the sockets.

--- a/packages/relay/src/exchange/connection-opener.ts
+++ b/packages/relay/src/exchange/connection-opener.ts
@@ -37,15 +37,37 @@
 	const socket = openSocket({host, port: Number(port)});
 	// Without a listener, an error outside of a request would end the process.
 	socket.on('error', () => undefined);
+	const timeout = startTimeout(timeoutMs);
 	try {
-		await once(socket, 'connect', {signal: AbortSignal.timeout(timeoutMs)});
+		await once(socket, 'connect', {signal: timeout.signal});
 		return createOk({socket});
 	} catch (error) {
 		socket.destroy();
 		return createError(isTimeout(error) ? new ConnectTimeoutError(address, timeoutMs) : error as Error);
+	} finally {
+		timeout.cancel();
 	}
 };
 
+/**
+ * Starts a timeout whose signal aborts only after the events that already wait at the sockets were handled: when the process was busy,
+ * the timer is late, and what it waits for may have happened in time.
+ */
+export const startTimeout = (timeoutMs: number): {signal: AbortSignal; cancel: () => void} => {
+	const controller = new AbortController();
+	const timer = setTimeout(() => {
+		setImmediate(() => {
+			controller.abort();
+		});
+	}, timeoutMs);
+	return {
+		signal: controller.signal,
+		cancel() {
+			clearTimeout(timer);
+		},
+	};
+};
+
 /** Creates an opener whose connections all start at this entry. */
 export const createDirectOpener = (openSocket: SocketOpener): ConnectionOpener =>
 	async ({address}, timeoutMs) => openDirectConnection(openSocket, address, timeoutMs);
--- a/packages/relay/src/tunnels/open-tunnel.ts
+++ b/packages/relay/src/tunnels/open-tunnel.ts
@@ -2,7 +2,7 @@
 import {request, type IncomingMessage} from 'node:http';
 import type {Socket} from 'node:net';
 import {createError, createOk, type Result} from '@knapweedrack/core';
-import {configureSocket} from '../exchange/connection-opener.js';
+import {configureSocket, startTimeout} from '../exchange/connection-opener.js';
 
 /** Header with the id of the entry that asks for a tunnel. */
 export const tunnelSenderHeader = 'knapweedrack-entry';
@@ -33,8 +33,9 @@
 	// Without a listener, an error after the deadline would end the process.
 	asked.on('error', () => undefined);
 	asked.end();
+	const timeout = startTimeout(timeoutMs);
 	try {
-		const [answer, socket] = await once(asked, 'connect', {signal: AbortSignal.timeout(timeoutMs)}) as [IncomingMessage, Socket];
+		const [answer, socket] = await once(asked, 'connect', {signal: timeout.signal}) as [IncomingMessage, Socket];
 		socket.on('error', () => undefined);
 		if (answer.statusCode !== 200) {
 			socket.destroy();
@@ -46,5 +47,7 @@
 	} catch (error) {
 		asked.destroy();
 		return createError(new TunnelError('TUNNEL_PEER_LOST', `no tunnel through ${peerAddress}: ${(error as Error).message}`));
+	} finally {
+		timeout.cancel();
 	}
 };
