Read bodies that arrived while the process was busy before refusing them as idle

What callers saw: a 408 for a request whose whole body had been sent in time, after the entry had been busy for longer than the idle timeout of the configuration.

Cause: timers run before sockets are read. After a long turn of the event loop the idle timeout of a body ended the request although its bytes waited in the socket.

Change: the request ends as idle only after one more poll of the sockets.

It works because reading a part cancels the check.

--- a/packages/relay/src/front/request-body.ts
+++ b/packages/relay/src/front/request-body.ts
@@ -35,7 +35,13 @@
 		const resetIdleTimer = (): void => {
 			cancelIdleTimer();
 			cancelIdleTimer = timer.schedule(limits.idleTimeoutMs, () => {
-				end({type: 'idle'});
+				// When the process was busy, the timer runs before the bytes are read that wait in the socket.
+				const checked = setImmediate(() => {
+					end({type: 'idle'});
+				});
+				cancelIdleTimer = () => {
+					clearImmediate(checked);
+				};
 			});
 		};
 
