State the reason of a refused stream in the test of the planned stop

Change: the message of the assertion has the reason, the retry time and the duration of the stream. The check itself is unchanged.

--- a/packages/cli/src/guarantees/graceful-stop.test.ts
+++ b/packages/cli/src/guarantees/graceful-stop.test.ts
@@ -21,8 +21,9 @@
 		const exit = await fleet.group.stop(entry.id, stopLimitMs);
 		expect(exit).to.deep.equal({code: 0, signal: null});
 		const results = await streams;
-		for (const [index, {outcome, text}] of results.entries()) {
-			expect(outcome).to.equal('completed');
+		for (const [index, {text, ...result}] of results.entries()) {
+			const {reason, retryAfterMs, durationMs} = result;
+			expect(result.outcome, `stream ${index}: ${JSON.stringify({reason, retryAfterMs, durationMs})}`).to.equal('completed');
 			expect(text).to.equal(renderExpectedAnswer(`stop ${index}`, streamTokens));
 		}
 	});
