Let requests wait for a slice or the static floor before their wait for more begins

What callers saw: beside the restart of the entry that owns their workspace, requests at another entry were refused (not_run, request_rate_exceeded) although the plan had room, with a retry time of 50 ms to 60 s. Cause: a request has 1.5 s for its limits. Another entry reconnects to a restarted owner after up to 2 s, and the static floor applies after 2 s, so this wait alone can use up the 1.5 s. The owner's first slices are small (half of the floor while slices of a former owner may be valid) and start empty: four requests need 0.6 s more. Without a slice the rate is 0, which made the retry time 60 s. Evidence: four of the tests of LimitsTask fail before. 'admits requests that wait for a small slice ...': expected [ 'admitted', 'admitted', 'refused', 'refused' ] to be four times 'admitted'. 'admits a request on the static floor ...': expected 'refused' to equal 'admitted'. 'refuses requests above the static floor ...': expected 1571 to be within 2000..4100. 'refuses requests within the time limit while the owner cannot grant ...': expected 60000 to be at most 2000. Change: a request first waits until a slice or the floor applies, at most 2.5 s (the floor delay, one lost call, one pause); the 1.5 s for a larger slice begin then. A refusal without limits names the time until the floor applies. The test 'refuses requests when the owner does not answer within the time limit' fixed the refusal at 1.4 to 2.2 s, half a second before the floor would have admitted the request; two tests replace it: the request is admitted on the floor within 2.0 to 2.5 s, and one above the floor is refused within a limit. All 5 tests of LimitsTask, the tests of limits, of the caller server and of the fault matrix pass (65). Why it works: while neither limit applies nothing can be admitted, whatever the plan; the floor bounds that time, and the rest of the wait is for what the slices do with the demand.

--- a/packages/core/src/limits/slice-holder.ts
+++ b/packages/core/src/limits/slice-holder.ts
@@ -76,12 +76,17 @@
 		return now < this.#expiresAt;
 	}
 
+	/** True while a slice or the static floor applies; otherwise nothing can be admitted. */
+	hasLimits(now: number): boolean {
+		return this.#resolveMode(now) !== 'none';
+	}
+
 	/**
 	 * True while the next slice may allow more: there is neither a slice nor a static floor, or the plan exceeds the demand of all
 	 * entries, so that unused capacity can be shifted to this entry.
 	 */
 	canGrow(now: number): boolean {
-		return this.hasSlice(now) ? !this.#isContended : this.#resolveMode(now) === 'none';
+		return this.hasSlice(now) ? !this.#isContended : !this.hasLimits(now);
 	}
 
 	/** Applies an event. */
@@ -124,6 +129,10 @@
 			this.#demand.tokens += cost.tokens;
 		}
 
+		if (this.#mode === 'none') {
+			return this.#refuse(refusalReasons.requestRateExceeded, this.#estimateFloorWaitMs(now));
+		}
+
 		const requestWaitMs = this.#requests.computeWaitMs(1, now);
 		if (requestWaitMs > 0) {
 			return this.#refuse(refusalReasons.requestRateExceeded, requestWaitMs);
@@ -158,6 +167,11 @@
 		return demand;
 	}
 
+	/** Estimates the time in ms until the static floor applies if the owner does not answer. */
+	#estimateFloorWaitMs(now: number): number {
+		return (this.#unreachableSince ?? now) + this.#floorDelayMs - now;
+	}
+
 	#refuse(reason: RefusalReason, waitMs: number): LimitDecision {
 		return {type: 'refused', reason, retryAfterMs: Math.ceil(Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, waitMs)))};
 	}
--- a/packages/entry/src/limits/limits-task.ts
+++ b/packages/entry/src/limits/limits-task.ts
@@ -22,6 +22,10 @@
  * what they do not use.
  */
 const largerSliceWaitMs = 3 * renewalIntervalMs;
+/** Time in ms for which the owner is unreachable before the static floor applies; slices granted before that have expired by then. */
+const floorDelayMs = sliceLifetimeMs;
+/** Longest wait for a first slice or the static floor: one call without an answer shows that the owner is unreachable. */
+const firstSliceWaitMs = floorDelayMs + sliceRequestTimeoutMs + refusalRenewalIntervalMs;
 /** Time without a request after which the state of a workspace is removed; 27,000 workspaces with their histories do not fit into memory. */
 const idleRetentionMs = 30_000;
 
@@ -88,10 +92,7 @@
 	async #tryAdmit(workspace: Workspace, plan: Plan, cost: RequestCost): Promise<LimitAnswer> {
 		const {timer, metrics} = this.#options;
 		const held = this.#openSlice(workspace.id, plan, timer.now());
-		if (!held.holder.hasSlice(timer.now())) {
-			await this.#renewSlice(held, workspace.id);
-		}
-
+		await this.#waitForLimits(held, workspace.id);
 		const decision = await this.#tryConsume(held, workspace.id, cost);
 		if (decision.type === 'refused') {
 			return decision;
@@ -109,21 +110,39 @@
 		};
 	}
 
+	/** Waits until a slice or the static floor applies, because nothing can be admitted before and the plan may have room. */
+	async #waitForLimits(held: HeldSlice, workspaceId: string): Promise<void> {
+		const {timer} = this.#options;
+		const endsAt = timer.now() + firstSliceWaitMs;
+		while (!held.holder.hasLimits(timer.now()) && timer.now() < endsAt) {
+			await this.#renewOrWait(held, workspaceId);
+		}
+	}
+
 	/** Requests a larger slice before a refusal, because a slice adapts to the demand only when it is renewed. */
 	async #tryConsume(held: HeldSlice, workspaceId: string, cost: RequestCost): Promise<LimitDecision> {
 		const {timer} = this.#options;
-		const endsAt = timer.now() + largerSliceWaitMs;
+		const endsAt = held.holder.hasLimits(timer.now()) ? timer.now() + largerSliceWaitMs : timer.now();
 		for (let isRepeated = false; ; isRepeated = true) {
 			const decision = held.holder.tryConsume(cost, timer.now(), isRepeated);
-			const isRenewable = timer.now() - held.renewedAt >= refusalRenewalIntervalMs;
-			if (decision.type === 'admitted' || timer.now() >= endsAt || !(isRenewable || held.holder.canGrow(timer.now()))) {
+			const canChange = this.#isRenewable(held) || held.holder.canGrow(timer.now());
+			if (decision.type === 'admitted' || timer.now() >= endsAt || !canChange) {
 				return decision;
 			}
 
-			await (isRenewable ? this.#renewSlice(held, workspaceId) : waitFor(timer, refusalRenewalIntervalMs));
+			await this.#renewOrWait(held, workspaceId);
 		}
 	}
 
+	#isRenewable({renewedAt}: HeldSlice): boolean {
+		return this.#options.timer.now() - renewedAt >= refusalRenewalIntervalMs;
+	}
+
+	/** Renews the slice, or waits when a renewal was requested a moment ago. */
+	async #renewOrWait(held: HeldSlice, workspaceId: string): Promise<void> {
+		await (this.#isRenewable(held) ? this.#renewSlice(held, workspaceId) : waitFor(this.#options.timer, refusalRenewalIntervalMs));
+	}
+
 	async #renewSlice(held: HeldSlice, workspaceId: string): Promise<void> {
 		held.renewedAt = this.#options.timer.now();
 		held.pending ??= this.#renewSlices([workspaceId]);
@@ -140,7 +159,7 @@
 
 		this.#updateEntries(now);
 		const held: HeldSlice = {
-			holder: new SliceHolder(plan, {entries: this.#liveEntryIds.length}, now), usedAt: now, renewedAt: Number.NEGATIVE_INFINITY, pending: undefined,
+			holder: new SliceHolder(plan, {entries: this.#liveEntryIds.length, floorDelayMs}, now), usedAt: now, renewedAt: Number.NEGATIVE_INFINITY, pending: undefined,
 		};
 		this.#slices.set(workspaceId, held);
 		return held;
