Keep a request open in a planned stop from the arrival of its headers

What callers saw: during a planned stop, the connection of an accepted request whose body was still arriving, or whose workspace had no limits at this entry yet, was cut without an answer, 1 s after the requests that already ran had ended. Cause: the stop waits for admitted requests and background work only. A request is one of them after its body (up to 30 s) and its limits (up to 4 s); the entry refuses new requests from the start of the stop, but these had passed that check before. The close of the listener told only admitted requests. Change: the stop counts requests from their headers to their answer. When the listener closes at the end of the grace period, a body that is still arriving and a request that waits for its limits are refused (not_run, entry_stopping); an admission that comes later is released. waitForAbort is moved to a file of its own. Why it works: every request between its headers and its answer is in one set, and each wait before the admission also ends with the listener.

--- a/packages/entry/src/callers/body-reader.ts
+++ b/packages/entry/src/callers/body-reader.ts
@@ -5,16 +5,19 @@
 } from '@knapweedrack/core';
 import type {TimerService} from '../contracts.js';
 import {createRefusal, type Refusal} from './refusal.js';
+import {refusalMessages} from './refusal-messages.js';
 
 /** Bounds of one request body. */
 export type BodyLimits = {
 	limitBytes: number;
 	/** Longest time in ms from the headers to the end of the body. */
 	timeoutMs: number;
+	/** Aborts when the listener closes; a body that has not arrived by then is refused. */
+	closingSignal: AbortSignal;
 };
 
 /** Reads the body of a request within its size and time limits. */
-export const readBody = async (request: IncomingMessage, {limitBytes, timeoutMs}: BodyLimits, timer: TimerService): Promise<Result<Buffer, Refusal>> => {
+export const readBody = async (request: IncomingMessage, {limitBytes, timeoutMs, closingSignal}: BodyLimits, timer: TimerService): Promise<Result<Buffer, Refusal>> => {
 	const tooLarge = createError(createRefusal(refusalReasons.bodyTooLarge, `the body is longer than ${limitBytes} bytes`));
 	if (Number(request.headers['content-length'] ?? 0) > limitBytes) {
 		request.resume();
@@ -27,6 +30,10 @@
 		const cancelTimeout = timer.schedule(timeoutMs, () => {
 			endReading(createError(createRefusal(refusalReasons.requestTimeout, `the body did not arrive within ${timeoutMs} ms`)));
 		});
+		const handleClosing = () => {
+			endReading(createError(createRefusal(refusalReasons.entryStopping, refusalMessages.entry_stopping, {retryAfterMs: 0})));
+		};
+
 		const handleEnd = () => {
 			endReading(createOk(Buffer.concat(parts)));
 		};
@@ -37,6 +44,7 @@
 
 		const endReading = (result: Result<Buffer, Refusal>) => {
 			cancelTimeout();
+			closingSignal.removeEventListener('abort', handleClosing);
 			request.off('data', handleData).off('end', handleEnd).off('error', handleClose).off('close', handleClose);
 			// Discards the rest: closing a socket with unread data would reset it and lose the answer.
 			request.resume();
@@ -51,6 +59,7 @@
 			}
 		};
 
+		closingSignal.addEventListener('abort', handleClosing, {once: true});
 		request.on('data', handleData).once('end', handleEnd).once('error', handleClose).once('close', handleClose);
 	});
 };
--- a/packages/entry/src/callers/caller-context.ts
+++ b/packages/entry/src/callers/caller-context.ts
@@ -1,8 +1,10 @@
 import {randomUUID} from 'node:crypto';
+import {setMaxListeners} from 'node:events';
 import {LongPromptPool, PrefixIndex, RetryBudget} from '@knapweedrack/core';
 import type {EntryServices} from '../contracts.js';
 import {BackendConnections} from './backend-connections.js';
 import {EngineClient} from './engine-client.js';
+import type {Exchange} from './exchange.js';
 import type {RequestTask} from './request-task.js';
 
 const initialPrefillTokensPerSecond = 20_000;
@@ -18,7 +20,9 @@
 	readonly longPromptPool = new LongPromptPool();
 	/** Identifies this run of the process in claims. */
 	readonly epoch = randomUUID();
-	/** Requests without a final outcome. */
+	/** Requests that are not answered yet, from the arrival of their headers. */
+	readonly exchanges = new Set<Exchange>();
+	/** Admitted requests without a final outcome. */
 	readonly tasks = new Set<RequestTask>();
 	/** Nonces of claims that requests of this process hold. */
 	readonly heldClaimNonces = new Set<string>();
@@ -32,7 +36,10 @@
 
 	readonly #closing = new AbortController();
 
-	constructor(readonly services: EntryServices) {}
+	constructor(readonly services: EntryServices) {
+		// Each open request can listen to the signal, so their number is no sign of a leak.
+		setMaxListeners(0, this.#closing.signal);
+	}
 
 	/** Aborts when the listener closes. */
 	get closingSignal(): AbortSignal {
--- a/packages/entry/src/callers/caller-fixture.test.ts
+++ b/packages/entry/src/callers/caller-fixture.test.ts
@@ -44,6 +44,8 @@
 	/** Returns the reason to refuse a permit request; undefined grants it. */
 	refusePermit?: (request: PermitRequest) => RefusalReason | undefined;
 	wrapStore?: (store: ObjectStore) => ObjectStore;
+	/** Resolves when the limits admit a request; at once by default. */
+	waitForLimits?: () => Promise<void>;
 };
 
 /** A caller server with stand-ins for the platform and backend servers, and with control tasks that grant everything. */
@@ -56,6 +58,8 @@
 	readonly reports: FingerprintReport[] = [];
 	readonly servers: BackendServerDescription[] = [];
 	readonly storeCalls: string[] = [];
+	/** Requests that the limits admitted and that were not released. */
+	admitted = 0;
 	/** Servers whose permits have expired when they are used. */
 	readonly expiredServers = new Set<string>();
 	readonly timer = createTimerService();
@@ -251,7 +255,17 @@
 				getLoad: serverId => this.#getLoad(serverId),
 				isOwned: () => true,
 			},
-			limits: {tryAdmit: async () => ({type: 'admitted', release: () => undefined})},
+			limits: {
+				tryAdmit: async () => {
+					await options.waitForLimits?.();
+					this.admitted++;
+					return {
+						type: 'admitted', release: () => {
+							this.admitted--;
+						},
+					};
+				},
+			},
 			quarantine: {
 				check: async () => ({standing: this.standing}),
 				report: async report => {
--- a/packages/entry/src/callers/caller-server.ts
+++ b/packages/entry/src/callers/caller-server.ts
@@ -33,7 +33,7 @@
 	address: string;
 	/** Stops listening, ends open requests with `entry_stopping` and waits for their clean-up. */
 	close: () => Promise<void>;
-	/** Counts requests without a final outcome and background tasks, such as claims that are being stored. */
+	/** Counts requests that are not answered, from the arrival of their headers, and background tasks, such as claims that are being stored. */
 	countOpenRequests: () => number;
 };
 
@@ -93,6 +93,7 @@
 };
 
 const runHandler = async (context: CallerContext, exchange: Exchange, handler: Handler): Promise<void> => {
+	context.exchanges.add(exchange);
 	try {
 		await handler(context, exchange);
 	} catch (error) {
@@ -102,6 +103,8 @@
 		} else {
 			sendRefusal(context, exchange, {outcome: outcomeKinds.failed, reason: refusalReasons.internal, message: refusalMessages.internal});
 		}
+	} finally {
+		context.exchanges.delete(exchange);
 	}
 };
 
@@ -181,6 +184,6 @@
 	return {
 		address,
 		close: async () => closeServer(context, server),
-		countOpenRequests: () => context.tasks.size + context.countBackgroundTasks(),
+		countOpenRequests: () => context.exchanges.size + context.countBackgroundTasks(),
 	};
 };
--- a/packages/entry/src/callers/completion-handler.ts
+++ b/packages/entry/src/callers/completion-handler.ts
@@ -51,7 +51,7 @@
 
 const readCompletion = async (context: CallerContext, {request}: Exchange, caller: AuthenticatedCaller, kind: CompletionKind): Promise<CompletionRequest | Refusal> => {
 	const body = await readBody(request, {
-		limitBytes: (caller.plan.longestPromptTokens * bodyBytesPerToken) + bodyOverheadBytes, timeoutMs: bodyTimeoutMs,
+		limitBytes: (caller.plan.longestPromptTokens * bodyBytesPerToken) + bodyOverheadBytes, timeoutMs: bodyTimeoutMs, closingSignal: context.closingSignal,
 	}, context.services.timer);
 	const json = body.ok ? parseJsonBody(body.value) : body;
 	const parsed = json.ok ? parseCompletionRequest(kind, json.value) : json;
--- a/packages/entry/src/callers/permit-acquisition.ts
+++ b/packages/entry/src/callers/permit-acquisition.ts
@@ -3,6 +3,7 @@
 } from '@knapweedrack/core';
 import type {EntryServices} from '../contracts.js';
 import type {RequestTask} from './request-task.js';
+import {waitForAbort} from './wait-for-abort.js';
 
 /** Fields of a permit request that depend on the attempt. */
 export type AttemptDemand = Pick<PermitRequest, 'attemptId' | 'serverId' | 'prefillTokens' | 'promptTokens' | 'isDeferred' | 'decodeTokens' | 'kvTokens' | 'isSuspect'>;
@@ -49,27 +50,6 @@
 	}
 };
 
-const waitForAbort = (signal: AbortSignal): {promise: Promise<'aborted'>; stop: () => void} => {
-	let handleAbort!: () => void;
-	const promise = new Promise<'aborted'>(resolve => {
-		handleAbort = () => {
-			resolve('aborted');
-		};
-	});
-	if (signal.aborted) {
-		handleAbort();
-	}
-
-	// `stop` removes the listener explicitly: removal by a second abort signal would create an error object for each request.
-	signal.addEventListener('abort', handleAbort, {once: true});
-	return {
-		promise,
-		stop() {
-			signal.removeEventListener('abort', handleAbort);
-		},
-	};
-};
-
 /** Holds one permit and releases it once, however often `release` is called. */
 export class HeldPermit {
 	#isReleased = false;
--- a/packages/entry/src/callers/request-flow.ts
+++ b/packages/entry/src/callers/request-flow.ts
@@ -10,6 +10,7 @@
 import {refusalMessages} from './refusal-messages.js';
 import {RequestTask} from './request-task.js';
 import type {RequestWork} from './request-work.js';
+import {waitForAbort} from './wait-for-abort.js';
 
 /** The parts of a request in which completions and service calls differ. */
 export type RequestDefinition = {
@@ -129,10 +130,30 @@
 	}
 };
 
+/** Requests the admission by the limits of the workspace; refuses at once when the listener closes, and releases an admission that comes after that. */
+const requestAdmission = async (context: CallerContext, {workspace, plan}: AuthenticatedCaller, {costTokens}: RequestDefinition): Promise<LimitAnswer> => {
+	const answer = context.services.limits.tryAdmit(workspace, plan, {tokens: costTokens});
+	const closing = waitForAbort(context.closingSignal);
+	const first = await Promise.race([answer, closing.promise]);
+	closing.stop();
+	if (first !== 'aborted') {
+		return first;
+	}
+
+	void releaseLateAdmission(answer);
+	return {type: 'refused', reason: refusalReasons.entryStopping, retryAfterMs: 0};
+};
+
+const releaseLateAdmission = async (answer: Promise<LimitAnswer>): Promise<void> => {
+	const late = await answer;
+	if (late.type === 'admitted') {
+		late.release(0);
+	}
+};
+
 /** Runs one authenticated request from the check of its limits to its final answer. */
 export const runRequest = async (context: CallerContext, exchange: Exchange, caller: AuthenticatedCaller, definition: RequestDefinition): Promise<void> => {
-	const {services} = context;
-	const limit = await services.limits.tryAdmit(caller.workspace, caller.plan, {tokens: definition.costTokens});
+	const limit = await requestAdmission(context, caller, definition);
 	if (limit.type === 'refused') {
 		refuseBeforeAdmission(context, exchange, caller, {
 			reason: limit.reason, message: refusalMessages[limit.reason], retryAfterMs: limit.retryAfterMs, promptTokens: definition.promptTokens,
--- a/packages/entry/src/callers/service-handler.ts
+++ b/packages/entry/src/callers/service-handler.ts
@@ -93,7 +93,7 @@
 		return createRefusal(refusalReasons.idempotencyKeyMissing, `${method} on "${service.name}" must not be repeated and needs an idempotency-key header`, {param: 'idempotency-key'});
 	}
 
-	const body = await readBody(request, {limitBytes: requestLimitBytes, timeoutMs: bodyTimeoutMs}, context.services.timer);
+	const body = await readBody(request, {limitBytes: requestLimitBytes, timeoutMs: bodyTimeoutMs, closingSignal: context.closingSignal}, context.services.timer);
 	return body.ok
 		? {
 			service, method, path: target.path, body: body.value, isIdempotent,
