Request a permit again while the ownership of the last engine moves

What callers saw: while another entry became the owner of an engine, for example after an entry of its failure domain had started, requests that waited in the engine's queue, and those that came in the moments of the move, were refused (not_run, ownership_disputed), although the next owner issued permits a tenth of a second later. Cause: the former owner refuses its whole queue when the move begins. The attempt loop counted that as one of three attempts and as a tried engine, so with the other engines moving too, or none left, the request ended. Only an unreachable owner was asked again. Evidence: 'completes requests that wait for an engine whose owner changes', with real control tasks, fails before: 503 with reason ownership_disputed and retryAfterMs 100 in place of 200. 'requests the permit again while the owner of the only engine changes' fails with the same refusal; 'refuses once half of the time ...' fails with 'expected 9.8 to be within 200..800'. Change: a disputed ownership is handled as an unreachable owner: the permit is requested again for half of the time until the deadline, and the refusals don't count as attempts. If the owner's estimate lies past the deadline, the request is refused at once, as before. Why it works: a refused permit request has run nowhere, and the record of the next owner is found at each new request. Running attempts were not affected: their permits are adopted by the next owner.

--- a/packages/entry/src/callers/attempt-loop.ts
+++ b/packages/entry/src/callers/attempt-loop.ts
@@ -1,7 +1,7 @@
 import {randomUUID} from 'node:crypto';
 import {
 	attemptResults, decideRetry, refusalReasons, retryReasons,
-	type AttemptRecord, type RefusalReason,
+	type AttemptRecord, type RefusalReason, type RetryReason,
 } from '@knapweedrack/core';
 import {waitFor} from '../timer/timer-service.js';
 import type {CallerContext} from './caller-context.js';
@@ -14,11 +14,20 @@
 /** Default `retryAfterMs` of refusals whose cause gives no estimate. */
 export const defaultRetryAfterMs = 1000;
 
-/** Delay in ms before permit requests to unreachable owners are retried; ownership and peer connections take seconds to settle. */
+/** Delay in ms before permit requests are retried that found no owner; ownership and peer connections take seconds to settle. */
 const ownerRetryDelayMs = 200;
-/** Share of the time until the deadline during which unreachable owners are retried; the rest is left for the execution. */
+/** Share of the time until the deadline during which an owner is awaited; the rest is left for the execution. */
 const ownerWaitShare = 0.5;
 
+/** Refusals by which a permit request found no owner that issues permits, with the reason to count when it is retried. */
+const ownerRetryReasons: Partial<Record<RefusalReason, RetryReason>> = {
+	[refusalReasons.ownerUnreachable]: retryReasons.ownerUnreachable,
+	// While the ownership moves, the former owner refuses its whole queue and the next one does not issue permits yet.
+	[refusalReasons.ownershipDisputed]: retryReasons.ownershipChanged,
+};
+
+const getOwnerRetryReason = (reason: RefusalReason | undefined): RetryReason | undefined => reason && ownerRetryReasons[reason];
+
 /** Creates the record of an attempt that has not sent anything. */
 export const createAttempt = (attemptId: string, serverId: string): AttemptRecord => ({
 	attemptId, serverId, sentBytes: false, refusedByServer: false, passedOn: false, completed: false,
@@ -114,27 +123,30 @@
 			await this.#reportCompletion(attempt);
 		}
 
-		if (this.#canRetryOwners(attempt, end)) {
-			await this.#retryOwners(attempt);
+		const ownerRetryReason = getOwnerRetryReason(end.reason);
+		if (ownerRetryReason !== undefined && this.#canRetryOwners(attempt, end)) {
+			await this.#retryOwners(attempt, ownerRetryReason);
 			return;
 		}
 
 		this.#decideNext(attempt, end);
 	}
 
-	/** True when only an unreachable owner prevents a permit and time is left. The backend servers may have capacity, so the request is not refused yet. */
+	/** True when only a missing owner prevents a permit and it may be there in time. The backend servers may have capacity, so the request is not refused yet. */
 	#canRetryOwners(attempt: AttemptRecord, end: AttemptEnd): boolean {
 		const {context, task, work} = this;
 		const now = context.services.timer.now();
 		const waitUntil = task.deadlineAt - ((task.deadlineAt - this.#startedAt) * (1 - ownerWaitShare));
-		return end.reason === refusalReasons.ownerUnreachable && !this.#isGranted && !task.isFinal && now < waitUntil
+		// The retry time of a dispute is an estimate, for example the end of a rebuild; that of an unreachable owner is not.
+		const isTooLate = end.reason === refusalReasons.ownershipDisputed && now + (end.retryAfterMs ?? 0) >= task.deadlineAt;
+		return !this.#isGranted && !task.isFinal && now < waitUntil && !isTooLate
 			&& selectTarget(context, task, work, {excluded: this.#triedServerIds, attemptId: attempt.attemptId}).type === 'none';
 	}
 
-	async #retryOwners(attempt: AttemptRecord): Promise<void> {
+	async #retryOwners(attempt: AttemptRecord, reason: RetryReason): Promise<void> {
 		const {context, task} = this;
-		context.services.metrics.countRetry(retryReasons.ownerUnreachable);
-		task.recordStep('retry', {reason: retryReasons.ownerUnreachable, afterMs: ownerRetryDelayMs});
+		context.services.metrics.countRetry(reason);
+		task.recordStep('retry', {reason, afterMs: ownerRetryDelayMs});
 		task.apply({type: 'permitRefused', attempt});
 		await waitFor(context.services.timer, ownerRetryDelayMs);
 		if (!task.isFinal) {
@@ -214,9 +226,9 @@
 		const now = context.services.timer.now();
 		const consumesBudget = attempt.sentBytes || end.reason === refusalReasons.backendFailed;
 		const decision = decideRetry({
-			// A permit request to an unreachable owner does not reach a backend server, so earlier ones are not counted as attempts.
+			// A permit request that finds no owner does not reach a backend server, so earlier ones are not counted as attempts.
 			// The current attempt stays in the list, because the decision depends on the last one.
-			attempts: task.attempts.filter(record => record === attempt || record.reason !== refusalReasons.ownerUnreachable),
+			attempts: task.attempts.filter(record => record === attempt || getOwnerRetryReason(record.reason) === undefined),
 			isIdempotent: work.isIdempotent,
 			now,
 			deadlineAt: task.deadlineAt,
--- a/packages/entry/src/callers/completions.test.ts
+++ b/packages/entry/src/callers/completions.test.ts
@@ -276,6 +276,28 @@
 			expect(answer.json().alternatives).to.deep.equal(['127.0.0.1:2']);
 		});
 
+		// Guards against refusals, although the engine has capacity, in the moments in which its owner changes.
+		it('requests the permit again while the owner of the only engine changes', async () => {
+			let refusals = 3;
+			await open({refusePermit: () => refusals-- > 0 ? refusalReasons.ownershipDisputed : undefined});
+			const answer = await fixture.send('/v1/completions', {method: 'POST', body: {model, prompt: 'x'}});
+			expect(answer.status, answer.text).to.equal(200);
+		});
+
+		it('refuses at once when its owner issues permits again only after the deadline', async () => {
+			await open({refusePermit: () => refusalReasons.ownershipDisputed});
+			const answer = await fixture.send('/v1/completions', {method: 'POST', body: {model, prompt: 'x'}, headers: {'x-request-deadline-ms': '200'}});
+			expect(answer.json()).to.include({outcome: 'not_run', reason: refusalReasons.ownershipDisputed});
+		});
+
+		it('refuses once half of the time until the deadline has passed without an owner', async () => {
+			await open({refusePermit: () => refusalReasons.ownershipDisputed});
+			const startedAt = performance.now();
+			const answer = await fixture.send('/v1/completions', {method: 'POST', body: {model, prompt: 'x'}, headers: {'x-request-deadline-ms': '1000'}});
+			expect(answer.json()).to.include({outcome: 'not_run', reason: refusalReasons.ownershipDisputed});
+			expect(performance.now() - startedAt).to.be.within(200, 800);
+		});
+
 		it('ends open streams with an error event when the listener closes', async () => {
 			await open({engines: [{timeScale: 1}]});
 			const pendingStream = readStream('long', 5000);
--- a/packages/entry/src/callers/real-entries.test.ts
+++ b/packages/entry/src/callers/real-entries.test.ts
@@ -54,6 +54,32 @@
 		}
 	});
 
+	// Guards against refusals of requests that wait in the queue of an engine when another entry becomes its owner.
+	it('completes requests that wait for an engine whose owner changes', async () => {
+		const plan = {
+			id: 'large', models: [model], services: [], failureDomains: ['regina', 'saskatoon'], requestsPerSecond: 1000, tokensPerSecond: 1_000_000,
+			concurrency: 10_000, longestPromptTokens: 1_000_000, firstTokenTargets: [{targetMs: 2000}], deadlineMs: 30_000, share: 1,
+		};
+		await fleet.putConfiguration({plans: [plan]});
+		await fleet.startEngine('engine-1', 'regina', {timeScale: 1, maxConcurrency: 2, coldConcurrency: 2});
+		const first = await fleet.startEntry('e1', 'saskatoon');
+		await waitForAnswer(first.callerAddress, 'warm one');
+		// An entry of the engine's failure domain becomes its owner some seconds after its start.
+		const second = await fleet.startEntry('e2', 'regina');
+		const isOwner = () => second.services.permits.isOwned('engine-1');
+		let count = 0;
+		const answers: Array<Promise<Awaited<ReturnType<typeof sendCompletion>>>> = [];
+		await waitUntil('the owner changes', async () => {
+			answers.push(sendCompletion(first.callerAddress, `prompt ${count++}`));
+			return isOwner();
+		});
+		const completed = await Promise.all(answers);
+		for (const [index, {status, body}] of completed.entries()) {
+			expect(status, JSON.stringify(body)).to.equal(200);
+			expect(body.choices?.[0]?.text).to.equal(renderAnswer(`prompt ${index}`, 4));
+		}
+	});
+
 	it('runs a prompt larger than one engine on a group', async () => {
 		await fleet.putConfiguration();
 		for (const id of ['engine-1', 'engine-2', 'engine-3']) {
