Report lost attempts before their servers have been checked

Callers: content that had ended three servers and more ran again on four servers later than the settle time, and ended them. It happened when the only entry that knew of the first ends was killed within milliseconds.

Cause: a lost attempt was told to other entries only after the check of its server, 25 ms and more later, so that its entry alone knew of it.

Ruled out: a limit of copies that run at once at one entry.

Change: from the second server that was lost under one fingerprint on, the entry tells the others of the lost attempt at once, and after the check it reports the crash or withdraws the attempt. The others hold such attempts without an effect on runs; those of which they have heard nothing more after 1.5 to 2 s become crashes, which they share. Completions refute them by time, as any crash. One attempt a server is told, so that a server that ends, or a reset connection, costs no message by itself. The datagram has two new fields, which earlier versions pass over.

With the withdrawal left out, the test of servers that go on running fails (size 1 at all six entries, 0 expected). The entries of peer-report-task.test.ts now use the results of their crash detection, which were dropped before.

Why it works: a datagram that was sent before the kill reaches the others; the knowledge is lost only if the entry is killed in the same moment, or if all these datagrams are lost.

--- a/packages/core/src/quarantine/index.ts
+++ b/packages/core/src/quarantine/index.ts
@@ -4,3 +4,4 @@
 export * from './fingerprint-record.js';
 export * from './fingerprint-table.js';
 export * from './lost-attempts.js';
+export * from './unconfirmed-crashes.js';
--- a/packages/relay/src/peers/peer-report-task.test.ts
+++ b/packages/relay/src/peers/peer-report-task.test.ts
@@ -1,5 +1,6 @@
 import {createSocket} from 'node:dgram';
 import {once} from 'node:events';
+import {createServer, type AddressInfo} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
 import {LoadTable, type ChainPosition, type ServerWork} from '@knapweedrack/core';
@@ -10,11 +11,12 @@
 import {createDirectOpener, openTcpSocket} from '../exchange/connection-opener.js';
 import type {DecisionLog} from '../logging/decision-log.js';
 import {RelayMetrics} from '../metrics/relay-metrics.js';
-import {CrashDetectionTask, crashEvidence} from '../quarantine/crash-detection-task.js';
+import {CrashDetectionTask, crashEvidence, lossKinds} from '../quarantine/crash-detection-task.js';
 import {QuarantineTask} from '../quarantine/quarantine-task.js';
 import {PeerReportTask} from './peer-report-task.js';
 
 const host = '127.0.0.1';
+const refusingAddress = `${host}:1`;
 const log: DecisionLog = {
 	write: () => undefined, writeRequest: () => undefined, getOmitted: () => 0, flush: () => undefined,
 };
@@ -23,7 +25,7 @@
 	pauseTargetMs: 200, targetMs: 300, value: 100,
 };
 
-type Member = {id: string; entry: RegisteredEntry; task: PeerReportTask; quarantine: QuarantineTask; loads: LoadTable; isStopping: boolean};
+type Member = {id: string; entry: RegisteredEntry; task: PeerReportTask; quarantine: QuarantineTask; detection: CrashDetectionTask; loads: LoadTable; isStopping: boolean; isKilled: boolean};
 
 const waitUntil = async (condition: () => boolean, limitMs = 5000): Promise<void> => {
 	const deadline = Date.now() + limitMs;
@@ -56,7 +58,7 @@
 	let members: Member[] = [];
 	let storeWrites: string[] = [];
 
-	const buildQuarantine = (id: string, failureDomain: string, task: PeerReportTask): QuarantineTask => {
+	const buildQuarantine = ({id, entry: {failureDomain}, task, detection}: Member): QuarantineTask => {
 		const metrics = new RelayMetrics();
 		const store: Pick<ObjectStore, 'put'> = {
 			async put(key) {
@@ -67,12 +69,7 @@
 		const codec: Pick<StoreCodec, 'quarantinePrefix' | 'encodeQuarantine'> = {quarantinePrefix: 'quarantine/', encodeQuarantine: quarantine => quarantine};
 		return new QuarantineTask({
 			entryId: id, failureDomain, timer, log, metrics, store: store as ObjectStore, codec: codec as StoreCodec,
-			detection: new CrashDetectionTask({
-				timer, metrics, connections: new BackendConnections({
-					openConnection: createDirectOpener(openTcpSocket), isUsable: () => true, isRefusingRequests: () => false, notifyReceived: () => undefined,
-				}),
-				openSocket: openTcpSocket, confirmEnd: async () => true, checkReplaced: async () => false, findServer: () => undefined, notifyCrash: () => undefined,
-			}),
+			detection,
 			sendCrashReport(report, recipientId) {
 				task.sendCrashReport(report, recipientId);
 			},
@@ -82,9 +79,27 @@
 		});
 	};
 
+	const buildDetection = (member: Member): CrashDetectionTask => new CrashDetectionTask({
+		timer, metrics: new RelayMetrics(), connections: new BackendConnections({
+			openConnection: createDirectOpener(openTcpSocket), isUsable: () => true, isRefusingRequests: () => false, notifyReceived: () => undefined,
+		}),
+		openSocket: openTcpSocket, checkReplaced: async () => false, findServer: () => undefined,
+		// The check of a killed entry has no result.
+		confirmEnd: async () => member.isKilled ? new Promise<boolean>(() => {}) : true, // eslint-disable-line @typescript-eslint/no-empty-function
+		notifyCrash(attempt, evidence) {
+			member.quarantine.recordCrash(attempt, evidence);
+		},
+		notifyLoss(attempt) {
+			member.quarantine.recordLoss(attempt);
+		},
+		notifyChecked({attemptId}) {
+			member.quarantine.withdrawLoss(attemptId);
+		},
+	});
+
 	const buildMember = (entry: RegisteredEntry, bootId: string): Member => {
 		const member: Member = {
-			id: entry.id, entry, loads: new LoadTable(), isStopping: false, task: undefined!, quarantine: undefined!,
+			id: entry.id, entry, loads: new LoadTable(), isStopping: false, isKilled: false, task: undefined!, quarantine: undefined!, detection: undefined!,
 		};
 		member.task = new PeerReportTask({
 			entryId: entry.id, bootId, failureDomain: entry.failureDomain, callerAddress: entry.callerAddress,
@@ -99,7 +114,8 @@
 				member.quarantine.handleEntryStarted(entryId);
 			},
 		});
-		member.quarantine = buildQuarantine(entry.id, entry.failureDomain, member.task);
+		member.detection = buildDetection(member);
+		member.quarantine = buildQuarantine(member);
 		return member;
 	};
 
@@ -124,10 +140,24 @@
 	const find = (id: string): Member => members.find(member => member.id === id)!;
 	const countRequests = ({loads}: Member): number => loads.computeLoad('server', timer.now()).requests;
 
+	/** Loses attempts with one content on three servers at the same address. */
+	const loseAttempts = ({detection}: Member, address: string): void => {
+		for (const server of [1, 2, 3]) {
+			void detection.recordLoss({
+				positions: [{fingerprint: 'x', chainLength: 1}], attemptId: `a${server}`, serverId: `s${server}`, bootId: 'b',
+			}, address, lossKinds.connection);
+		}
+	};
+
+	const closeMember = (member: Member): void => {
+		member.isKilled = true;
+		member.quarantine.stop();
+		member.task.close();
+	};
+
 	afterEach(() => {
-		for (const {task, quarantine} of members) {
-			quarantine.stop();
-			task.close();
+		for (const member of members) {
+			closeMember(member);
 		}
 	});
 	after(() => {
@@ -205,6 +235,34 @@
 				await waitUntil(() => started.quarantine.isRefused(['x']), 1500);
 			});
 
+			// Guards against crashes that are forgotten because the entry that saw them is killed before it has checked whether the servers have ended.
+			it('remembers servers that ended just before the only entry that knew of them', async () => {
+				await start(perDomain);
+				await waitUntil(() => members.every(({task}) => task.listServingAddresses().length === members.length - 1));
+				const killed = find('east-1');
+				loseAttempts(killed, refusingAddress);
+				// The operating system sends what was passed to the socket before the process was killed.
+				await sleep(5);
+				closeMember(killed);
+				members = members.filter(member => member !== killed);
+				await waitUntil(() => members.every(({id, quarantine}) => quarantine.isRefused(['x']) === (id !== 'east-0') && quarantine.size === 1), 4000);
+				find('west-0').quarantine.recordCompletion(['x']);
+				await waitUntil(() => members.every(({quarantine}) => quarantine.size === 0), 1000);
+			});
+
+			// Guards against refusing content because connections to servers that go on running were reset.
+			it('forgets lost attempts whose servers have not ended', async () => {
+				await start(perDomain);
+				await waitUntil(() => members.every(({task}) => task.listServingAddresses().length === members.length - 1));
+				const server = createServer().listen(0, host);
+				await once(server, 'listening');
+				loseAttempts(find('east-1'), `${host}:${(server.address() as AddressInfo).port}`);
+				// Attempts that are not withdrawn count after 2 s at the latest.
+				await sleep(2500);
+				server.close();
+				expect(members.map(({quarantine}) => quarantine.size)).to.deep.equal(members.map(() => 0));
+			});
+
 			// Guards against content that stays refused after servers ended for another reason, although one entry has seen it complete.
 			it('clears content at every entry when it completes at one', async () => {
 				await start(perDomain);
--- a/packages/relay/src/quarantine/crash-detection-task.ts
+++ b/packages/relay/src/quarantine/crash-detection-task.ts
@@ -47,6 +47,10 @@
 	findServer: (serverId: string) => KnownServer | undefined;
 	/** Called for each lost attempt whose backend server has ended. */
 	notifyCrash: (attempt: LostAttempt, evidence: CrashEvidence) => void;
+	/** Called for each attempt that was lost with its connection, before its backend server is checked. */
+	notifyLoss: (attempt: LostAttempt) => void;
+	/** Called after that check, and after `notifyCrash` when the backend server has ended. */
+	notifyChecked: (attempt: LostAttempt) => void;
 };
 
 /** Finds out whether the backend servers that lost attempts have ended. */
@@ -67,11 +71,16 @@
 
 	/** Records an attempt that was lost, or may have been; after the end of its connection, checks the backend server. */
 	async recordLoss(attempt: LostAttempt, address: string, kind: LossKind): Promise<void> {
-		const {timer, metrics} = this.#options;
+		const {timer, metrics, notifyLoss, notifyChecked} = this.#options;
 		const settle = this.#lost.add(attempt, timer.now());
-		const evidence = kind === lossKinds.silence ? undefined : await this.#findEvidence({id: attempt.serverId, address});
-		if (evidence !== undefined) {
-			this.#report(attempt.serverId, evidence);
+		if (kind !== lossKinds.silence) {
+			notifyLoss(attempt);
+			const evidence = await this.#findEvidence({id: attempt.serverId, address});
+			if (evidence !== undefined) {
+				this.#report(attempt.serverId, evidence);
+			}
+
+			notifyChecked(attempt);
 		}
 
 		metrics.countEvent(`attempt.lost_${kind}`);
--- a/packages/relay/src/quarantine/crash-report.ts
+++ b/packages/relay/src/quarantine/crash-report.ts
@@ -3,8 +3,8 @@
 import type {FingerprintRecord} from '@knapweedrack/core';
 import {reportedRecordSchema} from '@knapweedrack/protocol/state-records';
 
-/** Maximum size of the records in one datagram, so that it is not fragmented on an Ethernet path. */
-const recordBytesPerDatagram = 1100;
+/** Maximum size of the records or attempts in one datagram, so that it is not fragmented on an Ethernet path. */
+const itemBytesPerDatagram = 1100;
 
 const crashReportSchema = z.object({
 	/** Entry that sends the report. The name of this field is kept for entries of earlier versions. */
@@ -14,6 +14,9 @@
 	cleared: z.array(z.string()),
 	/** Time since the completion of each fingerprint of `cleared`, in ms. Earlier versions of the entry do not send it. */
 	clearedAgesMs: z.array(z.number().nonnegative()).default([]),
+	/** Earlier versions of the entry send neither this field nor the next one. */
+	unconfirmed: z.array(reportedRecordSchema).default([]),
+	withdrawn: z.array(z.string()).default([]),
 });
 
 /** A fingerprint whose content has completed, with the time since then, in ms. */
@@ -25,31 +28,44 @@
 	failureDomain: string;
 	records: FingerprintRecord[];
 	cleared: ClearedFingerprint[];
+	/** Crashes of servers of which the sender does not know yet whether they have ended. */
+	unconfirmed: FingerprintRecord[];
+	/** Attempts of earlier unconfirmed crashes whose servers have not ended. */
+	withdrawn: string[];
 };
 
 type EncodedRecord = z.infer<typeof reportedRecordSchema>;
 
 /** Encodes a crash report as JSON in datagrams; the field `crashNewsOf` distinguishes them from load reports. */
-export const encodeCrashReport = ({entryId, failureDomain, records, cleared}: CrashReport, now: number): Buffer[] => {
-	const encode = (part: {records: EncodedRecord[]; cleared: ClearedFingerprint[]}): Buffer => Buffer.from(JSON.stringify({
-		crashNewsOf: entryId, failureDomain, records: part.records, cleared: part.cleared.map(({fingerprint}) => fingerprint), clearedAgesMs: part.cleared.map(({ageMs}) => Math.round(ageMs)),
+export const encodeCrashReport = ({entryId, failureDomain, records, cleared, unconfirmed, withdrawn}: CrashReport, now: number): Buffer[] => {
+	const encode = (part: {records?: EncodedRecord[]; cleared?: ClearedFingerprint[]; unconfirmed?: EncodedRecord[]; withdrawn?: string[]}): Buffer => Buffer.from(JSON.stringify({
+		crashNewsOf: entryId, failureDomain, records: part.records ?? [], unconfirmed: part.unconfirmed, withdrawn: part.withdrawn,
+		cleared: (part.cleared ?? []).map(({fingerprint}) => fingerprint), clearedAgesMs: (part.cleared ?? []).map(({ageMs}) => Math.round(ageMs)),
 	}));
-	const datagrams = cleared.length === 0 ? [] : [encode({records: [], cleared})];
-	let part: EncodedRecord[] = [];
-	let bytes = 0;
-	for (const record of records.map(each => encodeRecord(each, now))) {
-		const size = JSON.stringify(record).length;
-		if (part.length > 0 && bytes + size > recordBytesPerDatagram) {
-			datagrams.push(encode({records: part, cleared: []}));
-			part = [];
+	return [
+		...(cleared.length === 0 ? [] : [encode({cleared})]),
+		...splitBySize(withdrawn).map(part => encode({withdrawn: part})),
+		...splitBySize(records.map(record => encodeRecord(record, now))).map(part => encode({records: part})),
+		...splitBySize(unconfirmed.map(record => encodeRecord(record, now))).map(part => encode({unconfirmed: part})),
+	];
+};
+
+/** Splits items into parts that each fit into one datagram. */
+const splitBySize = <Item>(items: readonly Item[]): Item[][] => {
+	const parts: Item[][] = [];
+	let bytes = Number.POSITIVE_INFINITY;
+	for (const item of items) {
+		const size = JSON.stringify(item).length;
+		if (bytes + size > itemBytesPerDatagram) {
+			parts.push([]);
 			bytes = 0;
 		}
 
-		part.push(record);
+		parts.at(-1)!.push(item);
 		bytes += size;
 	}
 
-	return part.length === 0 ? datagrams : [...datagrams, encode({records: part, cleared: []})];
+	return parts;
 };
 
 /** Decodes parsed JSON that arrived at `now`; returns undefined when it is no crash report. */
@@ -59,10 +75,11 @@
 		return undefined;
 	}
 
-	const {crashNewsOf, failureDomain, records, cleared, clearedAgesMs} = parsed.data;
+	const {crashNewsOf, failureDomain, records, cleared, clearedAgesMs, unconfirmed, withdrawn} = parsed.data;
 	return {
 		entryId: crashNewsOf, failureDomain, records: records.map(record => decodeRecord(record, now)),
 		cleared: cleared.map((fingerprint, index) => ({fingerprint, ageMs: clearedAgesMs[index] ?? 0})),
+		unconfirmed: unconfirmed.map(record => decodeRecord(record, now)), withdrawn,
 	};
 };
 
--- a/packages/relay/src/quarantine/quarantine-model-fixture.test.ts
+++ b/packages/relay/src/quarantine/quarantine-model-fixture.test.ts
@@ -188,10 +188,12 @@
 		};
 		process.quarantine.endRun(request.fingerprints);
 		const settle = process.lost.add(attempt, this.clock.now);
+		process.quarantine.recordLoss(attempt);
 		this.clock.scheduleIn(detectionMs, () => {
 			if (process.isAlive) {
 				settle();
 				process.quarantine.recordCrash(attempt, crashEvidence.refused);
+				process.quarantine.withdrawLoss(attemptId);
 			}
 		});
 		this.request(process.entryId, request, number + 1);
--- a/packages/relay/src/quarantine/quarantine-model.test.ts
+++ b/packages/relay/src/quarantine/quarantine-model.test.ts
@@ -115,6 +115,33 @@
 		}), {seed: 18, numRuns: 60});
 	});
 
+	// Guards against crashes that are forgotten because the entry that saw them is killed before it has checked whether the servers have ended.
+	it('remembers servers that ended just before the only entry that knew of them', async () => {
+		const model = new QuarantineModel(() => false, serverCount);
+		for (const entryId of ['e0', 'e1', 'e2']) {
+			model.startProcess(entryId);
+		}
+
+		const sendCopies = (count: number): void => {
+			for (let copy = 0; copy < count; copy++) {
+				model.request('e0', {fingerprints: [content], runMs: 1, endsServer: true});
+			}
+		};
+
+		model.clock.schedule(0, () => {
+			sendCopies(3);
+		});
+		model.clock.schedule(2, () => {
+			model.kill('e0', 600);
+		});
+		model.clock.schedule(5000, () => {
+			sendCopies(2);
+		});
+		await model.run(6000);
+		expect(model.ends.length).to.be.at.least(3);
+		expect(model.countLateSends(3)).to.be.at.most(lateRetryLimit);
+	});
+
 	// Guards against requests with one bad part that go on ending servers because they come in waves at all entries, some of which restart,
 	// and against refusing the sound requests that share their other parts or were lost when servers ended for another reason.
 	it('keeps the bound on prompts with one part that ends servers, and runs the sound ones', async function () {
--- a/packages/relay/src/quarantine/quarantine-task.test.ts
+++ b/packages/relay/src/quarantine/quarantine-task.test.ts
@@ -95,4 +95,46 @@
 			expect(task.isRefused(['x'])).to.equal(false);
 		});
 	});
+
+	describe('attempts that were lost just now', () => {
+		const lose = (attempt: LostAttempt): void => {
+			unsettled.push(attempt);
+			task.recordLoss(attempt);
+		};
+
+		const listUnconfirmed = (): string[][] => reports.map(({unconfirmed}) => unconfirmed.flatMap(({crashes}) => crashes.map(({attemptId}) => attemptId)));
+
+		// Guards against a message for each request that a single server or a reset connection takes with it.
+		it('are reported before the check only when several servers lost the content', () => {
+			lose(buildAttempt(1, 1));
+			lose({...buildAttempt(1, 1), attemptId: 'copy'});
+			expect(reports).to.deep.equal([]);
+			lose(buildAttempt(2, 1));
+			lose({...buildAttempt(2, 1), attemptId: 'other copy'});
+			expect(listUnconfirmed()).to.deep.equal([['a1/0', 'a2/0']]);
+		});
+
+		it('are withdrawn once unless they have become crashes', () => {
+			lose(buildAttempt(1, 1));
+			lose(buildAttempt(2, 1));
+			task.recordCrash(buildAttempt(1, 1), crashEvidence.refused);
+			for (const attemptId of ['a1/0', 'a2/0', 'a2/0', 'a3/0']) {
+				task.withdrawLoss(attemptId);
+			}
+
+			expect(reports.flatMap(({withdrawn}) => withdrawn)).to.deep.equal(['a2/0']);
+		});
+
+		// Guards against refusing content whose connections were reset at another entry, while that entry still checks the servers.
+		it('of another entry do not restrict runs at once', () => {
+			isFirstServing = false;
+			const crashes = [1, 2, 3].map(server => ({
+				attemptId: `a${server}`, serverId: `s${server}`, bootId: 'b', companions: [], entryId: 'e2', chainLength: 1, lostAt: timer.now(),
+			}));
+			task.acceptCrashReport({
+				entryId: 'e2', failureDomain: 'east', records: [], cleared: [], unconfirmed: [{fingerprint: 'x', standing: 'suspect', crashes}], withdrawn: [],
+			});
+			expect(task.isRefused(['x'])).to.equal(false);
+		});
+	});
 });
--- a/packages/relay/src/quarantine/quarantine-task.ts
+++ b/packages/relay/src/quarantine/quarantine-task.ts
@@ -1,5 +1,5 @@
 import {
-	CrashRegister, chainLimit, computeChainLength, contentDecisions, decideContent, findCrashCauses, hasMoreCrashes,
+	CrashRegister, UnconfirmedCrashes, chainLimit, computeChainLength, contentDecisions, countCrashedServers, decideContent, findCrashCauses, formatServer, hasMoreCrashes,
 	type ChainPosition, type ContentDecision, type CrashCause, type FingerprintCrash, type FingerprintRecord, type LostAttempt,
 } from '@knapweedrack/core';
 import type {TimerService} from '@knapweedrack/entry/contracts';
@@ -15,6 +15,10 @@
 const resendCounts = {firstCrash: 1, moreCrashes: 4};
 /** Number of repetitions of the message that content has completed, since an entry that misses it goes on refusing the content. */
 const clearingResendCount = 2;
+/** Number of servers that were lost under one fingerprint from which the other entries are told before these servers have been checked. */
+const earlyReportLimit = 2;
+/** Number of repetitions of the message that the servers of lost attempts have not ended. */
+const withdrawalResendCount = 2;
 /** Interval between checks for expired records in the store, in ms. */
 const cleanUpIntervalMs = 600_000;
 
@@ -47,6 +51,11 @@
 	/** Remaining repetitions of the message that a fingerprint has completed. */
 	readonly #clearingResends = new Map<string, number>();
 	readonly #records: QuarantineRecords;
+	/** Attempts that were reported to the other entries before their servers had been checked. */
+	readonly #earlyReported = new Set<string>();
+	/** Remaining repetitions of the message that the server of a lost attempt has not ended, by attempt. */
+	readonly #withdrawalResends = new Map<string, number>();
+	readonly #unconfirmed = new UnconfirmedCrashes();
 	/** Number of runs in progress at this entry, by fingerprint. */
 	readonly #runs = new Map<string, number>();
 	/** Causes that the register shows, as of its version. */
@@ -70,6 +79,8 @@
 		this.#unsubscribes.push(
 			timer.subscribe(resendMs, () => {
 				this.#resend();
+				this.#resendWithdrawals();
+				this.#acceptUnconfirmed();
 			}),
 			timer.subscribe(cleanUpIntervalMs, () => {
 				this.#records.removeExpired();
@@ -131,9 +142,30 @@
 		})));
 	}
 
+	/** Records an attempt that was lost with its connection. Other entries are told at once, in case this one ends before it has checked the server. */
+	recordLoss(attempt: LostAttempt): void {
+		const records = this.#buildEarlyReport(attempt);
+		for (const {attemptId} of records.flatMap(({crashes}) => crashes)) {
+			this.#earlyReported.add(attemptId);
+		}
+
+		if (records.length > 0) {
+			this.#send({unconfirmed: records});
+		}
+	}
+
+	/** Withdraws an attempt that was reported before its server had been checked, unless it has been recorded as a crash. */
+	withdrawLoss(attemptId: string): void {
+		if (this.#earlyReported.delete(attemptId)) {
+			this.#withdrawalResends.set(attemptId, withdrawalResendCount);
+			this.#send({withdrawn: [attemptId]});
+		}
+	}
+
 	/** Records a crash that this entry has observed. */
 	recordCrash({positions, attemptId, serverId, bootId, lostAt}: LostAttempt, evidence: CrashEvidence): void {
 		const {entryId, timer, log, metrics} = this.#options;
+		this.#earlyReported.delete(attemptId);
 		const effects = positions.map(({fingerprint, chainLength}) => ({
 			fingerprint, chainLength,
 			...this.#register.recordCrash(fingerprint, {
@@ -159,8 +191,13 @@
 	}
 
 	/** Merges the crash report of another entry. */
-	acceptCrashReport({entryId: sender, failureDomain, records, cleared}: CrashReport): void {
+	acceptCrashReport({entryId: sender, failureDomain, records, cleared, unconfirmed, withdrawn}: CrashReport): void {
 		const {isForwarder, timer, log} = this.#options;
+		const passedOn = {withdrawn: this.#unconfirmed.withdraw(withdrawn), unconfirmed: this.#holdUnconfirmed(unconfirmed)};
+		if (passedOn.withdrawn.length + passedOn.unconfirmed.length > 0 && isForwarder(failureDomain)) {
+			this.#send(passedOn);
+		}
+
 		const removed = cleared.filter(({fingerprint, ageMs}) => this.#register.recordCompletion(fingerprint, timer.now(), {isObserved: false, ageMs})).map(({fingerprint}) => fingerprint);
 		for (const fingerprint of removed) {
 			log.writeRequest('content.cleared', undefined, {content: fingerprint, reason: 'completed at another entry', peer: sender});
@@ -168,7 +205,7 @@
 		}
 
 		if (removed.length > 0 && isForwarder(failureDomain)) {
-			this.#send([], removed);
+			this.#send({cleared: removed});
 		}
 
 		const merged = this.#merge(records, sender);
@@ -178,7 +215,7 @@
 
 		const answers = merged.filter(({record, received, isChanged}) => !(isChanged && isForwarder(failureDomain)) && hasMoreCrashes(record, received));
 		if (answers.length > 0) {
-			this.#send(answers.map(({record}) => record), [], sender);
+			this.#send({records: answers.map(({record}) => record)}, sender);
 		}
 	}
 
@@ -186,7 +223,7 @@
 	handleEntryStarted(entryId: string): void {
 		const records = this.#listCauseRecords();
 		if (records.length > 0) {
-			this.#send(records, [], entryId);
+			this.#send({records}, entryId);
 		}
 	}
 
@@ -235,16 +272,8 @@
 	/** Attempts that this entry lost just now, as crashes by fingerprint; without fingerprints that have just completed. */
 	#listUnsettledCrashes(): Map<string, FingerprintCrash[]> {
 		const {detection, timer} = this.#options;
-		const crashes = new Map<string, FingerprintCrash[]>();
-		for (const {positions, ...attempt} of detection.listUnsettled()) {
-			for (const {fingerprint, chainLength} of positions) {
-				if (!this.#register.hasCompletedRecently(fingerprint, timer.now())) {
-					crashes.set(fingerprint, [...crashes.get(fingerprint) ?? [], {...attempt, chainLength, companions: []}]);
-				}
-			}
-		}
-
-		return crashes;
+		const crashes = listCrashesByFingerprint(detection.listUnsettled());
+		return new Map([...crashes].filter(([fingerprint]) => !this.#register.hasCompletedRecently(fingerprint, timer.now())));
 	}
 
 	#listCrashes(fingerprint: string, unsettled: ReadonlyMap<string, FingerprintCrash[]>): FingerprintCrash[] {
@@ -302,13 +331,13 @@
 		}
 
 		if (fingerprints.length > 0) {
-			this.#send([], [...fingerprints]);
+			this.#send({cleared: fingerprints});
 		}
 	}
 
 	#share(records: FingerprintRecord[]): void {
 		if (records.length > 0) {
-			this.#send(records, []);
+			this.#send({records});
 		}
 
 		for (const {fingerprint, crashes} of records) {
@@ -333,7 +362,7 @@
 		}
 
 		if (records.length > 0) {
-			this.#send(records, []);
+			this.#send({records});
 		}
 
 		this.#resendClearings();
@@ -350,19 +379,78 @@
 		}
 
 		if (cleared.length > 0) {
-			this.#send([], cleared);
+			this.#send({cleared});
 		}
 	}
 
-	#send(records: FingerprintRecord[], cleared: string[], recipientId?: string): void {
+	#resendWithdrawals(): void {
+		const withdrawn = [...this.#withdrawalResends.keys()];
+		for (const [attemptId, left] of this.#withdrawalResends) {
+			if (left > 1) {
+				this.#withdrawalResends.set(attemptId, left - 1);
+			} else {
+				this.#withdrawalResends.delete(attemptId);
+			}
+		}
+
+		if (withdrawn.length > 0) {
+			this.#send({withdrawn});
+		}
+	}
+
+	/** Builds records of a lost attempt, and of those lost just before, for the fingerprints under which several servers were lost. */
+	#buildEarlyReport({positions, attemptId}: LostAttempt): FingerprintRecord[] {
+		const {detection, entryId, timer} = this.#options;
+		const lost = listCrashesByFingerprint(detection.listUnsettled());
+		return positions
+			.map(({fingerprint}): FingerprintRecord => ({fingerprint, standing: 'suspect', crashes: selectOnePerServer(lost.get(fingerprint) ?? []).map(crash => ({...crash, entryId}))}))
+			.filter(({fingerprint, crashes}) => {
+				const known = this.#register.getRecord(fingerprint, timer.now())?.crashes ?? [];
+				return crashes.some(crash => crash.attemptId === attemptId) && countCrashedServers([...known, ...crashes]) >= earlyReportLimit;
+			});
+	}
+
+	/** Holds unconfirmed crashes of other entries; returns those that are new. */
+	#holdUnconfirmed(records: readonly FingerprintRecord[]): FingerprintRecord[] {
+		const {entryId, timer} = this.#options;
+		// Entries that pass reports on also send them back to their origin.
+		return this.#unconfirmed.add(records.map(record => ({...record, crashes: record.crashes.filter(crash => crash.entryId !== entryId)})), timer.now());
+	}
+
+	/** Counts the crashes of which the entry that lost the attempts has not told in time whether the servers have ended. */
+	#acceptUnconfirmed(): void {
+		const overdue = this.#unconfirmed.removeOverdue(this.#options.timer.now());
+		const merged = this.#merge(overdue, 'not confirmed in time');
+		this.#share(merged.filter(({isChanged}) => isChanged).map(({record}) => record));
+	}
+
+	#send({records = [], cleared = [], unconfirmed = [], withdrawn = []}: SentReport, recipientId?: string): void {
 		const {entryId, failureDomain, sendCrashReport, timer} = this.#options;
 		sendCrashReport({
-			entryId, failureDomain, records,
+			entryId, failureDomain, records, unconfirmed, withdrawn,
 			cleared: cleared.map(fingerprint => ({fingerprint, ageMs: this.#register.getCompletionAgeMs(fingerprint, timer.now()) ?? 0})),
 		}, recipientId);
 	}
 }
 
+/** Content of a crash report, with the fingerprints that have completed. */
+type SentReport = Partial<Pick<CrashReport, 'records' | 'unconfirmed' | 'withdrawn'>> & {cleared?: readonly string[]};
+
+const listCrashesByFingerprint = (attempts: readonly LostAttempt[]): Map<string, FingerprintCrash[]> => {
+	const crashes = new Map<string, FingerprintCrash[]>();
+	for (const {positions, ...attempt} of attempts) {
+		for (const {fingerprint, chainLength} of positions) {
+			crashes.set(fingerprint, [...crashes.get(fingerprint) ?? [], {...attempt, chainLength, companions: []}]);
+		}
+	}
+
+	return crashes;
+};
+
+/** Selects the first crash of each server. */
+const selectOnePerServer = (crashes: readonly FingerprintCrash[]): FingerprintCrash[] =>
+	[...new Map(crashes.toReversed().map(crash => [formatServer(crash), crash])).values()].toReversed();
+
 const listCandidates = (causes: readonly CrashCause[]): string[] => causes.flatMap(({candidates}) => candidates.map(({fingerprint}) => fingerprint));
 
 const refusalHandlers: Record<ContentDecision, (isTrialRefused: () => boolean) => boolean> = {
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -207,6 +207,12 @@
 			notifyCrash: (attempt, evidence) => {
 				this.#quarantine.recordCrash(attempt, evidence);
 			},
+			notifyLoss: attempt => {
+				this.#quarantine.recordLoss(attempt);
+			},
+			notifyChecked: ({attemptId}) => {
+				this.#quarantine.withdrawLoss(attemptId);
+			},
 		});
 		this.#quarantine = new QuarantineTask({
 			entryId: settings.entryId, failureDomain: settings.failureDomain, store, codec, timer, log, metrics, detection: this.#crashDetection,
