Keep a copy that began before the first crash in the record

In the table, content could end three servers, one more than allowed, when its owner changed.

Cause: a run of a suspect is named in the record, so that the next owner waits for it. A copy that began before the first crash, when there was no record, was in the memory of the owner alone: the next owner started another copy beside it, and both ended their servers. The shrunk list: two copies on s0 and s2, s0 ends, the owner changes, a copy starts on s0 and ends it, s2 ends.

The new test of the shrunk case failed: expected 'run_alone' to equal 'wait'.

Change: a record without a run names one of the open runs. The property states `minLength`; the number of ends only grows, so that each long list covers its shorter beginnings.

Why it works: before the first crash copies run on two servers at most, so that after it one server is left with open copies, and the record names a copy there. If several copies run on that server and the named one ends without its server, the next owner knows of the others only through the record as the former owner wrote it last.

--- a/packages/core/src/quarantine/fingerprint-table.test.ts
+++ b/packages/core/src/quarantine/fingerprint-table.test.ts
@@ -6,7 +6,7 @@
 	// Guards against a fingerprint that crashes more than two servers through concurrent copies or a change of its owner.
 	it('allows one fingerprint to crash at most two servers', () => {
 		const action = fc.record({kind: fc.constantFrom('start', 'start', 'crash', 'takeover'), server: fc.nat(5)});
-		fc.assert(fc.property(fc.array(action, {maxLength: 40}), actions => {
+		fc.assert(fc.property(fc.array(action, {minLength: 40, maxLength: 200}), actions => {
 			let table = new FingerprintTable();
 			let attempts = 0;
 			const running = new Map<string, string[]>();
@@ -39,6 +39,23 @@
 		}), {seed: 16, numRuns: 3000});
 	});
 
+	// Guards against a new owner that starts a suspect although a copy that began before the first crash is still running.
+	it('waits for a copy that began before the first crash when the owner changes', () => {
+		const table = new FingerprintTable();
+		for (const copy of [1, 2]) {
+			expect(table.startRun('bad', {attemptId: `a${copy}`, serverId: `s${copy}`}, 0)).to.deep.equal({type: 'run'});
+		}
+
+		const {record} = table.recordCrash('bad', {
+			attemptId: 'a1', serverId: 's1', bootId: 'b', companions: [],
+		});
+		const nextOwner = new FingerprintTable();
+		nextOwner.load([record!], 0);
+		expect(nextOwner.startRun('bad', {attemptId: 'a3', serverId: 's3'}, 0).type).to.equal('wait');
+		nextOwner.recordRunEnd('bad', 'a2');
+		expect(nextOwner.startRun('bad', {attemptId: 'a3', serverId: 's3'}, 0).type).to.equal('run_alone');
+	});
+
 	// Guards against requests that stay suspect only because they ran beside the one that crashed the server.
 	it('clears fingerprints that ran beside the culprit', () => {
 		const table = new FingerprintTable();
--- a/packages/core/src/quarantine/fingerprint-table.ts
+++ b/packages/core/src/quarantine/fingerprint-table.ts
@@ -88,7 +88,7 @@
 	recordCrash(fingerprint: string, crash: FingerprintCrash): ReportEffect {
 		this.#removeRun(fingerprint, crash.attemptId);
 		this.#completed.delete(fingerprint);
-		const record = applyCrash(this.#records.get(fingerprint), fingerprint, crash);
+		const record = this.#addOpenRun(applyCrash(this.#records.get(fingerprint), fingerprint, crash));
 		this.#records.set(fingerprint, record);
 		return {record, crashAttributions: listCrashAttributions(record)};
 	}
@@ -108,7 +108,7 @@
 	recordRunEnd(fingerprint: string, attemptId: string): ReportEffect {
 		this.#removeRun(fingerprint, attemptId);
 		const record = this.#records.get(fingerprint);
-		return this.#setRecord(fingerprint, record && applyRunEnd(record, attemptId));
+		return this.#setRecord(fingerprint, record && this.#addOpenRun(applyRunEnd(record, attemptId)));
 	}
 
 	/** Records that a crash is explained by another fingerprint, the culprit. */
@@ -116,6 +116,12 @@
 		return this.#setRecord(fingerprint, applyCrashAttribution(this.#records.get(fingerprint), crash));
 	}
 
+	/** Names a run that began before the first crash in the record, so that the next owner knows of it. */
+	#addOpenRun(record: FingerprintRecord): FingerprintRecord {
+		const [open] = this.#runs.get(record.fingerprint) ?? [];
+		return record.run !== undefined || open === undefined ? record : {...record, run: {attemptId: open.attemptId, serverId: open.serverId}};
+	}
+
 	#startAlone(record: FingerprintRecord, run: FingerprintRun, now: number): RunDecision {
 		const started = {...record, run};
 		this.#records.set(record.fingerprint, started);
