Model connections that are reset while entries are killed

An entry that is killed while it checks servers to which its connections were reset no longer withdraws the lost attempts, so that they count at the other entries although no server has ended. The model had no such resets.

The new property resets the connections of entries in series and kills them up to 60 ms later, with one content that is sent all the time, and asks that nothing is refused from 4 s after the last reset on.

--- a/packages/relay/src/quarantine/quarantine-model-fixture.test.ts
+++ b/packages/relay/src/quarantine/quarantine-model-fixture.test.ts
@@ -104,6 +104,17 @@
 		this.#endServers(this.servers.filter(({id, upAt}) => ids.has(id) && upAt <= this.clock.now));
 	}
 
+	/** Resets the connections of an entry to servers that go on running. */
+	resetConnections(entryId: string): void {
+		const process = this.find(entryId);
+		for (const {id, boot, attempts} of this.servers) {
+			for (const attempt of [...attempts].filter(each => each.process === process)) {
+				attempts.delete(attempt);
+				this.#loseAttempt(attempt, id, String(boot), {hasEnded: false});
+			}
+		}
+	}
+
 	/** Sends a request through an entry to the running server with the fewest attempts; one that is lost is repeated once at once. */
 	request(entryId: string, request: ModelRequest, number = 0): void {
 		const process = this.find(entryId);
@@ -182,7 +193,7 @@
 		}
 	}
 
-	#loseAttempt({request, number, process, positions, attemptId}: Attempt, serverId: string, bootId: string): void {
+	#loseAttempt({request, number, process, positions, attemptId}: Attempt, serverId: string, bootId: string, {hasEnded = true} = {}): void {
 		const attempt = {
 			positions, attemptId, serverId, bootId, lostAt: this.clock.now,
 		};
@@ -192,7 +203,10 @@
 		this.clock.scheduleIn(detectionMs, () => {
 			if (process.isAlive) {
 				settle();
-				process.quarantine.recordCrash(attempt, crashEvidence.refused);
+				if (hasEnded) {
+					process.quarantine.recordCrash(attempt, crashEvidence.refused);
+				}
+
 				process.quarantine.withdrawLoss(attemptId);
 			}
 		});
--- a/packages/relay/src/quarantine/quarantine-model.test.ts
+++ b/packages/relay/src/quarantine/quarantine-model.test.ts
@@ -142,6 +142,43 @@
 		expect(model.countLateSends(3)).to.be.at.most(lateRetryLimit);
 	});
 
+	// Guards against content that stays refused because an entry was killed while it checked servers to which its connections had been reset.
+	it('runs content whose connections were reset', async function () {
+		this.timeout(60_000);
+		const resets = fc.array(fc.record({entry: fc.nat(4), atMs: fc.integer({min: 1000, max: 8000}), killDelayMs: fc.option(fc.nat(60))}), {minLength: 1, maxLength: 12});
+		await fc.assert(fc.asyncProperty(resets, fc.integer({min: 5, max: 900}), fc.integer({min: 1, max: 6}), numbers, async (list, runMs, copies, stream) => {
+			const draw = (limit: number): number => (stream.next().value as number) % limit;
+			const model = new QuarantineModel(() => draw(10) === 0, runnerCount);
+			for (let index = 0; index < 5; index++) {
+				model.startProcess(`e${index}`);
+			}
+
+			for (let at = 900; at < 16_000; at += 100) {
+				model.clock.schedule(at, () => {
+					const entry = draw(5);
+					for (let copy = 0; copy < copies; copy++) {
+						model.request(`e${entry}`, {fingerprints: [content], runMs, endsServer: false});
+					}
+				});
+			}
+
+			for (const {entry, atMs, killDelayMs} of list) {
+				model.clock.schedule(atMs, () => {
+					model.resetConnections(`e${entry}`);
+				});
+				if (killDelayMs !== null) {
+					model.clock.schedule(atMs + killDelayMs, () => {
+						model.kill(`e${entry}`, 600);
+					});
+				}
+			}
+
+			await model.run(17_000);
+			expect(model.ends).to.deep.equal([]);
+			expect(model.soundAttempts.filter(({at, isRefused}) => isRefused && at > 12_000).length, 'refused requests').to.equal(0);
+		}), {seed: 22, numRuns: 60});
+	});
+
 	// Guards against requests with one bad part that go on ending servers because they come in waves at all entries, some of which restart,
 	// and against refusing the sound requests that share their other parts or were lost when servers ended for another reason.
 	it('keeps the bound on prompts with one part that ends servers, and runs the sound ones', async function () {
