Wait for input in one way before a timeout takes effect

No change of behaviour; the tests of connections, of limits on callers and of silent servers that cover it pass.

--- a/packages/relay/src/exchange/connection-opener.ts
+++ b/packages/relay/src/exchange/connection-opener.ts
@@ -1,6 +1,7 @@
 import {once} from 'node:events';
 import {connect, type Socket} from 'node:net';
 import {createError, createOk, type Result} from '@knapweedrack/core';
+import {runAfterInput} from './run-after-input.js';
 
 /** Idle time before TCP keep-alive probes begin, in ms. */
 const keepAliveProbeMs = 1000;
@@ -56,7 +57,7 @@
 export const startTimeout = (timeoutMs: number): {signal: AbortSignal; cancel: () => void} => {
 	const controller = new AbortController();
 	const timer = setTimeout(() => {
-		setImmediate(() => {
+		runAfterInput(() => {
 			controller.abort();
 		});
 	}, timeoutMs);
--- a/packages/relay/src/front/request-body.ts
+++ b/packages/relay/src/front/request-body.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
 import type {TimerService} from '@knapweedrack/entry/contracts';
+import {runAfterInput} from '../exchange/run-after-input.js';
 
 /** Result of reading a request's body; a read body is undefined when the request has none. */
 export type BodyResult =
@@ -35,13 +36,9 @@
 		const resetIdleTimer = (): void => {
 			cancelIdleTimer();
 			cancelIdleTimer = timer.schedule(limits.idleTimeoutMs, () => {
-				// When the process was busy, the timer runs before the bytes are read that wait in the socket.
-				const checked = setImmediate(() => {
+				cancelIdleTimer = runAfterInput(() => {
 					end({type: 'idle'});
 				});
-				cancelIdleTimer = () => {
-					clearImmediate(checked);
-				};
 			});
 		};
 
