--- a/packages/relay/src/front/run-attempt.ts
+++ b/packages/relay/src/front/run-attempt.ts
@@ -1,15 +1,11 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
-import {
-	computeFullPassMs, executionKinds, type Route, type Service,
-} from '@knapweedrack/core';
+import {executionKinds, type Route, type Service} from '@knapweedrack/core';
 import {
 	startAttempt, type AnswerHead, type AttemptEnd, type AttemptListener, type RunningAttempt,
 } from '../exchange/attempt.js';
 import type {BackendConnection} from '../exchange/backend-connections.js';
 import {EventSplitter} from '../exchange/event-splitter.js';
-import {runAfterInput} from '../exchange/run-after-input.js';
-import type {WatchedAttempt} from '../exchange/silent-server-task.js';
 import type {PlacedRequest} from '../placement/placement-task.js';
 import {lossKinds} from '../quarantine/crash-detection-task.js';
 import type {AnswerWriter} from './answer-writer.js';
@@ -18,29 +14,12 @@
 } from './answer-checks.js';
 import type {AttemptResult} from './attempt-result.js';
 import type {RelayServices} from './relay-services.js';
+import {SilenceWatch} from './silence-watch.js';
 
 /** Bytes of an answer that are buffered until it is complete, so that the request can be retried when the connection fails. */
 const heldAnswerLimitBytes = 64 * 1024;
 /** Largest body of a failure, of an unusable answer, or of one event, in bytes; a longer one ends the attempt. */
 const unforwardedLimitBytes = 1024 * 1024;
-/** Multiple of a route's target after which an attempt without an answer counts as silent. */
-const silentTargetFactor = 2;
-/** Interval at which a silent attempt is reported again, in ms. */
-const silenceReportMs = 50;
-/** Share of the remaining time after which an attempt without an answer counts as silent. */
-const attemptTimeShare = 0.5;
-
-/**
- * The first token is overdue after its predicted time multiplied by this factor, plus a margin in ms; predictions are accurate
- * to one engine pass.
- */
-const firstTokenFactor = 2;
-const firstTokenMarginMs = 500;
-/** Shortest pause within a stream after which its next event is overdue, in ms; a concurrent prefill takes about this time. */
-const minOverduePauseMs = 900;
-/** Multiple of the duration of a pass on a full engine after which an event is overdue. */
-const overduePassFactor = 4;
-
 /** Last event of a stream that the caller has received; the next attempt continues after it. */
 export type StreamProgress = {
 	lastEventId: string | undefined;
@@ -124,9 +103,7 @@
 	#hasCompleted = false;
 	#isDelimited = false;
 	#isOver = false;
-	#watched: WatchedAttempt | undefined;
-	/** True while nothing is read from the backend server, because the caller has not taken what was written. */
-	#isPaused = false;
+	#silence: SilenceWatch | undefined;
 	#running: RunningAttempt | undefined;
 	#connection: BackendConnection | undefined;
 
@@ -165,17 +142,10 @@
 		});
 		this.#cleanups.push(this.options.writer.subscribeToDrain(() => {
 			running.resume();
-			if (this.#isPaused) {
-				this.#isPaused = false;
-				this.#postponeDueTime();
-			}
+			this.#silence?.resume();
 		}));
-		const {notifySilent} = this.options;
-		if (notifySilent !== undefined) {
-			this.#scheduleSilenceLimit(notifySilent);
-		}
-
-		this.#watchSilence(notifySilent);
+		this.#silence = new SilenceWatch(this.services, this.options, () => this.#mode === answerModes.waiting);
+		this.#silence.start();
 	}
 
 	/** Forwards the complete events of a stream. */
@@ -302,41 +272,6 @@
 		});
 	}
 
-	/** Reports an idempotent request as silent while it has no answer after a time limit. */
-	#scheduleSilenceLimit(notifySilent: () => void): void {
-		const {services: {timer}, options: {route, remainingMs}} = this;
-		if (route.execution !== executionKinds.idempotent) {
-			return;
-		}
-
-		const report = (): void => {
-			if (!this.#isOver && this.#mode === answerModes.waiting) {
-				scheduleReport(silenceReportMs);
-				notifySilent();
-			}
-		};
-
-		const scheduleReport = (delayMs: number): void => {
-			this.#cleanups.push(timer.schedule(delayMs, () => {
-				this.#cleanups.push(runAfterInput(report));
-			}));
-		};
-
-		scheduleReport(Math.min(remainingMs * attemptTimeShare, route.targetMs * silentTargetFactor));
-	}
-
-	/** Watches a stream together with the other streams of its backend server, which is silent once the bytes of all of them are overdue. */
-	#watchSilence(notifySilent: (() => void) | undefined): void {
-		const {services: {silentServers, timer}, options: {placed, route, requestId}} = this;
-		if (route.execution !== executionKinds.stream) {
-			return;
-		}
-
-		const dueAt = timer.now() + (placed.predictedFirstTokenMs * firstTokenFactor) + firstTokenMarginMs;
-		this.#watched = silentServers.add({serverId: placed.server.id, requestId}, dueAt, notifySilent);
-		this.#cleanups.push(this.#watched.remove);
-	}
-
 	#buildListener(): AttemptListener {
 		return {
 			handleHead: head => {
@@ -385,8 +320,7 @@
 
 		const canContinue = dataHandlers[this.#mode](this, chunk);
 		if (!canContinue) {
-			this.#isPaused = true;
-			this.#watched?.pause();
+			this.#silence?.pause();
 		}
 
 		return canContinue;
@@ -402,11 +336,7 @@
 		}
 
 		this.#latestEventAt = now;
-		this.#postponeDueTime();
-	}
-
-	#postponeDueTime(): void {
-		this.#watched?.postpone(this.services.timer.now() + computeOverduePauseMs(this.options.service));
+		this.#silence?.recordEvent();
 	}
 
 	/** Records the time to the first byte that the caller receives. A retried stream may have sent that byte in an earlier attempt. */
@@ -450,6 +380,7 @@
 		}
 
 		this.#isOver = true;
+		this.#silence?.stop();
 		for (const cleanup of this.#cleanups) {
 			cleanup();
 		}
@@ -474,9 +405,6 @@
 const serverErrorStatus = 500;
 const badGatewayStatus = 502;
 
-const computeOverduePauseMs = ({engine}: Service): number =>
-	engine === undefined ? minOverduePauseMs : Math.max(minOverduePauseMs, computeFullPassMs(engine) * overduePassFactor);
-
 const dataHandlers: Record<AnswerMode, (task: AttemptTask, chunk: Buffer) => boolean> = {
 	waiting: () => true,
 	stream: (task, chunk) => task.passEvents(chunk),
