Continue an answer only with an event that has data

Cause: any complete block of a stream, and any end, claimed the answer.

Evidence: three new cases of "finish a stream when another server ..." in silent-server.test.ts failed on the commit before (cut, or complete with events 1 and 2 of 4).

Change: blocks without data are held until the next event of their attempt while another attempt runs. An end without an event counts as broken while another attempt runs, and in the continuation of a stream when only its connection told the end.

--- a/packages/relay/src/front/request-attempts.ts
+++ b/packages/relay/src/front/request-attempts.ts
@@ -210,6 +210,7 @@
 			request, requestId: envelope.requestId, body, route, service, placed, workspace, reservations: reservation.ids,
 			remainingMs: computeRemainingMs(), arrivedAt, writer, progress: this.#progress,
 			claimAnswer: () => this.#claimAnswer(attempt),
+			isAlone: () => this.#race.running.length === 1,
 			notifySilent: isRepeatable(route)
 				? () => {
 					this.#handleSilence(attempt);
--- a/packages/relay/src/front/run-attempt.ts
+++ b/packages/relay/src/front/run-attempt.ts
@@ -45,8 +45,10 @@
 	arrivedAt: number;
 	writer: AnswerWriter;
 	progress: StreamProgress;
-	/** Called before a part of the answer is passed on; returns false when another attempt has already brought it. */
+	/** Called before a part of the answer is passed on, which cancels the other attempts; returns false when one of them has already brought it. */
 	claimAnswer: () => boolean;
+	/** False while other attempts of the request are running. */
+	isAlone: () => boolean;
 	/** Called repeatedly while the backend server is silent; undefined when the request may not run on another one meanwhile. */
 	notifySilent: (() => void) | undefined;
 	setCancel: (cancel: (reason: CancelReason) => void) => void;
@@ -100,6 +102,8 @@
 	#firstByteAt: number | undefined;
 	#latestEventAt = 0;
 	#longestPauseMs = 0;
+	/** True once an event with data was passed on. */
+	#hasBroughtData = false;
 	#hasCompleted = false;
 	#isDelimited = false;
 	#isOver = false;
@@ -164,10 +168,18 @@
 			return true;
 		}
 
+		// Comments and other blocks without data are no part of the answer, so they do not end an attempt that may bring the next one.
+		const hasData = endsWithId !== undefined;
+		if (!hasData && !this.options.isAlone()) {
+			this.#silence?.recordEvent();
+			return this.#holdBlocks(bytes);
+		}
+
 		if (!this.options.claimAnswer()) {
 			return true;
 		}
 
+		this.#hasBroughtData ||= hasData;
 		this.#recordEvents(placed);
 		if (writer.isOpen) {
 			writer.start(this.#head!);
@@ -177,7 +189,7 @@
 
 		progress.lastEventId = lastEventId ?? progress.lastEventId;
 		progress.isResumable = endsWithId ?? progress.isResumable;
-		return writer.write(bytes);
+		return writer.write(Buffer.concat([...this.#heldChunks.splice(0), bytes]));
 	}
 
 	/** Buffers an answer until it is complete or exceeds `heldAnswerLimitBytes`. */
@@ -207,12 +219,18 @@
 
 	/** Ends a stream that the backend server has ended; one that ends within an event was broken off. */
 	endStream(head: AnswerHead): AttemptResult {
-		const {writer} = this.options;
+		const {writer, progress} = this.options;
 		const hasEvents = this.#firstByteAt !== undefined || isEventStream(head);
 		if (hasEvents && this.#splitter.isWithinEvent) {
 			return {type: 'broken', cause: 'the stream ended within an event', loss: lossKinds.connection};
 		}
 
+		// An end without an event ends the answer only when no other attempt may go on with it and the end is the server's own statement.
+		const isEmpty = isEventStream(head) && !this.#hasBroughtData;
+		if (isEmpty && (!this.options.isAlone() || (progress.isEventStream && !this.#isDelimited))) {
+			return {type: 'broken', cause: 'the stream ended without an event', loss: undefined};
+		}
+
 		if (!this.options.claimAnswer()) {
 			return cancelResults.lost;
 		}
@@ -260,6 +278,17 @@
 			: {type: 'failed', head, body: Buffer.concat(this.#heldChunks)};
 	}
 
+	/** Holds blocks without data until the next event of this attempt. */
+	#holdBlocks(bytes: Buffer): boolean {
+		this.#heldChunks.push(bytes);
+		this.#heldBytes += bytes.length;
+		if (this.#heldBytes > unforwardedLimitBytes) {
+			this.#abort('the stream has too many bytes without an event');
+		}
+
+		return true;
+	}
+
 	#buildHeaders(): string[] {
 		const {services: {wire}, options: {placed, request, remainingMs, workspace, progress, reservations}} = this;
 		return wire.encodeDispatch(request.rawHeaders, {
