Let nothing follow an answer that is passed on in part and is no stream

On a route of streams, a long 404 that paused after its first 64 KiB was broken off, since another attempt with a stream of events claimed the answer.

Cause: an answer that is no stream never postpones its due time, so its server counted as silent, and the request still counted as resumable.

Evidence: the new test of silent-server.test.ts got an incomplete answer on the commit before.

Change: once such an answer is passed on, its attempt is no longer watched and the request is not resumable.

--- a/packages/relay/src/front/run-attempt.ts
+++ b/packages/relay/src/front/run-attempt.ts
@@ -23,7 +23,7 @@
 /** Last event of a stream that the caller has received; the next attempt continues after it. */
 export type StreamProgress = {
 	lastEventId: string | undefined;
-	/** False once the caller has received an event without an id: a stream that continued would repeat it. */
+	/** False once the caller has received a part that no other attempt can continue: an event without an id, which would be repeated, or a part of another answer. */
 	isResumable: boolean;
 	/** True once the caller has received the head of a stream of events, which only another such stream can continue. */
 	isEventStream: boolean;
@@ -198,6 +198,9 @@
 		this.#heldBytes += chunk.length;
 		if (this.#mode === answerModes.held && this.#heldBytes > heldAnswerLimitBytes && this.options.writer.isOpen && !isUnusable(this.#head!) && this.options.claimAnswer()) {
 			this.#mode = answerModes.passing;
+			// No other attempt can go on with this answer.
+			this.options.progress.isResumable = false;
+			this.#silence?.stop();
 			this.options.writer.start(this.#head!);
 			this.#firstByteAt = this.services.timer.now();
 			this.#recordFirstByte();
--- a/packages/relay/src/front/silence-watch.ts
+++ b/packages/relay/src/front/silence-watch.ts
@@ -53,6 +53,7 @@
 
 	stop(): void {
 		this.#watched?.remove();
+		this.#watched = undefined;
 		this.#cancelReport?.();
 	}
 
