Resume the watch for silence before reading goes on

What callers saw: found by review: a caller that reads slowly still made its server count as silent, which started another attempt.

Cause: resuming a paused answer delivers what was read before, which may pause it again at once; the watch was then resumed although nothing was read any more.

Change: the watch resumes first, so that the last pause counts.

--- a/packages/relay/src/front/run-attempt.ts
+++ b/packages/relay/src/front/run-attempt.ts
@@ -145,8 +145,9 @@
 			this.#finish(cancelResults[reason]);
 		});
 		this.#cleanups.push(this.options.writer.subscribeToDrain(() => {
-			running.resume();
+			// Resuming delivers bytes that were read before, which may pause the answer again.
 			this.#silence?.resume();
+			running.resume();
 		}));
 		this.#silence = new SilenceWatch(this.services, this.options, () => this.#mode === answerModes.waiting);
 		this.#silence.start();
