End the silence of an attempt with the first bytes of its answer

What callers saw: found by review. An idempotent request whose answer began after its limit still counted as silent: a third attempt was started while the first one was receiving its answer, and when it lost, its server counted as lost. A sound successor that lost was held against its content.

Cause: only a claim, a whole answer or an event, ended the silence.

Change: heads and bytes of an answer end the silence of their attempt; an attempt that loses without having been silent is no evidence of a crash.

--- a/packages/core/src/retry/attempt-race.test.ts
+++ b/packages/core/src/retry/attempt-race.test.ts
@@ -107,6 +107,8 @@
 		race.add('b');
 		expect(race.recordSilence('a')).to.equal(false);
 		expect(race.recordSilence('b')).to.equal(true);
+		race.recordProgress('b');
+		expect(race.recordSilence('a')).to.equal(false);
 		expect(race.claim('a')).to.deep.equal(['b']);
 		expect(race.isSilent('a')).to.equal(false);
 		expect(race.claim('b')).to.equal(undefined);
--- a/packages/core/src/retry/attempt-race.ts
+++ b/packages/core/src/retry/attempt-race.ts
@@ -33,6 +33,11 @@
 		return this.#silent.has(attempt);
 	}
 
+	/** Records that an attempt brings something, if not yet a part of the answer. */
+	recordProgress(attempt: Attempt): void {
+		this.#silent.delete(attempt);
+	}
+
 	/**
 	 * Gives the next part of the answer to a running attempt that has brought it. Returns the other attempts, which have lost and
 	 * must be cancelled, or undefined when the attempt has itself lost or ended.
--- a/packages/relay/src/front/record-crash-evidence.ts
+++ b/packages/relay/src/front/record-crash-evidence.ts
@@ -69,7 +69,7 @@
 		}
 	},
 	cancelled(services, ended, result) {
-		if (result.firstByteAt === undefined) {
+		if (result.firstByteAt === undefined && !result.hasLost) {
 			recordLoss(services, ended, lossKinds.silence);
 		}
 	},
--- a/packages/relay/src/front/request-attempts.ts
+++ b/packages/relay/src/front/request-attempts.ts
@@ -211,6 +211,9 @@
 			remainingMs: computeRemainingMs(), arrivedAt, writer, progress: this.#progress,
 			claimAnswer: () => this.#claimAnswer(attempt),
 			isAlone: () => this.#race.running.length === 1,
+			notifyProgress: () => {
+				this.#race.recordProgress(attempt);
+			},
 			notifySilent: isRepeatable(route)
 				? () => {
 					this.#handleSilence(attempt);
--- a/packages/relay/src/front/run-attempt.ts
+++ b/packages/relay/src/front/run-attempt.ts
@@ -49,6 +49,8 @@
 	claimAnswer: () => boolean;
 	/** False while other attempts of the request are running. */
 	isAlone: () => boolean;
+	/** Called when bytes of an answer arrive. */
+	notifyProgress: () => void;
 	/** Called repeatedly while the backend server is silent; undefined when the request may not run on another one meanwhile. */
 	notifySilent: (() => void) | undefined;
 	setCancel: (cancel: (reason: CancelReason) => void) => void;
@@ -320,6 +322,7 @@
 	#handleHead(head: AnswerHead): void {
 		this.#head = head;
 		this.#mode = this.#selectMode(head);
+		this.options.notifyProgress();
 		const {services: {serverLimits, serverNotices}, options: {placed: {server}}} = this;
 		if (isFromServer(head)) {
 			serverLimits.recordAnswer(server, head.envelope.requestsPerSecondLimit);
@@ -351,6 +354,7 @@
 			return true;
 		}
 
+		this.options.notifyProgress();
 		const canContinue = dataHandlers[this.#mode](this, chunk);
 		if (!canContinue) {
 			this.#silence?.pause();
