Keep the memory of a running group when a renewal fails

What callers saw: the answer to a prompt that runs on a group of engines ended with an error (502 before the first token) as soon as one renewal of its memory failed, for example because a member was leaving: an engine that is leaving finishes its work, but refuses reservations, also renewals. One renewal that was not answered within 2 s did the same. Cause: the reservation handled every refusal as one of the reserving phase and released the memory of all members, although the request ran and the memory was held for another 20 s. Evidence: 'are completed when a member is leaving meanwhile' fails before, 10 s after its start: 'expected Error: 502 the backend server failed to equal undefined'. 'keeps its memory when a renewal fails and renews that member again': expected [ 'release s1', 'release s2' ] to deeply equal []. Change: once all members are reserved, a failed renewal is repeated for that member after 1 s, until it succeeds or the request ends. Why it works: a running request ends with its engines, its caller, its deadline or the stop, and each of these releases the memory; a failed renewal alone frees nothing that is needed.

--- a/packages/core/src/group/group-reservation.ts
+++ b/packages/core/src/group/group-reservation.ts
@@ -11,6 +11,8 @@
 	replyTimeoutMs?: number;
 	/** Time in ms after which a release call that is not confirmed is sent again. */
 	releaseRetryMs?: number;
+	/** Time in ms from a renewal to its repetition when it failed. */
+	renewalRetryMs?: number;
 };
 
 /** Input of a group reservation: replies of the engines, the start and end of the request, and the timer. */
@@ -18,7 +20,7 @@
 	| {type: 'start'}
 	/** The engine reserved the memory for the request. */
 	| {type: 'reserved'; serverId: string}
-	/** The engine refused, or the reserve call failed with an unknown result. */
+	/** The engine refused, or the reserve call failed with an unknown result; ends the group only before all members are reserved. */
 	| {type: 'refused'; serverId: string}
 	/** The engine confirmed the release, or it ended and its memory with it. */
 	| {type: 'released'; serverId: string}
@@ -48,7 +50,8 @@
 /**
  * All-or-nothing reservation of KV cache memory on the members of a group.
  * Members are reserved one at a time in ascending order of backend server id. A refusal releases all reservations
- * at once instead of waiting for memory. Both rules prevent deadlock between groups.
+ * at once instead of waiting for memory. Both rules prevent deadlock between groups. Once all members are reserved, a
+ * renewal that fails is repeated instead: the request still runs, and its memory is held until the time limit.
  */
 export class GroupReservation {
 	readonly #service: Service<typeof groupReservationMachine>;
@@ -56,8 +59,11 @@
 	readonly #ttlMs: number;
 	readonly #replyTimeoutMs: number;
 	readonly #releaseRetryMs: number;
+	readonly #renewalRetryMs: number;
 	/** By server id: members whose reserve call was sent and whose release is not confirmed. */
 	readonly #held = new Map<string, HeldReservation>();
+	/** Ids of members whose last renewal failed. */
+	readonly #failedRenewals = new Set<string>();
 	#nextIndex = 0;
 	#renewedAt = 0;
 
@@ -66,6 +72,7 @@
 		this.#ttlMs = options.ttlMs ?? 30_000;
 		this.#replyTimeoutMs = options.replyTimeoutMs ?? 2000;
 		this.#releaseRetryMs = options.releaseRetryMs ?? 1000;
+		this.#renewalRetryMs = options.renewalRetryMs ?? 1000;
 		this.#service = interpret(groupReservationMachine, () => undefined);
 	}
 
@@ -116,6 +123,11 @@
 	}
 
 	#handleRefused(serverId: string, now: number): GroupReservationCommand[] {
+		if (this.state === 'reserved') {
+			this.#failedRenewals.add(serverId);
+			return [];
+		}
+
 		// The event also covers calls with an unknown result, so the refusing server is released too.
 		return this.#held.has(serverId) && this.state !== 'releasing' ? this.#release(now) : [];
 	}
@@ -156,17 +168,22 @@
 
 	/** Reserves again for the same request, which replaces the reservation on each engine and extends its time limit. */
 	#renew(now: number): GroupReservationCommand[] {
-		if (now - this.#renewedAt < this.#ttlMs / 3) {
-			return [];
+		const isDue = now - this.#renewedAt >= this.#ttlMs / 3;
+		if (isDue) {
+			this.#renewedAt = now;
 		}
 
-		this.#renewedAt = now;
-		return this.#members.map(member => {
+		return this.#members.filter(member => isDue || this.#isRenewalRetryDue(member, now)).map(member => {
+			this.#failedRenewals.delete(member.serverId);
 			this.#held.get(member.serverId)!.sentAt = now;
 			return this.#createReserveCommand(member);
 		});
 	}
 
+	#isRenewalRetryDue({serverId}: GroupMember, now: number): boolean {
+		return this.#failedRenewals.has(serverId) && now - this.#held.get(serverId)!.sentAt >= this.#renewalRetryMs;
+	}
+
 	#createReserveCommand(member: GroupMember): GroupReservationCommand {
 		return {
 			type: 'reserve', serverId: member.serverId, kvTokens: member.kvTokens, ttlMs: this.#ttlMs,
--- a/packages/core/src/group/group.test.ts
+++ b/packages/core/src/group/group.test.ts
@@ -102,6 +102,44 @@
 		expect(group.handle({type: 'reserved', serverId: 's2'}, 1020)).to.deep.equal([{type: 'release', serverId: 's2'}]);
 	});
 
+	describe('whose request runs', () => {
+		const ttlMs = 9000;
+		const renewedAt = ttlMs / 3;
+		let group: GroupReservation;
+
+		const listCalls = (event: GroupReservationEvent, now: number): string[] => group.handle(event, now).map(({type, serverId}) => `${type} ${serverId}`);
+
+		beforeEach(() => {
+			group = new GroupReservation(createMembers(['s1', 's2']), {ttlMs, renewalRetryMs: 500});
+			group.handle({type: 'start'}, 0);
+			group.handle({type: 'reserved', serverId: 's1'}, 0);
+			group.handle({type: 'reserved', serverId: 's2'}, 0);
+		});
+
+		// Guards against an answer that is given up, with the memory of all members, because of one renewal that fails long before its time limit.
+		it('keeps its memory when a renewal fails and renews that member again', () => {
+			expect(listCalls({type: 'tick'}, renewedAt)).to.deep.equal(['reserve s1', 'reserve s2']);
+			expect(listCalls({type: 'refused', serverId: 's1'}, renewedAt + 100)).to.deep.equal([]);
+			expect(listCalls({type: 'reserved', serverId: 's2'}, renewedAt + 100)).to.deep.equal([]);
+			expect(group.state).to.equal('reserved');
+			expect(listCalls({type: 'tick'}, renewedAt + 400)).to.deep.equal([]);
+			expect(listCalls({type: 'tick'}, renewedAt + 500)).to.deep.equal(['reserve s1']);
+			expect(listCalls({type: 'tick'}, renewedAt + 1000)).to.deep.equal([]);
+			expect(listCalls({type: 'refused', serverId: 's1'}, renewedAt + 1000)).to.deep.equal([]);
+			expect(listCalls({type: 'tick'}, renewedAt + 1000)).to.deep.equal(['reserve s1']);
+			expect(listCalls({type: 'reserved', serverId: 's1'}, renewedAt + 1100)).to.deep.equal([]);
+			expect(listCalls({type: 'tick'}, (2 * renewedAt) - 1)).to.deep.equal([]);
+			expect(listCalls({type: 'tick'}, 2 * renewedAt)).to.deep.equal(['reserve s1', 'reserve s2']);
+		});
+
+		it('releases all members at its end, also after a failed renewal', () => {
+			group.handle({type: 'tick'}, renewedAt);
+			group.handle({type: 'refused', serverId: 's1'}, renewedAt + 100);
+			expect(listCalls({type: 'finish'}, renewedAt + 200)).to.deep.equal(['release s1', 'release s2']);
+			expect(listCalls({type: 'refused', serverId: 's2'}, renewedAt + 300)).to.deep.equal([]);
+		});
+	});
+
 	// Guards against deadlock between groups, and against leaked reservations after lost messages and restarts.
 	it('ends all concurrent groups and leaves no memory reserved', () => {
 		const serverIds = ['s1', 's2', 's3', 's4'];
--- a/packages/entry/src/callers/completions.test.ts
+++ b/packages/entry/src/callers/completions.test.ts
@@ -351,6 +351,22 @@
 			expect(result.status).to.equal('rejected');
 		});
 
+		// Guards against an answer that is given up because one member, which is leaving, refuses to renew its memory before it expires.
+		it('are completed when a member is leaving meanwhile', async function () {
+			this.timeout(40_000);
+			const engine = {kvTokens: 5000, timeScale: 1, prefillTokensPerSecond: 650};
+			await open({engines: [engine, engine]});
+			const pendingStream = readStream(text);
+			await fixture.waitUntil(async () => {
+				const state = await fixture.fetchState<EngineState>(fixture.engines[0]!);
+				return state.running.length > 0;
+			}, 'segment running');
+			await fixture.addFault(fixture.engines[0]!, {kind: 'leaving'});
+			const {answer, error} = await pendingStream;
+			expect(error).to.equal(undefined);
+			expect(answer.length).to.equal(renderAnswer(text, 8).length);
+		});
+
 		it('are refused when no group has room', async () => {
 			await open({engines: [{kvTokens: 5000}]});
 			const {error} = await readStream(text);
