Don't return to an engine that may have run the request while an owner is awaited

What callers saw: a request whose first attempt had failed on one engine, while the other engine's owner could not be reached, was sent to the first engine again. Its failed attempt is cancelled there by request id, up to three times with pauses of 0.5 s, so a repeated cancellation can end the new attempt, and content that ends engines meets the same engine twice. Cause: the wait for owners cleared the whole list of tried engines instead of those that had only refused a permit. A cancelled second attempt was not seen in a run; the return to the engine is what the test shows. Evidence: 'does not return to an engine that failed while the owner of another one is awaited' fails before in 3 of 3 runs: engine-1 is requested again in place of engine-2. Change: engines that may have run an attempt stay excluded. Measured: the test passes in 4 of 4 runs, and the tests of the caller server pass. Why it works: a request reaches each engine with at most one attempt that may run, as when no owner is awaited.

--- a/packages/entry/src/callers/attempt-loop.ts
+++ b/packages/entry/src/callers/attempt-loop.ts
@@ -36,6 +36,8 @@
 /** Runs the attempts of one request until the request has a final outcome. */
 export class AttemptLoop {
 	readonly #triedServerIds = new Set<string>();
+	/** Servers that may have run an attempt. They are not tried again, because its cancellation may still be repeated there. */
+	readonly #usedServerIds = new Set<string>();
 	#lastEnd: AttemptEnd | undefined;
 	/** True once the current attempt holds its permit, or a group attempt all its reservations. */
 	#isGranted = false;
@@ -113,6 +115,9 @@
 		if (end.reason !== refusalReasons.promptTooLong) {
 			for (const id of tried) {
 				this.#triedServerIds.add(id);
+				if (attempt.sentBytes && !attempt.refusedByServer) {
+					this.#usedServerIds.add(id);
+				}
 			}
 		}
 
@@ -151,6 +156,10 @@
 		await waitFor(context.services.timer, ownerRetryDelayMs);
 		if (!task.isFinal) {
 			this.#triedServerIds.clear();
+			for (const id of this.#usedServerIds) {
+				this.#triedServerIds.add(id);
+			}
+
 			task.apply({type: 'retry'});
 		}
 	}
--- a/packages/entry/src/callers/completions.test.ts
+++ b/packages/entry/src/callers/completions.test.ts
@@ -16,12 +16,12 @@
 	};
 
 	/** The second engine appears with the first permit request, so that the first attempt runs on the first one. */
-	const openWithSecondEngineLater = async () => {
+	const openWithSecondEngineLater = async (refusePermit?: FixtureOptions['refusePermit']) => {
 		await open({
 			engines: [{}, {}],
-			refusePermit() {
+			refusePermit(request) {
 				fixture.servers.push(...later.splice(0));
-				return undefined;
+				return refusePermit?.(request);
 			},
 		});
 		const later = fixture.servers.splice(1);
@@ -276,6 +276,20 @@
 			expect(answer.json().alternatives).to.deep.equal(['127.0.0.1:2']);
 		});
 
+		// Guards against a second attempt on an engine whose first one failed: a cancellation that is still repeated there would end it.
+		it('does not return to an engine that failed while the owner of another one is awaited', async () => {
+			const requested: string[] = [];
+			let refusals = 2;
+			await openWithSecondEngineLater(({serverId}) => {
+				requested.push(serverId);
+				return serverId === 'engine-2' && refusals-- > 0 ? refusalReasons.ownerUnreachable : undefined;
+			});
+			await fixture.addFault(fixture.engines[0]!, {kind: 'framesDropped', frame: 2});
+			const {choices} = await createChat('retry');
+			expect(choices[0]?.message.content).to.equal(renderAnswer(renderChatPrompt('retry'), 8));
+			expect(requested).to.deep.equal(['engine-1', 'engine-2', 'engine-2', 'engine-2']);
+		});
+
 		// Guards against refusals, although the engine has capacity, in the moments in which its owner changes.
 		it('requests the permit again while the owner of the only engine changes', async () => {
 			let refusals = 3;
