Answer a request at its deadline while its limits are awaited

Cause: the deadline was started after the admission. Evidence: 'answers at the deadline while the limits are awaited' fails before: 'expected 1019 to be within 150..800' with a deadline of 200 ms. Change: the wait ends at the deadline with deadline_exceeded (not_run); an admission that comes later is released. Why it works: every wait before the admission now ends with the limits, the deadline or the stop.

--- a/packages/entry/src/callers/completions.test.ts
+++ b/packages/entry/src/callers/completions.test.ts
@@ -268,6 +268,26 @@
 			expect(answer.json()).to.include({outcome: 'failed', reason: refusalReasons.deadlineExceeded});
 		});
 
+		// Guards against an answer that comes seconds after the deadline, while the entry waits for the limits of the workspace.
+		it('answers at the deadline while the limits are awaited', async () => {
+			let admit!: () => void;
+			await open({
+				waitForLimits: async () => new Promise<void>(resolve => {
+					admit = resolve;
+				}),
+			});
+			const timer = setTimeout(() => {
+				admit();
+			}, 1000);
+			const startedAt = performance.now();
+			const answer = await fixture.send('/v1/completions', {method: 'POST', body: {model, prompt: 'x'}, headers: {'x-request-deadline-ms': '200'}});
+			expect(performance.now() - startedAt).to.be.within(150, 800);
+			expect(answer.json()).to.include({outcome: 'not_run', reason: refusalReasons.deadlineExceeded});
+			clearTimeout(timer);
+			admit();
+			await fixture.waitUntil(() => fixture.admitted === 0, 'admission released');
+		});
+
 		it('passes a refused permit on at once with the time after which to retry', async () => {
 			await open({refusePermit: () => refusalReasons.deadlineUnreachable});
 			const answer = await fixture.send('/v1/completions', {method: 'POST', body: {model, prompt: 'x'}});
--- a/packages/entry/src/callers/request-flow.ts
+++ b/packages/entry/src/callers/request-flow.ts
@@ -1,7 +1,7 @@
 import {
 	outcomeKinds, refusalReasons, type ClaimOutcome, type Outcome,
 } from '@knapweedrack/core';
-import type {LimitAnswer} from '../contracts.js';
+import type {LimitAnswer, TimerService} from '../contracts.js';
 import {AttemptLoop} from './attempt-loop.js';
 import type {CallerContext} from './caller-context.js';
 import {ClaimSession, type ClaimSubject} from './claim-session.js';
@@ -130,18 +130,37 @@
 	}
 };
 
-/** Requests the admission by the limits of the workspace; refuses at once when the listener closes, and releases an admission that comes after that. */
-const requestAdmission = async (context: CallerContext, {workspace, plan}: AuthenticatedCaller, {costTokens}: RequestDefinition): Promise<LimitAnswer> => {
-	const answer = context.services.limits.tryAdmit(workspace, plan, {tokens: costTokens});
+/** Computes the time in ms from the arrival of a request to its deadline. */
+const computeDeadlineMs = ({headers, plan}: AuthenticatedCaller): number => Math.min(headers.deadlineMs ?? plan.deadlineMs, plan.deadlineMs);
+
+/** Starts a wait of `delayMs`, to be stopped once its result is not needed any more. */
+const waitForDeadline = (timer: TimerService, delayMs: number): {promise: Promise<'late'>; stop: () => void} => {
+	let stop!: () => void;
+	const promise = new Promise<'late'>(resolve => {
+		stop = timer.schedule(Math.max(0, delayMs), () => {
+			resolve('late');
+		});
+	});
+	return {promise, stop};
+};
+
+/** Requests the admission by the limits of the workspace until the deadline, or until the listener closes; an admission that comes later is released. */
+const requestAdmission = async (context: CallerContext, exchange: Exchange, caller: AuthenticatedCaller, {costTokens}: RequestDefinition): Promise<LimitAnswer> => {
+	const {limits, timer} = context.services;
+	const answer = limits.tryAdmit(caller.workspace, caller.plan, {tokens: costTokens});
 	const closing = waitForAbort(context.closingSignal);
-	const first = await Promise.race([answer, closing.promise]);
+	const deadline = waitForDeadline(timer, exchange.arrivedAt + computeDeadlineMs(caller) - timer.now());
+	const first = await Promise.race([answer, closing.promise, deadline.promise]);
 	closing.stop();
-	if (first !== 'aborted') {
+	deadline.stop();
+	if (typeof first === 'object') {
 		return first;
 	}
 
 	void releaseLateAdmission(answer);
-	return {type: 'refused', reason: refusalReasons.entryStopping, retryAfterMs: 0};
+	return first === 'late'
+		? {type: 'refused', reason: refusalReasons.deadlineExceeded, retryAfterMs: 1000}
+		: {type: 'refused', reason: refusalReasons.entryStopping, retryAfterMs: 0};
 };
 
 const releaseLateAdmission = async (answer: Promise<LimitAnswer>): Promise<void> => {
@@ -153,7 +172,7 @@
 
 /** Runs one authenticated request from the check of its limits to its final answer. */
 export const runRequest = async (context: CallerContext, exchange: Exchange, caller: AuthenticatedCaller, definition: RequestDefinition): Promise<void> => {
-	const limit = await requestAdmission(context, caller, definition);
+	const limit = await requestAdmission(context, exchange, caller, definition);
 	if (limit.type === 'refused') {
 		refuseBeforeAdmission(context, exchange, caller, {
 			reason: limit.reason, message: refusalMessages[limit.reason], retryAfterMs: limit.retryAfterMs, promptTokens: definition.promptTokens,
@@ -173,7 +192,7 @@
 		plan: caller.plan,
 		priority: caller.headers.priority,
 		arrivedAt: exchange.arrivedAt,
-		deadlineMs: Math.min(caller.headers.deadlineMs ?? caller.plan.deadlineMs, caller.plan.deadlineMs),
+		deadlineMs: computeDeadlineMs(caller),
 		isIdempotent: definition.isIdempotent,
 		firstTokenTargetMs: findFirstTokenTargetMs(caller, definition.promptTokens),
 	});
