--- a/packages/entry/src/callers/completions.test.ts
+++ b/packages/entry/src/callers/completions.test.ts
@@ -16,12 +16,12 @@
 	};
 
 	/** The second engine appears with the first permit request, so that the first attempt runs on the first one. */
-	const openWithSecondEngineLater = async () => {
+	const openWithSecondEngineLater = async (refusePermit?: FixtureOptions['refusePermit']) => {
 		await open({
 			engines: [{}, {}],
-			refusePermit() {
+			refusePermit(request) {
 				fixture.servers.push(...later.splice(0));
-				return undefined;
+				return refusePermit?.(request);
 			},
 		});
 		const later = fixture.servers.splice(1);
@@ -268,6 +268,26 @@
 			expect(answer.json()).to.include({outcome: 'failed', reason: refusalReasons.deadlineExceeded});
 		});
 
+		// Guards against an answer that comes seconds after the deadline, while the entry waits for the limits of the workspace.
+		it('answers at the deadline while the limits are awaited', async () => {
+			let admit!: () => void;
+			await open({
+				waitForLimits: async () => new Promise<void>(resolve => {
+					admit = resolve;
+				}),
+			});
+			const timer = setTimeout(() => {
+				admit();
+			}, 1000);
+			const startedAt = performance.now();
+			const answer = await fixture.send('/v1/completions', {method: 'POST', body: {model, prompt: 'x'}, headers: {'x-request-deadline-ms': '200'}});
+			expect(performance.now() - startedAt).to.be.within(150, 800);
+			expect(answer.json()).to.include({outcome: 'not_run', reason: refusalReasons.deadlineExceeded});
+			clearTimeout(timer);
+			admit();
+			await fixture.waitUntil(() => fixture.admitted === 0, 'admission released');
+		});
+
 		it('passes a refused permit on at once with the time after which to retry', async () => {
 			await open({refusePermit: () => refusalReasons.deadlineUnreachable});
 			const answer = await fixture.send('/v1/completions', {method: 'POST', body: {model, prompt: 'x'}});
@@ -276,6 +296,20 @@
 			expect(answer.json().alternatives).to.deep.equal(['127.0.0.1:2']);
 		});
 
+		// Guards against a second attempt on an engine whose first one failed: a cancellation that is still repeated there would end it.
+		it('does not return to an engine that failed while the owner of another one is awaited', async () => {
+			const requested: string[] = [];
+			let refusals = 2;
+			await openWithSecondEngineLater(({serverId}) => {
+				requested.push(serverId);
+				return serverId === 'engine-2' && refusals-- > 0 ? refusalReasons.ownerUnreachable : undefined;
+			});
+			await fixture.addFault(fixture.engines[0]!, {kind: 'framesDropped', frame: 2});
+			const {choices} = await createChat('retry');
+			expect(choices[0]?.message.content).to.equal(renderAnswer(renderChatPrompt('retry'), 8));
+			expect(requested).to.deep.equal(['engine-1', 'engine-2', 'engine-2', 'engine-2']);
+		});
+
 		// Guards against refusals, although the engine has capacity, in the moments in which its owner changes.
 		it('requests the permit again while the owner of the only engine changes', async () => {
 			let refusals = 3;
@@ -351,6 +385,22 @@
 			expect(result.status).to.equal('rejected');
 		});
 
+		// Guards against an answer that is given up because one member, which is leaving, refuses to renew its memory before it expires.
+		it('are completed when a member is leaving meanwhile', async function () {
+			this.timeout(40_000);
+			const engine = {kvTokens: 5000, timeScale: 1, prefillTokensPerSecond: 650};
+			await open({engines: [engine, engine]});
+			const pendingStream = readStream(text);
+			await fixture.waitUntil(async () => {
+				const state = await fixture.fetchState<EngineState>(fixture.engines[0]!);
+				return state.running.length > 0;
+			}, 'segment running');
+			await fixture.addFault(fixture.engines[0]!, {kind: 'leaving'});
+			const {answer, error} = await pendingStream;
+			expect(error).to.equal(undefined);
+			expect(answer.length).to.equal(renderAnswer(text, 8).length);
+		});
+
 		it('are refused when no group has room', async () => {
 			await open({engines: [{kvTokens: 5000}]});
 			const {error} = await readStream(text);
