Keep a server paused while it is silent

What callers saw: found by review.

Cause: since a silent attempt is no longer given up, the signal that its server was lost came only when another attempt had answered.

Change: the silence itself is recorded, again whenever the pause of the server has ended; an attempt that lost records nothing more.

--- a/packages/relay/src/exchange/silent-server-task.ts
+++ b/packages/relay/src/exchange/silent-server-task.ts
@@ -8,6 +8,9 @@
 /** What a watched attempt belongs to. */
 export type AttemptOwner = {serverId: string; requestId: string | undefined};
 
+/** A silent backend server with the ids of the requests whose bytes are overdue; `isNew` is false once it was reported. */
+export type SilenceReport = {serverId: string; requestIds: Array<string | undefined>; isNew: boolean};
+
 /** Handle of an attempt that the task watches. */
 export type WatchedAttempt = {
 	/** Sets the time by which the next bytes are due, on the clock of the timer service. */
@@ -26,8 +29,8 @@
 	readonly #subscribers = new Map<symbol, Subscriber>();
 	#silentServerIds: ReadonlySet<string> = new Set();
 
-	/** `reportSilent` is called for each backend server that falls silent, with the ids of its requests, before its attempts are notified. */
-	constructor(timer: TimerService, private readonly reportSilent: (serverId: string, requestIds: Array<string | undefined>) => void) {
+	/** `reportSilent` is called at each check for each silent backend server before its attempts are notified. */
+	constructor(timer: TimerService, private readonly reportSilent: (report: SilenceReport) => void) {
 		timer.subscribe(checkMs, now => {
 			if (this.#overdue.listSilent(now).length > 0) {
 				runAfterInput(() => {
@@ -65,9 +68,11 @@
 		const silent = this.#overdue.listSilent(now);
 		const serverIds = new Set(silent.map(({serverId}) => serverId));
 		for (const serverId of serverIds) {
-			if (!this.#silentServerIds.has(serverId)) {
-				this.reportSilent(serverId, silent.filter(attempt => attempt.serverId === serverId).map(({key}) => this.#subscribers.get(key)?.requestId));
-			}
+			this.reportSilent({
+				serverId,
+				requestIds: silent.filter(attempt => attempt.serverId === serverId).map(({key}) => this.#subscribers.get(key)?.requestId),
+				isNew: !this.#silentServerIds.has(serverId),
+			});
 		}
 
 		this.#silentServerIds = serverIds;
--- a/packages/relay/src/front/request-attempts.ts
+++ b/packages/relay/src/front/request-attempts.ts
@@ -1,5 +1,5 @@
 import {
-	AttemptRace, healthSignals, isRepeatable, type HealthSignal,
+	AttemptRace, executionKinds, healthSignals, isRepeatable, type HealthSignal,
 } from '@knapweedrack/core';
 import {refusingServerCode} from '../exchange/backend-connections.js';
 import type {PlacedRequest} from '../placement/placement-task.js';
@@ -130,6 +130,11 @@
 
 	/** Starts another attempt once all running ones are silent; they run on until it continues the answer. */
 	#handleSilence(attempt: Attempt): void {
+		// Streams are recorded by `SilentServerTask`, which looks at all streams of a server.
+		if (this.#admitted.route.execution === executionKinds.idempotent) {
+			this.#services.placement.recordSilence(attempt.serverId);
+		}
+
 		if (!this.#race.recordSilence(attempt) || this.#isPreparingSuccessor || this.#services.timer.now() < this.#nextSuccessorAt) {
 			return;
 		}
@@ -274,7 +279,8 @@
 			return;
 		}
 
-		const signal = signalsByResult.get(result.type);
+		// The silence of an attempt that lost was recorded while it lasted.
+		const signal = result.hasLost ? undefined : signalsByResult.get(result.type);
 		const isRefusingRequests = result.type === 'not_sent' && result.cause === refusingServerCode;
 		if (signal !== undefined && !isRefusingRequests) {
 			placement.recordSignal(serverId, signal);
--- a/packages/relay/src/placement/placement-task.ts
+++ b/packages/relay/src/placement/placement-task.ts
@@ -1,5 +1,5 @@
 import {
-	ColdArrivalGate, computePromptValue, LoadTable, selectPlacement, ServerHealth,
+	ColdArrivalGate, computePromptValue, healthSignals, LoadTable, selectPlacement, ServerHealth,
 	type EngineProfile, type PlacementCandidate, type PlacementDecision, type PromptDemand, type HealthSignal, type ServerWork, type Service,
 } from '@knapweedrack/core';
 import type {TimerService} from '@knapweedrack/entry/contracts';
@@ -102,6 +102,13 @@
 		this.#health.record(serverId, signal, this.#options.timer.now());
 	}
 
+	/** Records that a backend server is silent now; called repeatedly, it keeps the server paused while the silence lasts. */
+	recordSilence(serverId: string): void {
+		if (!this.#health.isPaused(serverId, this.#options.timer.now())) {
+			this.recordSignal(serverId, healthSignals.lost);
+		}
+	}
+
 	/** Forgets the health of all backend servers, after signals that had another cause. */
 	resetHealth(): void {
 		this.#health.retain(new Set());
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -1,6 +1,6 @@
 import {randomBytes} from 'node:crypto';
 import {performance} from 'node:perf_hooks';
-import {SharedRetryBudget, healthSignals} from '@knapweedrack/core';
+import {SharedRetryBudget} from '@knapweedrack/core';
 import {createTimerService, waitFor} from '@knapweedrack/entry/timer-service';
 import type {ObjectStore} from '@knapweedrack/platform-client';
 import type {
@@ -162,9 +162,11 @@
 				this.#peers.notifyLoad(serverId);
 			},
 		});
-		const silentServers = new SilentServerTask(timer, (serverId, requestIds) => {
-			this.#placement.recordSignal(serverId, healthSignals.lost);
-			log.write('server.silent', {server: serverId, requestIds});
+		const silentServers = new SilentServerTask(timer, ({serverId, requestIds, isNew}) => {
+			this.#placement.recordSilence(serverId);
+			if (isNew) {
+				log.write('server.silent', {server: serverId, requestIds});
+			}
 		});
 		const bootId = randomBytes(8).toString('hex');
 		this.#peers = new PeerReportTask({
