Take the retry of a successor before it is placed

Change: the retry is taken first and stays for the next attempt of the request when no server takes it; a successor that no server took is tried again after 500 ms instead of 150, so that orders for memory are not repeated at that pace. A preparation that throws does not block later ones.

--- a/packages/relay/src/front/request-attempts.ts
+++ b/packages/relay/src/front/request-attempts.ts
@@ -17,7 +17,7 @@
 } from './run-attempt.js';
 
 /** Delay before a successor that no server could take is tried again, in ms. */
-const successorRetryMs = 150;
+const successorRetryMs = 500;
 
 /** How the attempts of a request ended; `failed` when the last one did and the request may not be retried. */
 export type AttemptsEnd = UnpreparedAttempt | {type: 'failed'; result: AttemptResult};
@@ -141,7 +141,6 @@
 
 		const refusal = this.#findSuccessorRefusal();
 		if (refusal === undefined) {
-			this.#isPreparingSuccessor = true;
 			this.#successors.push(Promise.allSettled([this.#runSuccessor()]));
 		} else {
 			this.#logSuccessorRefusal(refusal);
@@ -152,21 +151,13 @@
 		const {log} = this.#services;
 		const {writer, envelope, route} = this.#admitted;
 		const {claims} = this.#race;
-		const prepared = await this.#prepare(() => !writer.isOver && this.#race.claims === claims);
-		this.#isPreparingSuccessor = false;
+		const prepared = await this.#prepareSuccessor(() => !writer.isOver && this.#race.claims === claims);
 		if (prepared.type !== 'prepared') {
 			this.#nextSuccessorAt = this.#services.timer.now() + successorRetryMs;
 			this.#logSuccessorRefusal(preparationRefusals[prepared.type]);
 			return;
 		}
 
-		if (!this.#tryPayRetry()) {
-			prepared.reservation.release();
-			prepared.placed.release();
-			this.#logSuccessorRefusal(retryRefusals.budget);
-			return;
-		}
-
 		this.#latestRefusal = undefined;
 		log.writeRequest('successor.started', envelope.requestId, {
 			route: route.name, server: prepared.placed.server.id, silentServers: this.#race.running.map(({serverId}) => serverId), lastEventId: this.#progress.lastEventId,
@@ -174,7 +165,16 @@
 		await this.#runAttempt(prepared);
 	}
 
-	/** Logs each reason once, since a silent attempt asks again until it ends. */
+	async #prepareSuccessor(isNeeded: () => boolean): Promise<AttemptPreparation> {
+		this.#isPreparingSuccessor = true;
+		try {
+			return await this.#prepare(isNeeded);
+		} finally {
+			this.#isPreparingSuccessor = false;
+		}
+	}
+
+	/** Logs a reason when it is another one than before, since a silent attempt asks again until it ends. */
 	#logSuccessorRefusal(reason: RetryRefusal | undefined): void {
 		if (reason !== undefined && reason !== this.#latestRefusal) {
 			this.#latestRefusal = reason;
@@ -182,7 +182,10 @@
 		}
 	}
 
-	/** Finds out why no other attempt may be started beside a silent one; placement and the budget decide again before it is sent. */
+	/**
+	 * Finds out why no other attempt may be started beside a silent one. A retry is taken before placement, which uses up what cold,
+	 * limited and returning servers accept; a retry that is not used stays for the next attempt.
+	 */
 	#findSuccessorRefusal(): RetryRefusal | undefined {
 		const {getBudget, timer, countEntries} = this.#services;
 		const {route, service} = this.#admitted;
@@ -194,7 +197,8 @@
 			return retryRefusals.attemptLimit;
 		}
 
-		return this.#isRetryPaid() || getBudget(service.name).hasRoom(timer.now(), countEntries()) ? undefined : retryRefusals.budget;
+		const hasRoom = this.#isRetryPaid() || getBudget(service.name).hasRoom(timer.now(), countEntries());
+		return hasRoom && this.#tryPayRetry() ? undefined : retryRefusals.budget;
 	}
 
 	/** Runs one attempt and records what its result tells. */
