Keep crashes of an unknown time that later crashes confirm

Callers: content that had completed and then begun to end servers ran again on servers although a chain of three had quarantined it.

Cause: a completion up to 10 s old refuted a crash of an unknown time, although the entry knew of seven crashes that had followed this completion.

Change: a completion that known crashes have followed refutes no crash of an unknown time. Without such crashes nothing changes.

A new test of the register failed before: expected true to equal false.

Why it works: what makes a completion proof is that nothing ended a server after it; one later crash that is known with its time shows the contrary.

--- a/packages/core/src/quarantine/crash-register.test.ts
+++ b/packages/core/src/quarantine/crash-register.test.ts
@@ -103,6 +103,15 @@
 			expect(register.recordCrash('x', buildCrash('s1', 1), 10_001).isChanged).to.equal(true);
 		});
 
+		// Guards against a stored record, which has no times, that clears content because one of its crashes was not received otherwise.
+		it('counts a crash of an unknown time when crashes are known that followed the completion', () => {
+			register.recordCompletion('x', 0, {isObserved: true});
+			register.recordCrash('x', buildCrash('s1', 1, {lostAt: 6000}), 6020);
+			const stored = {fingerprint: 'x', standing: 'suspect' as const, crashes: [buildCrash('s1', 1), buildCrash('s2', 2)]};
+			expect(register.isRefutedHere(stored, 9000)).to.equal(false);
+			expect(register.mergeRecord(stored, 9000).record!.crashes).to.have.length(2);
+		});
+
 		// Guards against a stored record, which has no times, that clears the crashes from which it was written.
 		it('counts a crash of an unknown time that it knows itself', () => {
 			register.recordCompletion('x', 0, {isObserved: true});
--- a/packages/core/src/quarantine/crash-register.ts
+++ b/packages/core/src/quarantine/crash-register.ts
@@ -142,16 +142,23 @@
 		return {record, isChanged: true};
 	}
 
-	/** True when the content has completed since a crash. A crash that is known counts, although another entry does not tell its time. */
+	/**
+	 * True when the content has completed since a crash. A crash of an unknown time counts when it is known here with its time, or when
+	 * crashes are known that followed the completion, which then no longer shows that the content is sound.
+	 */
 	#isRefuted(fingerprint: string, crash: FingerprintCrash, now: number): boolean {
 		const completion = this.#completions.get(fingerprint);
 		if (completion === undefined) {
 			return false;
 		}
 
-		return crash.lostAt === undefined
-			? now - completion.at <= completionValidMs && !this.#records.get(fingerprint)?.record.crashes.some(known => isSameCrash(known, crash))
-			: crash.lostAt <= completion.at;
+		if (crash.lostAt !== undefined) {
+			return crash.lostAt <= completion.at;
+		}
+
+		const known = this.#records.get(fingerprint)?.record.crashes ?? [];
+		const isKnownToCount = known.some(other => isSameCrash(other, crash) || (other.lostAt ?? Number.NEGATIVE_INFINITY) > completion.at);
+		return now - completion.at <= completionValidMs && !isKnownToCount;
 	}
 
 	/** Removes the crashes before a completion, and those of an unknown time. */
