Refuse requests that still wait at the end of a planned stop

What callers saw: a whole request that waited for a slot in a stopping entry got neither an answer nor a refusal: its connection was closed at the end of the grace period.

Cause: the front closed all connections; it knew responses, not whether their requests could have run.

--- a/packages/relay/src/front/front-server.ts
+++ b/packages/relay/src/front/front-server.ts
@@ -3,6 +3,7 @@
 } from 'node:http';
 import type {Duplex} from 'node:stream';
 import type {CallerLimits} from '@knapweedrack/core';
+import {waitFor} from '@knapweedrack/entry/timer-service';
 import {closeIncompleteAnswer} from './caller-answer.js';
 import {RelayRequest} from './relay-request.js';
 import type {RelayServices} from './relay-services.js';
@@ -15,11 +16,15 @@
 const connectionCheckMs = 500;
 /** Interval at which a stopping process checks whether all requests have ended, in ms. */
 const drainCheckMs = 25;
+/** Time for refusals at the end of a planned stop to leave the process, in ms. */
+const refusalFlushMs = 50;
 
 /** HTTP server for callers. */
 export class FrontServer {
 	readonly #server: Server;
 	readonly #openResponses = new Set<ServerResponse>();
+	/** Requests that are being handled. */
+	readonly #requests = new Set<RelayRequest>();
 	/** Connections whose further bytes are no request, and whose last answer is not finished. */
 	readonly #unreadableSockets = new WeakSet<Duplex>();
 	#totalCount = 0;
@@ -87,6 +92,17 @@
 		});
 	}
 
+	/** Refuses the requests that no backend server can have run, and gives the refusals time to be sent. */
+	async refuseWaiting(): Promise<void> {
+		if (this.#requests.size > 0) {
+			for (const request of this.#requests) {
+				request.refuse();
+			}
+
+			await waitFor(this.services.timer, refusalFlushMs);
+		}
+	}
+
 	/** Closes the listener and all connections, and ends the answers that are not complete. */
 	close(): void {
 		this.#server.close();
@@ -112,11 +128,15 @@
 		response.once('close', () => {
 			this.#openResponses.delete(response);
 		});
+		const relayRequest = new RelayRequest(this.services, request, response);
+		this.#requests.add(relayRequest);
 		try {
-			await new RelayRequest(this.services, request, response).run();
+			await relayRequest.run();
 		} catch (error) {
 			this.services.log.write('request.invariant_broken', {message: (error as Error).message, stack: (error as Error).stack});
 			closeIncompleteAnswer(response);
+		} finally {
+			this.#requests.delete(relayRequest);
 		}
 	}
 
--- a/packages/relay/src/front/relay-request.ts
+++ b/packages/relay/src/front/relay-request.ts
@@ -75,6 +75,13 @@
 		this.#services.metrics.recordDuration(route.name, this.#services.timer.now() - this.#arrivedAt);
 	}
 
+	/** Refuses the request unless a backend server may have run it. */
+	refuse(): void {
+		if (!this.#mayHaveRun) {
+			this.#answer('stopping');
+		}
+	}
+
 	#admit(): {route: Route; table: RouteTable; workspace: string | undefined} | AnswerReason {
 		const {storeState, getStoppingMs, bounds} = this.#services;
 		const {table} = storeState;
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -332,6 +332,7 @@
 			await this.#front.waitUntilIdle(idleBeforeStopMs, deadline);
 		} while (this.#tunnels.size > 0 && this.timer.now() < deadline);
 
+		await this.#front.refuseWaiting();
 		this.#log.write('process.stopped', {openRequests: this.#front.openRequests});
 		this.#front.close();
 		this.#tunnels.close();
