Run no request whose head was answered 408

Guards against a request that is answered 408, which promises that it was not run, and is sent to a backend server afterwards. A caller may then repeat an order that has run.

Cause: FrontServer answers the time-out of a head with socket.end, which leaves the reading side and its parser at work. A head whose rest arrives afterwards, or that waited in the buffer while the process was busy for longer than the time-out, is parsed and served as any other.

Change: FrontServer remembers the connections that it has answered itself and closes them when a request arrives on them.

The caller server of packages/entry answers such time-outs too; it was not examined.

--- a/packages/relay/src/front/front-server.ts
+++ b/packages/relay/src/front/front-server.ts
@@ -20,6 +20,8 @@
 export class FrontServer {
 	readonly #server: Server;
 	readonly #openResponses = new Set<ServerResponse>();
+	/** Connections that were answered instead of a request; the rest of that request may still arrive. */
+	readonly #refusedSockets = new WeakSet<Duplex>();
 	#totalCount = 0;
 
 	constructor(private readonly services: RelayServices) {
@@ -104,6 +106,11 @@
 	}
 
 	async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		if (this.#refusedSockets.has(request.socket)) {
+			request.socket.destroy();
+			return;
+		}
+
 		this.#openResponses.add(response);
 		this.#totalCount++;
 		response.on('error', () => undefined);
@@ -127,6 +134,7 @@
 
 		const status = unreadableStatuses.get(error.code ?? '') ?? '400 Bad Request';
 		this.services.log.writeRequest('caller.unreadable', undefined, {code: error.code, status});
+		this.#refusedSockets.add(socket);
 		socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
 	}
 }
