--- a/packages/core/src/retry/attempt-race.test.ts
+++ b/packages/core/src/retry/attempt-race.test.ts
@@ -70,7 +70,8 @@
 		}
 	},
 	silence(request, attempt) {
-		if (request.race.recordSilence(attempt) && request.attempts.length < attemptLimit) {
+		request.race.recordSilence(attempt);
+		if (request.race.isSilentThroughout && request.attempts.length < attemptLimit) {
 			request.start();
 		}
 	},
@@ -103,15 +104,18 @@
 	it('asks for another attempt only while all running ones are silent', () => {
 		const race = new AttemptRace<string>();
 		race.add('a');
-		expect(race.recordSilence('a')).to.equal(true);
+		race.recordSilence('a');
+		expect(race.isSilentThroughout).to.equal(true);
 		race.add('b');
-		expect(race.recordSilence('a')).to.equal(false);
-		expect(race.recordSilence('b')).to.equal(true);
+		expect(race.isSilentThroughout).to.equal(false);
+		race.recordSilence('b');
+		expect(race.isSilentThroughout).to.equal(true);
 		race.recordProgress('b');
-		expect(race.recordSilence('a')).to.equal(false);
+		expect(race.isSilentThroughout).to.equal(false);
 		expect(race.claim('a')).to.deep.equal(['b']);
 		expect(race.isSilent('a')).to.equal(false);
 		expect(race.claim('b')).to.equal(undefined);
-		expect(race.recordSilence('b')).to.equal(false);
+		race.recordSilence('b');
+		expect(race.isSilent('b')).to.equal(false);
 	});
 });
--- a/packages/core/src/retry/attempt-race.ts
+++ b/packages/core/src/retry/attempt-race.ts
@@ -5,11 +5,11 @@
 export class AttemptRace<Attempt> {
 	readonly #running = new Set<Attempt>();
 	readonly #silent = new Set<Attempt>();
-	#claims = 0;
+	#claimCount = 0;
 
 	/** Number of parts of the answer that attempts have brought. */
-	get claims(): number {
-		return this.#claims;
+	get claimCount(): number {
+		return this.#claimCount;
 	}
 
 	/** Attempts that are running. */
@@ -17,6 +17,11 @@
 		return [...this.#running];
 	}
 
+	/** True while all running attempts are silent, so that another one may be started beside them. */
+	get isSilentThroughout(): boolean {
+		return this.#running.size > 0 && this.running.every(attempt => this.#silent.has(attempt));
+	}
+
 	/** Adds an attempt that continues the answer where it stands now. */
 	add(attempt: Attempt): void {
 		this.#running.add(attempt);
@@ -47,7 +52,7 @@
 			return undefined;
 		}
 
-		this.#claims++;
+		this.#claimCount++;
 		const losers = this.running.filter(other => other !== attempt);
 		for (const loser of losers) {
 			this.#running.delete(loser);
@@ -57,12 +62,10 @@
 		return losers;
 	}
 
-	/** Records that an attempt brings nothing for too long; returns true when this holds for all running attempts, so that another one may be started. */
-	recordSilence(attempt: Attempt): boolean {
+	/** Records that an attempt brings nothing for too long. */
+	recordSilence(attempt: Attempt): void {
 		if (this.#running.has(attempt)) {
 			this.#silent.add(attempt);
 		}
-
-		return this.#running.size > 0 && this.running.every(other => this.#silent.has(other));
 	}
 }
--- a/packages/relay/src/front/request-attempts.ts
+++ b/packages/relay/src/front/request-attempts.ts
@@ -22,6 +22,9 @@
 /** How the attempts of a request ended; `failed` when the last one did and the request may not be retried. */
 export type AttemptsEnd = UnpreparedAttempt | {type: 'failed'; result: AttemptResult};
 
+/** Settles when a successor has ended, so that an error of it is handled where it is awaited. */
+type SettledSuccessor = Promise<[PromiseSettledResult<void>]>;
+
 /** One running attempt. */
 type Attempt = {serverId: string; cancel: (reason: CancelReason) => void};
 
@@ -37,7 +40,7 @@
 	readonly #progress: StreamProgress;
 	readonly #race = new AttemptRace<Attempt>();
 	/** Attempts that were started beside a silent one, since the last retry. */
-	#successors: Array<Promise<[PromiseSettledResult<void>]>> = [];
+	#successors: SettledSuccessor[] = [];
 	/** Results of the attempts that ended without losing to another one, since the last retry. */
 	#results: AttemptResult[] = [];
 	#isPreparingSuccessor = false;
@@ -135,7 +138,8 @@
 			this.#services.placement.recordSilence(attempt.serverId);
 		}
 
-		if (!this.#race.recordSilence(attempt) || this.#isPreparingSuccessor || this.#services.timer.now() < this.#nextSuccessorAt) {
+		this.#race.recordSilence(attempt);
+		if (!this.#race.isSilentThroughout || this.#isPreparingSuccessor || this.#services.timer.now() < this.#nextSuccessorAt) {
 			return;
 		}
 
@@ -150,8 +154,8 @@
 	async #runSuccessor(): Promise<void> {
 		const {log} = this.#services;
 		const {writer, envelope, route} = this.#admitted;
-		const {claims} = this.#race;
-		const prepared = await this.#prepareSuccessor(() => !writer.isOver && this.#race.claims === claims);
+		const {claimCount} = this.#race;
+		const prepared = await this.#prepareSuccessor(() => !writer.isOver && this.#race.claimCount === claimCount);
 		if (prepared.type !== 'prepared') {
 			this.#nextSuccessorAt = this.#services.timer.now() + successorRetryMs;
 			this.#logSuccessorRefusal(preparationRefusals[prepared.type]);
