Let a successor end a stream whose server has sent all but the end

Cause: counted every end without an event as broken while another attempt ran. An end that a length or chunks tell is the server's own statement; only an end of the connection may be that of the server.

Change: an empty end is broken only where its connection alone told it.

--- a/packages/relay/src/front/run-attempt.ts
+++ b/packages/relay/src/front/run-attempt.ts
@@ -231,9 +231,9 @@
 			return {type: 'broken', cause: 'the stream ended within an event', loss: lossKinds.connection};
 		}
 
-		// An end without an event ends the answer only when no other attempt may go on with it and the end is the server's own statement.
+		// An end without an event ends the answer only when its framing shows that the server has said so, not when the connection was closed.
 		const isEmpty = isEventStream(head) && !this.#hasBroughtData;
-		if (isEmpty && (!this.options.isAlone() || (progress.isEventStream && !this.#isDelimited))) {
+		if (isEmpty && !this.#isDelimited && (progress.isEventStream || !this.options.isAlone())) {
 			return {type: 'broken', cause: 'the stream ended without an event', loss: undefined};
 		}
 
