Review: case 2, entries that follow a reader learn late that a runner drains

With the readers turned away by a silent store, the other entries send to a leaving runner for up to 2.5 s after the acknowledgement; drainMs is 2 s.

--- a/review/stand-ins/deployment.mjs
+++ b/review/stand-ins/deployment.mjs
@@ -34,6 +34,8 @@
 	store = new Store();
 	runners = [];
 	entries = [];
+	/** Links of entries to the store that a script has put between them. */
+	links = [];
 	#lines = [];
 	#startedAt = Date.now();
 
@@ -72,7 +74,7 @@
 
 	async close() {
 		await Promise.all(this.entries.map(async entry => entry.close()));
-		for (const part of [...this.runners, this.store]) {
+		for (const part of [...this.runners, ...this.links, this.store]) {
 			part.close();
 		}
 
@@ -97,6 +99,7 @@
 	process.exit(code); // eslint-disable-line unicorn/no-process-exit
 };
 
-export {wait, waitUntil} from './entries.mjs';
+export {Entry, wait, waitUntil} from './entries.mjs';
+export {StoreLink} from './store-link.mjs';
 export {CallerConnection, sendRequest} from './client.mjs';
 export {answerPlain, answerStream} from './runner.mjs';
--- a/review/stand-ins/entries.mjs
+++ b/review/stand-ins/entries.mjs
@@ -50,10 +50,8 @@
 	#isWanted = false;
 	#folder = mkdtempSync(path.join(tmpdir(), 'review-'));
 
-	constructor({name, host, zone, storeAddress, bounds, record, peerHost = host}) {
-		Object.assign(this, {
-			name, host, zone, storeAddress, bounds, record, peerHost,
-		});
+	constructor(options) {
+		Object.assign(this, options);
 	}
 
 	/** Selects ports and starts the process. */
--- a/review/stand-ins/runner.mjs
+++ b/review/stand-ins/runner.mjs
@@ -29,6 +29,7 @@
 		};
 	}
 
+	/** Exits: all its connections are closed. */
 	close() {
 		this.server.close();
 		this.server.closeAllConnections();
