--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -56,10 +56,10 @@
 
 	let sent = 0;
 	const calls = new Map();
-	let isOver = false;
+	const traffic = {isOver: false};
 	const runCaller = async entry => {
 		let connection = new CallerConnection(entry.front);
-		while (!isOver) {
+		while (!traffic.isOver) {
 			sent++;
 			const attemptId = `a${sent}`;
 			const {status, end} = await connection.send({
@@ -113,7 +113,7 @@
 		await wait(bounds.settleWindowMs);
 	}
 
-	isOver = true;
+	traffic.isOver = true;
 	await Promise.all(callers);
 	let late = 0;
 	for (const {runner, acknowledgedAt, silenced} of leaving) {
--- a/review/stand-ins/client.mjs
+++ b/review/stand-ins/client.mjs
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {connect} from 'node:net';
+import {setTimeout as wait} from 'node:timers/promises';
 
 /** Sends one request on a new connection and reads its answer. */
 export const sendRequest = async ({address, ...request}) => {
@@ -37,7 +38,7 @@
 	 * Sends a request and reads what follows until the answer is whole or the connection ends. `end` tells how it ended: 'whole' (by length
 	 * or chunks), 'closed' (the connection was closed), 'reset', another error code, or 'no answer in time'.
 	 */
-	async send({method = 'GET', path, headers, body = '', limitMs = 20_000}) {
+	async send({method = 'GET', path, headers, body = '', pieces = 1, pieceIntervalMs = 0, notifySent = () => undefined, limitMs = 20_000}) {
 		try {
 			if (this.socket.connecting) {
 				await once(this.socket, 'connect');
@@ -52,10 +53,25 @@
 		}
 
 		this.#received = Buffer.alloc(0);
-		this.socket.write(`${lines.join('\r\n')}\r\n\r\n${body}`);
+		if (pieces === 1) {
+			this.socket.write(`${lines.join('\r\n')}\r\n\r\n${body}`);
+		} else {
+			this.socket.write(`${lines.join('\r\n')}\r\n\r\n`);
+			await this.#writePieces(body, pieces, pieceIntervalMs);
+		}
+
+		notifySent();
 		return this.#readAnswer(limitMs);
 	}
 
+	async #writePieces(body, pieces, pieceIntervalMs) {
+		const size = Math.ceil(body.length / pieces);
+		for (let at = 0; at < body.length; at += size) {
+			await wait(pieceIntervalMs);
+			this.socket.write(body.slice(at, at + size));
+		}
+	}
+
 	close() {
 		this.socket.destroy();
 	}
