--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -4,7 +4,7 @@
 
 /** An address that is none: a port has at most 65535. */
 const unreadableAddress = '127.0.0.1:80801';
-const trafficMs = 95_000;
+const trafficMs = 85_000;
 const auditIntervalMs = 5200;
 /** The rule: a machine closes more connections than this without an answer to a request that it has passed on to a sound runner. */
 const closedLimit = 3;
@@ -24,8 +24,8 @@
 await runScript(import.meta.dirname, async deployment => {
 	const {record, entries} = deployment;
 	await deployment.startStore(configuration);
+	await deployment.addRunner({id: 'i-desk', service: 'desk', run: answerPlain()});
 	for (let index = 0; index < 2; index++) {
-		await deployment.addRunner({id: `i-desk-${index}`, service: 'desk', run: answerPlain()});
 		await deployment.addRunner({
 			id: `i-model-${index}`, service: 'model', slots: 11, run: answerStream(),
 		});
