--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -128,8 +128,10 @@
 		}
 	}
 
+	const runnersById = new Map(deployment.runners.flatMap(({id, runs}) => runs.map(({attemptId}) => [attemptId, id])));
 	const counts = {};
-	for (const {status, end} of calls.values()) {
+	for (const [attemptId, {entry, status, end}] of calls) {
+		record(`${attemptId} sent to ${entry.name}: status ${status}, ${end}, run by ${runnersById.get(attemptId) ?? 'nobody'}`);
 		counts[`${status} ${end}`] = (counts[`${status} ${end}`] ?? 0) + 1;
 	}
 
--- a/review/stand-ins/deployment.mjs
+++ b/review/stand-ins/deployment.mjs
@@ -85,6 +85,14 @@
 /** Runs a script: exits with 1 when `play` returns a broken rule, 0 when it returns none, and 2 when it throws. */
 export const runScript = async (folder, play) => {
 	const deployment = new Deployment(folder);
+	for (const signal of ['SIGINT', 'SIGTERM']) {
+		process.on(signal, async () => {
+			deployment.record(`the script was ended by ${signal}`);
+			await deployment.close();
+			process.exit(2);
+		});
+	}
+
 	deployment.record(`the disruption is ${hasTrouble ? 'played' : 'left out'}`);
 	let code = 2;
 	try {
@@ -96,7 +104,7 @@
 	}
 
 	await deployment.close();
-	process.exit(code); // eslint-disable-line unicorn/no-process-exit
+	process.exit(code);
 };
 
 export {Entry, wait, waitUntil} from './entries.mjs';
