--- a/review/stand-ins/deployment.mjs
+++ b/review/stand-ins/deployment.mjs
@@ -104,7 +104,7 @@
 	}
 
 	await deployment.close();
-	process.exit(code);
+	process.exit(code); // eslint-disable-line unicorn/no-process-exit
 };
 
 export {Entry, wait, waitUntil} from './entries.mjs';
