--- a/packages/protocol/src/settings/index.ts
+++ b/packages/protocol/src/settings/index.ts
@@ -1,1 +1,2 @@
+export * from './addresses.js';
 export * from './process-settings.js';
--- a/packages/protocol/src/settings/process-settings.test.ts
+++ b/packages/protocol/src/settings/process-settings.test.ts
@@ -1,6 +1,7 @@
 import {readFileSync} from 'node:fs';
 import {expect} from 'chai';
-import {parseAddress, parseSettings} from './process-settings.js';
+import {parseAddress} from './addresses.js';
+import {parseSettings} from './process-settings.js';
 
 const readExample = (path: string) => ({
 	file: path,
--- a/packages/protocol/src/settings/process-settings.ts
+++ b/packages/protocol/src/settings/process-settings.ts
@@ -1,17 +1,9 @@
-import {isIP} from 'node:net';
 import {z} from 'zod';
 import {createError, createOk, type Result} from '@knapweedrack/core';
 import {
 	parseSource, validateSource, type SourceDocument, type SourceFile, type ValidationProblem,
 } from '../documents/yaml-document.js';
-
-/** Splits `host:port` or `[host]:port`; undefined unless the host is an IP address. */
-export const parseAddress = (address: string): {host: string; port: number} | undefined => {
-	const match = /^(?:\[(?<host6>[\da-fA-F:.]+)\]|(?<host4>[\d.]+)):(?<port>\d{1,5})$/v.exec(address);
-	const host = match?.groups?.host6 ?? match?.groups?.host4;
-	const port = Number(match?.groups?.port);
-	return host !== undefined && isIP(host) !== 0 && port <= 65_535 ? {host, port} : undefined;
-};
+import {parseAddress} from './addresses.js';
 
 const listenerAddressSchema = z.string().refine(text => parseAddress(text) !== undefined, 'expected an IP address and port, for example 10.0.0.5:8400');
 const remoteAddressSchema = listenerAddressSchema.refine(text => parseAddress(text)?.port !== 0, 'expected a port from 1 to 65535');
--- a/packages/relay/src/exchange/connection-opener.test.ts
+++ b/packages/relay/src/exchange/connection-opener.test.ts
@@ -44,6 +44,12 @@
 		}
 	});
 
+	// Guards against an exception outside of any request, which counts towards the end of the process.
+	it('fails when the address cannot be used', async () => {
+		const opened = await openDirectConnection(target => connect(target), `${host}:80801`, timeoutMs);
+		expect(opened.ok ? undefined : (opened.error as NodeJS.ErrnoException).code).to.equal('ERR_SOCKET_BAD_PORT');
+	});
+
 	it('gives up a connection that is not established in time', async () => {
 		const startedAt = performance.now();
 		const opened = await openDirectConnection(() => new Socket(), `${host}:1`, timeoutMs);
--- a/packages/relay/src/exchange/connection-opener.ts
+++ b/packages/relay/src/exchange/connection-opener.ts
@@ -40,18 +40,19 @@
 	socket.setKeepAlive(true, keepAliveProbeMs);
 };
 
-/** Opens a connection to `host:port` from this entry. */
+/** Opens a connection to `host:port` from this entry; an address that cannot be used is an error like a refused connection. */
 export const openDirectConnection = async (openSocket: SocketOpener, address: string, timeoutMs: number): Promise<Result<OpenedConnection, Error>> => {
 	const [host = '', port = '0'] = address.split(':');
-	const socket = openSocket({host, port: Number(port)});
-	// Without a listener, an error outside of a request would end the process.
-	socket.on('error', () => undefined);
 	const timeout = startTimeout(timeoutMs);
+	let socket: Socket | undefined;
 	try {
+		socket = openSocket({host, port: Number(port)});
+		// Without a listener, an error outside of a request would end the process.
+		socket.on('error', () => undefined);
 		await once(socket, 'connect', {signal: timeout.signal});
 		return createOk({socket});
 	} catch (error) {
-		socket.destroy();
+		socket?.destroy();
 		return createError(isTimeout(error) ? new ConnectTimeoutError(address, timeoutMs) : error as Error);
 	} finally {
 		timeout.cancel();
--- a/packages/relay/src/tunnels/open-tunnel.ts
+++ b/packages/relay/src/tunnels/open-tunnel.ts
@@ -1,5 +1,5 @@
 import {once} from 'node:events';
-import {request, type IncomingMessage} from 'node:http';
+import {request, type ClientRequest, type IncomingMessage} from 'node:http';
 import type {Socket} from 'node:net';
 import {createError, createOk, type Result} from '@knapweedrack/core';
 import {configureSocket, startTimeout} from '../exchange/connection-opener.js';
@@ -31,15 +31,16 @@
 	ignoresRefusal?: boolean;
 }): Promise<Result<Socket, Error>> => {
 	const [host, port] = peerAddress.split(':');
-	const asked = request({
-		host, port, method: 'CONNECT', path: address, agent: false,
-		headers: {[tunnelSenderHeader]: entryId, ...(ignoresRefusal && {[ignoresRefusalHeader]: '1'})},
-	});
-	// Without a listener, an error after the deadline would end the process.
-	asked.on('error', () => undefined);
-	asked.end();
 	const timeout = startTimeout(timeoutMs);
+	let asked: ClientRequest | undefined;
 	try {
+		asked = request({
+			host, port, method: 'CONNECT', path: address, agent: false,
+			headers: {[tunnelSenderHeader]: entryId, ...(ignoresRefusal && {[ignoresRefusalHeader]: '1'})},
+		});
+		// Without a listener, an error after the deadline would end the process.
+		asked.on('error', () => undefined);
+		asked.end();
 		const [answer, socket] = await once(asked, 'connect', {signal: timeout.signal}) as [IncomingMessage, Socket];
 		socket.on('error', () => undefined);
 		if (answer.statusCode !== 200) {
@@ -50,7 +51,7 @@
 		configureSocket(socket);
 		return createOk(socket);
 	} catch (error) {
-		asked.destroy();
+		asked?.destroy();
 		return createError(new TunnelError('TUNNEL_PEER_LOST', `no tunnel through ${peerAddress}: ${(error as Error).message}`));
 	} finally {
 		timeout.cancel();
--- a/packages/relay/src/tunnels/reachability-task.ts
+++ b/packages/relay/src/tunnels/reachability-task.ts
@@ -73,15 +73,22 @@
 
 	/** Runs a probe, or joins the one that runs; resolves to the decision. */
 	async #runProbe(): Promise<boolean> {
-		this.#probe ??= this.#probeServers();
+		this.#probe ??= this.#probeOnce();
 		return this.#probe;
 	}
 
+	async #probeOnce(): Promise<boolean> {
+		try {
+			return await this.#probeServers();
+		} finally {
+			this.#probe = undefined;
+		}
+	}
+
 	async #probeServers(): Promise<boolean> {
 		const {timer, log, metrics, notifyChange} = this.#options;
 		const servers = this.#selectServers();
 		const results = await Promise.all(servers.map(async server => this.#tryServer(server)));
-		this.#probe = undefined;
 		const reached = results.filter(Boolean).length;
 		const wasReaching = this.isReaching;
 		this.#reachability.applyProbe({tried: servers.length, reached}, timer.now());
--- a/packages/relay/src/tunnels/server-connector.test.ts
+++ b/packages/relay/src/tunnels/server-connector.test.ts
@@ -57,6 +57,11 @@
 		expect(asked).to.deep.equal(['slow']);
 	});
 
+	// Guards against a connection that is neither opened nor fails, because the address of the other entry cannot be used.
+	it('asks another entry when the address of one cannot be used', async () => {
+		expect(await openThrough([{id: 'odd', peerAddress: '127.0.0.1:80801'}, await startPeer('fast', 0)])).to.equal('fast');
+	});
+
 	it('asks another entry after the usual timeout', async () => {
 		const startedAt = performance.now();
 		expect(await openThrough([await startPeer('slow', connectTimeoutMs * 8), await startPeer('fast', 0)])).to.equal('fast');
