Release reserved memory and load when a further order throws

Found while the same class was looked for (an exception skips what only the regular path clears): when the order to a second engine throws, the memory of the first one stayed reserved and was renewed for ever, and the placement counted as load.

Both are released before the exception goes on. "is released when the order to a further engine throws" failed before (memory still reserved when the time limit of its wait ended).

--- a/packages/relay/src/exchange/memory-reservation.ts
+++ b/packages/relay/src/exchange/memory-reservation.ts
@@ -133,32 +133,46 @@
 		});
 	};
 
-	// The leases of the first parts run while further ones are being reserved.
-	scheduleRenewals();
-	for (const part of parts.toSorted((a, b) => a.server.id < b.server.id ? -1 : 1)) {
-		const body = orders.encodeReservation({id, tokens: part.tokens, holdMs: leaseMs});
-		const result = serverNotices.isRefusingRequests(part.server) ? 'refused' : await sendPartOrder(part, body, {ignoresRefusal: false});
-		// An order without an answer may have been executed, so its memory is released as well.
-		if (result !== 'refused') {
-			held.push(part);
+	const endReservation = (): void => {
+		cancelRenewals();
+		release();
+	};
+
+	const reserveAll = async (): Promise<boolean> => {
+		for (const part of parts.toSorted((a, b) => a.server.id < b.server.id ? -1 : 1)) {
+			const body = orders.encodeReservation({id, tokens: part.tokens, holdMs: leaseMs});
+			const result = serverNotices.isRefusingRequests(part.server) ? 'refused' : await sendPartOrder(part, body, {ignoresRefusal: false});
+			// An order without an answer may have been executed, so its memory is released as well.
+			if (result !== 'refused') {
+				held.push(part);
+			}
+
+			if (result !== 'done') {
+				log.writeRequest('reservation.failed', requestId, {
+					server: part.server.id, reservation: id, tokens: part.tokens, result,
+				});
+				return false;
+			}
 		}
 
-		if (result !== 'done') {
-			log.writeRequest('reservation.failed', requestId, {
-				server: part.server.id, reservation: id, tokens: part.tokens, result,
-			});
-			cancelRenewals();
-			release();
+		return true;
+	};
+
+	// The leases of the first parts run while further ones are being reserved.
+	scheduleRenewals();
+	try {
+		if (!(await reserveAll())) {
+			endReservation();
 			return undefined;
 		}
+	} catch (error) {
+		endReservation();
+		throw error;
 	}
 
 	return {
 		ids: new Map(held.map(({server}) => [server.id, id])),
-		release() {
-			cancelRenewals();
-			release();
-		},
+		release: endReservation,
 	};
 };
 
--- a/packages/relay/src/front/prepare-attempt.ts
+++ b/packages/relay/src/front/prepare-attempt.ts
@@ -102,8 +102,14 @@
 });
 
 /** Reserves the memory that a placement needs on helpers; returns undefined when not all of it could be reserved. */
-const reserve = async (services: RelayServices, {envelope}: AdmittedRequest, {reservations}: PlacedRequest): Promise<MemoryReservation | undefined> =>
-	reservations.length === 0 ? noReservation : reserveMemory(services, reservations, envelope.requestId);
+const reserve = async (services: RelayServices, {envelope}: AdmittedRequest, placed: PlacedRequest): Promise<MemoryReservation | undefined> => {
+	try {
+		return placed.reservations.length === 0 ? noReservation : await reserveMemory(services, placed.reservations, envelope.requestId);
+	} catch (error) {
+		placed.release();
+		throw error;
+	}
+};
 
 /** True once waiting for memory has used so much time that too little remains for the answer; the caller should retry later. */
 const isReservationTimeOver = ({waitedMs, deadlineMs}: PlacementDemand): boolean => waitedMs > (waitedMs + deadlineMs) * reservationWaitShare;
