Bound the age of a follower's state, however its readers are lost

In a fleet of 14 entries whose readers get no answers from the store, the other entries sent to a draining server until it exited, up to 0.5 s after drainMs; orders that it ran then were lost.

Cause: the times to notice the loss, to try the other reader, to wait for one and for the first answer of the store add up to more than 2 s; nothing spans them, and drainMs was not read from the settings. How the readers are lost does not matter: the tests break with refused and frozen ones as well.

The times of the feed come from the bounds now (computeFeedTiming). A follower reads the store itself once the call that confirmed its state was sent 0.7 of the shortest time ago in which a change must take effect; a new reader does not reset that age. First calls that go on from a copy do not wait for a change.

--- a/packages/relay/src/contracts.ts
+++ b/packages/relay/src/contracts.ts
@@ -131,6 +131,10 @@
 	revocationMs: number | undefined;
 	/** Time within which a failure domain that is taken out of service must stop receiving work, in ms. */
 	leaveDomainMs: number;
+	/** Time after a backend server is listed as draining, or no longer listed, within which the last request must have reached it, in ms. */
+	leaveServerMs: number;
+	/** Time within which a new version of the configuration must be in force, in ms. */
+	applyConfigurationMs: number;
 	/** Time between the request to stop and the forced end of the process, in ms. */
 	graceMs: number;
 	/** Maximum time for which callers cache the list of entries, in ms. */
--- a/packages/relay/src/state-feed/state-feed.test.ts
+++ b/packages/relay/src/state-feed/state-feed.test.ts
@@ -18,20 +18,23 @@
 const host = '127.0.0.1';
 const fleetSize = 14;
 const bounds: RelayBounds = {
-	settleMs: 2000, revocationMs: 1500, leaveDomainMs: 2000, graceMs: 2000, entryListLifetimeMs: 200, retryRatio: 0.2, retrySlack: 100,
+	settleMs: 2000, revocationMs: 1500, leaveDomainMs: 2000, leaveServerMs: 1500, applyConfigurationMs: 1500, graceMs: 2000, entryListLifetimeMs: 200, retryRatio: 0.2, retrySlack: 100,
 	retryWindowMs: 10_000, reservationMs: 1000,
 };
 const plan = {
-	name: 'configuration', prefix: 'configuration/', waitMs: 300, minIntervalMs: 5, maxBackoffMs: 100, isProbe: true, listsEntries: false,
+	name: 'configuration', prefix: 'configuration/', waitMs: 300, minIntervalMs: 5, maxBackoffMs: 100, isProbe: true, isTimely: true, listsEntries: false,
 };
 
 const entriesPlan = {
-	...plan, name: 'entries', prefix: 'entries/', waitMs: 10_000, isProbe: false, listsEntries: true,
+	...plan, name: 'entries', prefix: 'entries/', waitMs: 10_000, isProbe: false, isTimely: false, listsEntries: true,
 };
 /** A prefix without objects, whose calls wait for long. */
 const emptyPlan = {
 	...entriesPlan, name: 'outages', prefix: 'outages/', listsEntries: false,
 };
+/** Times after which a call without an answer fails, in ms: of a list, and of a watch beyond its wait. */
+const callTimeoutMs = 1200;
+const watchAllowanceMs = 600;
 /** Delay of each answer of the store, in ms. */
 const storeDelayMs = 25;
 
@@ -39,6 +42,8 @@
 class MemoryStore {
 	readonly calls: string[] = [];
 	readonly cutOff = new Set<string>();
+	/** Entries whose calls are not answered. */
+	readonly silenced = new Set<string>();
 	revision = 1;
 	era = 1;
 	readonly #objects = new Map<string, {version: number; value: unknown}>();
@@ -71,22 +76,23 @@
 	createClient(entryId: string): ObjectStore {
 		const check = (): Result<never, StoreFailure> | undefined => {
 			this.calls.push(entryId);
-			return this.cutOff.has(entryId) ? createError({kind: 'unavailable', message: 'cut off'}) : undefined;
+			return this.cutOff.has(entryId) || this.silenced.has(entryId) ? createError({kind: 'unavailable', message: 'cut off'}) : undefined;
 		};
 
 		return {
 			list: async (prefix: string) => {
-				await sleep(storeDelayMs);
+				await sleep(this.silenced.has(entryId) ? callTimeoutMs : storeDelayMs);
 				return check() ?? createOk({revision: this.revision, era: this.era, items: [...this.#objects].filter(([key]) => key.startsWith(prefix)).map(([key, object]) => ({key, ...object}))});
 			},
 			get: async (key: string) => check() ?? createOk({key, ...this.#objects.get(key)!}),
 			watch: async (prefix: string, after: number, waitMs: number, options?: {era?: number}) => {
+				const deadline = Date.now() + waitMs;
 				const failure = check();
 				if (failure !== undefined) {
+					await sleep(this.silenced.has(entryId) ? waitMs + watchAllowanceMs : 0);
 					return failure;
 				}
 
-				const deadline = Date.now() + waitMs;
 				while (Date.now() < deadline && this.era === options?.era && !this.#changes.some(({version, key}) => version > after && key.startsWith(prefix))) {
 					await sleep(5);
 				}
@@ -97,13 +103,30 @@
 
 				const events = this.#changes.filter(({version, key}) => version > after && key.startsWith(prefix))
 					.map(({isDelete, ...event}) => ({type: isDelete ? 'delete' : 'put', ...event}));
-				return (this.cutOff.has(entryId) ? createError({kind: 'unavailable', message: 'cut off'}) : createOk({revision: this.revision, events}));
+				if (this.silenced.has(entryId)) {
+					await sleep(deadline + watchAllowanceMs - Date.now());
+				}
+
+				return (this.cutOff.has(entryId) || this.silenced.has(entryId) ? createError({kind: 'unavailable', message: 'cut off'}) : createOk({revision: this.revision, events}));
 			},
 		} as unknown as ObjectStore;
 	}
 }
 
-type Member = {entry: RegisteredEntry; source: StateSourceTask; feed: FeedServer; server: Server; sockets: Set<Socket>; last: WatchedState | undefined; confirmedAt: number; notified: Set<string>; isRunning: boolean};
+type Member = {
+	entry: RegisteredEntry;
+	source: StateSourceTask;
+	feed: FeedServer;
+	server: Server;
+	sockets: Set<Socket>;
+	last: WatchedState | undefined;
+	confirmedAt: number;
+	notified: Set<string>;
+	isRunning: boolean;
+	/** True while the other entries take it for running. */
+	isListed: boolean;
+	isFrozen: boolean;
+};
 
 const waitUntil = async (condition: () => boolean, limitMs = 5000): Promise<void> => {
 	const deadline = Date.now() + limitMs;
@@ -136,8 +159,10 @@
 			sockets.add(socket);
 		});
 		server.on('upgrade', (request, socket, head) => {
-			socket.unshift(head);
-			member.feed.accept(request, socket);
+			if (!member.isFrozen) {
+				socket.unshift(head);
+				member.feed.accept(request, socket);
+			}
 		});
 		server.listen(0, host);
 		await once(server, 'listening');
@@ -148,10 +173,12 @@
 		const source: StateSourceTask = new StateSourceTask({
 			self: entry, store: store.createClient(id), timer, log, metrics: new RelayMetrics(), bounds,
 			readClocks: () => ({monotonic: timer.now(), wall: Date.now()}), random: Math.random, isFirstStart: false,
-			listRunningPeers: () => members.filter(other => other.isRunning && other !== member).map(other => other.entry),
+			listRunningPeers: () => members.filter(other => other.isListed && other !== member).map(other => other.entry),
 			countFollowers: () => member.feed.followers,
 			publish(watch, update) {
-				member.feed.publish(watch, update);
+				if (!member.isFrozen) {
+					member.feed.publish(watch, update);
+				}
 			},
 			closeFollowers() {
 				member.feed.closeFollowers();
@@ -160,14 +187,15 @@
 		const member: Member = {
 			entry, source, feed: new FeedServer({
 				timer, log, metrics: new RelayMetrics(), source,
-			}), server, sockets, last: undefined, confirmedAt: Number.NEGATIVE_INFINITY, notified: new Set(), isRunning: true,
+			}), server, sockets, last: undefined, confirmedAt: Number.NEGATIVE_INFINITY, notified: new Set(), isRunning: true, isListed: true, isFrozen: false,
 		};
 		return member;
 	};
 
-	/** Ends a member without a word, as a process that is killed. */
-	const kill = (member: Member): void => {
+	/** Ends a member without a word, as a process that is killed; the others may take it for running for a while. */
+	const kill = (member: Member, {isListed = false} = {}): void => {
 		member.isRunning = false;
+		member.isListed = isListed;
 		member.source.stop();
 		member.server.close();
 		for (const socket of member.sockets) {
@@ -175,6 +203,16 @@
 		}
 	};
 
+	/** Stops a member that goes on having its connections, and accepts new ones without answering them. */
+	const freeze = (member: Member): void => {
+		member.isFrozen = true;
+		member.isRunning = false;
+		member.source.stop();
+		for (const socket of member.sockets) {
+			socket.pause();
+		}
+	};
+
 	const listReaders = (): Member[] => members.filter(({source, isRunning}) => isRunning && source.readerId === undefined);
 
 	const findVersion = ({last}: Member): unknown => last?.objects.get('configuration/main')?.value;
@@ -305,6 +343,36 @@
 		});
 	});
 
+	describe('readers that are all lost at once', () => {
+		const checkChange = async (lose: (reader: Member) => void): Promise<void> => {
+			const readers = listReaders();
+			for (const reader of readers) {
+				lose(reader);
+			}
+
+			await sleep(50);
+			store.put('configuration/main', 'v2');
+			const changedAt = timer.now();
+			await waitUntil(() => members.filter(member => !readers.includes(member)).every(member => findVersion(member) === 'v2'));
+			expect(timer.now() - changedAt).to.be.below(bounds.leaveServerMs);
+		};
+
+		// These guard against followers that use an old list of servers beyond the time in which a change must take effect, because the times
+		// until they notice the loss, have tried the other readers and have waited for the first answer of the store add up.
+		it('leave no follower with an old state when the store does not answer them', async () => checkChange(({entry}) => {
+			store.silenced.add(entry.id);
+		}));
+		it('leave no follower with an old state when the store refuses them', async () => checkChange(({entry}) => {
+			store.cutOff.add(entry.id);
+		}));
+		it('leave no follower with an old state when they are frozen', async () => checkChange(reader => {
+			freeze(reader);
+		}));
+		it('leave no follower with an old state when they are killed', async () => checkChange(reader => {
+			kill(reader, {isListed: true});
+		}));
+	});
+
 	describe('an entry that starts while a reader is away', () => {
 		// Guards against a restarted entry that refuses callers for seconds, because it waits for a reader that does not answer.
 		it('reads the store after a short time', async () => {
--- a/packages/relay/src/state-feed/state-source-task.ts
+++ b/packages/relay/src/state-feed/state-source-task.ts
@@ -1,5 +1,5 @@
 import {
-	computeConfirmation, computeStateAge, FreshnessTracker, SourceSelector, sourceKinds, StateCopy, updateEffects, type ClockReading, type CopiedObject, type StatePosition, type StateUpdate,
+	computeConfirmation, computeFeedTiming, computeStateAge, FreshnessTracker, SourceSelector, sourceKinds, StateCopy, updateEffects, type ClockReading, type CopiedObject, type FeedTiming, type StatePosition, type StateUpdate,
 } from '@knapweedrack/core';
 import type {TimerService} from '@knapweedrack/entry/contracts';
 import {ObjectWatch, type WatchedState} from '@knapweedrack/entry/object-watch';
@@ -18,29 +18,22 @@
 const firstFeedCheckMs = 10;
 /** Interval at which the source is decided again, in ms. */
 const decideMs = 500;
-/** Share of `settleMs` between two questions of a follower for the ages. */
-const askShare = 0.1;
-/** Share of `settleMs` without a message after which a reader counts as silent. */
-const silenceShare = 0.25;
-/** Share of `settleMs` that a call of the probe watch may wait at an entry that others follow; it bounds the age that the followers see. */
-const probeWaitShare = 0.2;
+/** Interval at which the age of the state is checked, in ms. */
+const checkAgeMs = 100;
 /** Share of `settleMs` in which a reader must be reached and have sent its state. */
 const openShare = 0.2;
 /** The same while the entry starts and has no state that could become outdated. */
 const firstOpenShare = 0.5;
-/**
- * Share of `settleMs` that the confirmation of the probe watch may be old at a follower. A reader that loses the store says so; this
- * limit is for one that does not notice.
- */
-const confirmationShare = 0.7;
 /** Interval at which confirmations of a reader are passed on while nothing changes, in ms; a watch of the store answers about as often. */
 const confirmMs = 1000;
+/** Time in which a reader must have sent its first ages, in intervals between two questions for them. */
+const firstAgesFactor = 2;
 /** Interval at which all objects are listed again in case a watch missed a change, in ms. */
 const relistMs = 300_000;
 /** Longest pause after failures of an entry that reads the store only because it has found no reader, in ms. */
 const fallbackBackoffMs = 2000;
-/** Time for which a watch may fail, or its call be late, before followers are told that this entry does not reach the store, in ms; longer than one retry takes. */
-const failureToleranceMs = 700;
+/** Wait of the first call of a watch that goes on from a copy, in ms: the store answers at once, and shows what the copy has missed. */
+const firstWaitMs = 1;
 /** Delay of an answer beyond the wait of its call after which a failed call shows a lost store, in ms. */
 const lateAnswerMs = 400;
 /** Time for which followers are told that the store has answered again after an outage, in ms. */
@@ -60,6 +53,8 @@
 	maxBackoffMs: number;
 	/** True for the watch whose success after an outage makes the others retry at once. */
 	isProbe: boolean;
+	/** True when changes must take effect within a time limit. */
+	isTimely: boolean;
 	/** True for the watch of the entries, which is read first, because the readers are among them. */
 	listsEntries: boolean;
 };
@@ -124,11 +119,12 @@
 	#feed: FeedClient | undefined;
 	/** Connection that has not yet sent all state. */
 	#openingFeed: FeedClient | undefined;
+	/** Time at which the call of the probe watch was sent that confirmed the state last, by this entry or its reader. */
 	#confirmedAt = Number.NEGATIVE_INFINITY;
 	#isStopped = false;
 	/** First reads while this entry watches the store itself; undefined while it follows a reader. */
 	#reading: Promise<void> | undefined;
-	#unsubscribe: (() => void) | undefined;
+	readonly #unsubscribes: Array<() => void> = [];
 	readonly #readingWaiters = new Set<(isReading: boolean) => void>();
 
 	constructor(options: StateSourceOptions) {
@@ -155,14 +151,23 @@
 		}
 
 		await this.#startFirst(plans);
-		this.#unsubscribe = this.#options.timer.subscribe(decideMs, () => {
-			this.#decide();
-		});
+		const {timer} = this.#options;
+		this.#unsubscribes.push(
+			timer.subscribe(decideMs, () => {
+				this.#decide();
+			}),
+			timer.subscribe(checkAgeMs, () => {
+				this.#checkAge();
+			}),
+		);
 	}
 
 	stop(): void {
 		this.#isStopped = true;
-		this.#unsubscribe?.();
+		for (const unsubscribe of this.#unsubscribes) {
+			unsubscribe();
+		}
+
 		this.#stopReading();
 		this.#closeFeeds();
 	}
@@ -183,10 +188,8 @@
 			return false;
 		}
 
-		if (this.#reading === undefined) {
-			this.#closeFeeds();
-			void this.#startReading();
-		}
+		this.#closeFeeds();
+		void this.#startReading();
 
 		if (this.#hasReadAll || this.#isStoreFailing) {
 			return this.#hasReadAll;
@@ -230,12 +233,16 @@
 	}
 
 	/**
-	 * True while this entry has the state of all watches and the store answers it. The other watches may wait long for their first
-	 * answer after this entry has followed another one; they confirm nothing until then.
+	 * True while this entry has the state of all watches and the store answers it. Watches that are not timely may wait long for their
+	 * first answer after this entry has followed another one; they confirm nothing until then.
 	 */
 	get #hasReadAll(): boolean {
 		return !this.#isStoreFailing && [...this.#watches.values()].every(({plan, copy, watch, answeredAt}) =>
-			copy.position !== undefined && watch !== undefined && (answeredAt !== undefined || !plan.isProbe));
+			copy.position !== undefined && watch !== undefined && (answeredAt !== undefined || !(plan.isProbe || plan.isTimely)));
+	}
+
+	get #timing(): FeedTiming {
+		return computeFeedTiming(this.#options.bounds);
 	}
 
 	get #hasState(): boolean {
@@ -280,7 +287,7 @@
 	}
 
 	#decide(): void {
-		const {self, timer, random, listRunningPeers, countFollowers, bounds} = this.#options;
+		const {self, timer, random, listRunningPeers, countFollowers} = this.#options;
 		if (this.#isStopped) {
 			return;
 		}
@@ -292,10 +299,6 @@
 		}
 
 		this.#checkLoss();
-		if (this.#feed !== undefined && now - this.#confirmedAt > bounds.settleMs * confirmationShare) {
-			this.#dropFeed('unconfirmed');
-		}
-
 		const running = listRunningPeers();
 		const choice = this.#selector.decide({
 			now, self, running, followers: countFollowers(), readerId: this.#feed?.readerId ?? this.#openingFeed?.readerId, isStoreFailing: this.#isStoreFailing, random,
@@ -308,8 +311,25 @@
 		}
 	}
 
+	/**
+	 * Reads the store when no reader has confirmed the state for too long. That ends when a reader is followed again, which may take longer
+	 * than a change may: the next ones can have lost the store, or be away, as well.
+	 */
+	#checkAge(): void {
+		if (this.#reading !== undefined || !this.#hasState || this.#options.timer.now() - this.#confirmedAt <= this.#timing.confirmationMs) {
+			return;
+		}
+
+		if (this.#feed !== undefined) {
+			this.#dropFeed('unconfirmed');
+		}
+
+		void this.#startReading(true);
+	}
+
 	#openFeed(reader: RegisteredEntry): void {
 		const {self, timer, readClocks, bounds, log} = this.#options;
+		const {askMs, silenceMs, confirmationMs} = this.#timing;
 		this.#openingFeed?.close();
 		const positions = Object.fromEntries([...this.#watches].flatMap(([name, {copy}]) => copy.position === undefined ? [] : [[name, copy.position]]));
 		const runInOrder = createQueue(error => {
@@ -321,7 +341,7 @@
 		});
 		const feed = new FeedClient({
 			entryId: self.id, reader, timer, readClocks, positions,
-			openMs: bounds.settleMs * (this.#hasState ? openShare : firstOpenShare), askMs: Math.round(bounds.settleMs * askShare), silenceMs: bounds.settleMs * silenceShare,
+			openMs: bounds.settleMs * (this.#hasState ? openShare : firstOpenShare), askMs, silenceMs,
 			handleUpdate(message) {
 				runInOrder(async () => applyUpdate(message));
 			},
@@ -350,7 +370,8 @@
 				this.#feed?.close();
 				this.#feed = feed;
 				this.#openingFeed = undefined;
-				this.#confirmedAt = timer.now();
+				// The state of this reader may be as old as that of the one before, until its first ages arrive.
+				this.#confirmedAt = Math.max(this.#confirmedAt, timer.now() - confirmationMs + (askMs * firstAgesFactor));
 				this.#selector.recordReached();
 				this.#stopReading();
 				log.write('feed.following', {peer: reader.id, failureDomain: reader.failureDomain});
@@ -503,8 +524,14 @@
 		const {position} = copy;
 		state.answeredAt = undefined;
 		state.failingSince = undefined;
+		let isFirstCall = position !== undefined && (plan.isProbe || plan.isTimely);
 		const watch = new ObjectWatch({
-			prefix: plan.prefix, waitMs: () => this.#computeWaitMs(plan), minIntervalMs: plan.minIntervalMs, relistMs, store, timer,
+			prefix: plan.prefix,
+			waitMs: () => {
+				const waitMs = isFirstCall ? firstWaitMs : this.#computeWaitMs(plan);
+				isFirstCall = false;
+				return waitMs;
+			}, minIntervalMs: plan.minIntervalMs, relistMs, store, timer,
 			maxBackoffMs: isFallback ? fallbackBackoffMs : plan.maxBackoffMs,
 			metrics: {
 				count(event) {
@@ -526,6 +553,7 @@
 				this.#handlers.notify(plan.name, answer);
 				publish(plan.name, update);
 				if (plan.isProbe) {
+					this.#confirmedAt = Math.max(this.#confirmedAt, answer.sentAt);
 					this.#startOtherWatches();
 				}
 
@@ -540,8 +568,7 @@
 	}
 
 	#computeWaitMs({waitMs, isProbe}: WatchPlan): number {
-		const {bounds, countFollowers} = this.#options;
-		return isProbe && countFollowers() > 0 ? Math.min(waitMs, Math.round(bounds.settleMs * probeWaitShare)) : waitMs;
+		return isProbe && this.#options.countFollowers() > 0 ? Math.min(waitMs, this.#timing.probeWaitMs) : waitMs;
 	}
 
 	#stopReading(): void {
@@ -600,11 +627,15 @@
 		state.failingSince = timer.now();
 		log.write('store.lost', {watch: state.plan.name, failure: failure.kind, message: 'message' in failure ? failure.message : undefined});
 		this.#checkLoss();
+		timer.schedule(this.#timing.failureToleranceMs + 1, () => {
+			this.#checkLoss();
+		});
 	}
 
 	/** Tells the followers when this entry no longer reaches the store; a single failed call is repeated first, unless it took long. */
 	#checkLoss(): void {
 		const now = this.#options.timer.now();
+		const {failureToleranceMs} = this.#timing;
 		const isLost = [...this.#watches.values()].some(({plan, failingSince, answeredAt = Number.NEGATIVE_INFINITY}) => failingSince !== undefined
 			&& (now - failingSince > failureToleranceMs || now - answeredAt > this.#computeWaitMs(plan) + lateAnswerMs));
 		if (isLost) {
--- a/packages/relay/src/store-state/store-state-task.test.ts
+++ b/packages/relay/src/store-state/store-state-task.test.ts
@@ -11,7 +11,7 @@
 
 const revocationMs = 5000;
 const bounds: RelayBounds = {
-	settleMs: 3000, revocationMs, leaveDomainMs: 5000, graceMs: 8000, entryListLifetimeMs: 5000, retryRatio: 0.2, retrySlack: 100,
+	settleMs: 3000, revocationMs, leaveDomainMs: 5000, leaveServerMs: 2000, applyConfigurationMs: 2000, graceMs: 8000, entryListLifetimeMs: 5000, retryRatio: 0.2, retrySlack: 100,
 	retryWindowMs: 10_000, reservationMs: 4000,
 };
 const clockCheckMs = 250;
--- a/packages/relay/src/store-state/store-state-task.ts
+++ b/packages/relay/src/store-state/store-state-task.ts
@@ -215,17 +215,17 @@
 		const waitMs = Math.round(bounds.settleMs * watchWaitShare);
 		const configurationWaitMs = Math.min(waitMs, Math.round((bounds.revocationMs ?? Number.POSITIVE_INFINITY) * configurationWaitShare));
 		const defaults = {
-			minIntervalMs: minWatchIntervalMs, maxBackoffMs: otherBackoffMs, isProbe: false, listsEntries: false,
+			minIntervalMs: minWatchIntervalMs, maxBackoffMs: otherBackoffMs, isProbe: false, isTimely: false, listsEntries: false,
 		};
 		return [
 			{
-				...defaults, name: watchNames.configuration, prefix: codec.configurationKey, waitMs: configurationWaitMs, maxBackoffMs: probeBackoffMs, isProbe: true,
+				...defaults, name: watchNames.configuration, prefix: codec.configurationKey, waitMs: configurationWaitMs, maxBackoffMs: probeBackoffMs, isProbe: true, isTimely: true,
 			},
 			{
-				...defaults, name: watchNames.servers, prefix: codec.serverPrefix, waitMs,
+				...defaults, name: watchNames.servers, prefix: codec.serverPrefix, waitMs, isTimely: true,
 			},
 			{
-				...defaults, name: watchNames.outages, prefix: codec.outagePrefix, waitMs: Math.round(bounds.leaveDomainMs * outageWaitShare),
+				...defaults, name: watchNames.outages, prefix: codec.outagePrefix, waitMs: Math.round(bounds.leaveDomainMs * outageWaitShare), isTimely: true,
 			},
 			{
 				...defaults, name: watchNames.entries, prefix: codec.entryPrefix, waitMs: entryWaitMs, listsEntries: true,
