Confirm the end of an answer without a length that came through a tunnel

Cause: an answer without a length is complete when its connection is closed. The connection of an entry that reaches no server goes through another entry, and the operating system closes the connections of a process that is killed as the server would; a planned stop closed them as well.

The entry that passes a tunnel on remembers, by an id that the asking entry gives it, that the server has ended it after its last byte was passed on; the asking entry asks at the end of an answer without a length. No answer, or an entry of an earlier build, confirms nothing: the answer is broken off. A planned stop resets the tunnels that are left.

--- a/packages/relay/src/exchange/attempt.ts
+++ b/packages/relay/src/exchange/attempt.ts
@@ -78,6 +78,18 @@
 		controller?.abort(new Error(cause));
 	};
 
+	/** An answer without a length is complete when its server closes the connection, but not when that is reset or closed on the way. */
+	const endUndelimited = async (): Promise<void> => {
+		if (connection.wasReset()) {
+			end({type: 'broken', cause: 'the connection was reset during an answer without a length', isConnectionLost: true});
+			return;
+		}
+
+		end(await connection.confirmClose()
+			? {type: 'complete', isDelimited: false}
+			: {type: 'broken', cause: 'the connection was closed on the way during an answer without a length', isConnectionLost: true});
+	};
+
 	connection.expectAnswer({
 		requestId: request.requestId, method: request.method, readRequestId: (status, headers) => decodeAnswer(status, headers).requestId,
 	});
@@ -127,8 +139,11 @@
 			}
 		},
 		onResponseEnd() {
-			// An answer without a length is complete when its connection is closed, but not when it is reset.
-			end(hasNoLength && connection.wasReset() ? {type: 'broken', cause: 'the connection was reset during an answer without a length', isConnectionLost: true} : {type: 'complete', isDelimited: !hasNoLength});
+			if (hasNoLength) {
+				void endUndelimited();
+			} else {
+				end({type: 'complete', isDelimited: true});
+			}
 		},
 		onResponseError(_controller, error) {
 			end(controller === undefined ? {type: 'not_sent', cause: describeError(error)} : {type: 'broken', cause: describeError(error), isConnectionLost: true});
--- a/packages/relay/src/exchange/backend-connections.ts
+++ b/packages/relay/src/exchange/backend-connections.ts
@@ -30,6 +30,8 @@
 	dispatcher: Dispatcher;
 	/** True when the connection that carried the last answer was reset rather than closed. */
 	wasReset: () => boolean;
+	/** Resolves to true when it was the backend server that closed the connection which carried the last answer. */
+	confirmClose: () => Promise<boolean>;
 	/** Names the request that is sent next, so that late answers to earlier ones are removed. */
 	expectAnswer: (expected: ExpectedAnswer) => void;
 	/** Calls the subscriber with the number of bytes received since this call, before they are parsed, until `release`. */
@@ -87,6 +89,7 @@
 			},
 			dispatcher: client.client,
 			wasReset: () => client.wasReset,
+			confirmClose: async () => client.confirmTunnelClose?.() ?? true,
 			expectAnswer(expected) {
 				client.expectAnswer(expected);
 			},
@@ -164,6 +167,7 @@
 	 */
 	isForAcceptedWork = false;
 	tunnelPeerId: string | undefined;
+	confirmTunnelClose: (() => Promise<boolean>) | undefined;
 	notifyEnd: (() => void) | undefined;
 	#staleAnswers = this.#createFilter();
 	#receivedBytes = 0;
@@ -225,6 +229,7 @@
 		}
 
 		this.tunnelPeerId = result.value.tunnelPeerId;
+		this.confirmTunnelClose = result.value.confirmClose;
 		this.isForAcceptedWork = this.ignoresRefusal && this.tunnelPeerId !== undefined;
 		this.#watch(result.value.socket);
 		callback(null, result.value.socket);
--- a/packages/relay/src/exchange/connection-opener.ts
+++ b/packages/relay/src/exchange/connection-opener.ts
@@ -14,6 +14,8 @@
 	socket: Socket;
 	/** Id of the entry that passes the connection on; undefined for a direct connection. */
 	tunnelPeerId?: string;
+	/** Resolves to true when it was the backend server that closed the connection; undefined for a direct connection. */
+	confirmClose?: () => Promise<boolean>;
 };
 
 /** Conditions under which a connection to a backend server is opened. */
--- a/packages/relay/src/tunnels/open-tunnel.ts
+++ b/packages/relay/src/tunnels/open-tunnel.ts
@@ -8,6 +8,10 @@
 export const tunnelSenderHeader = 'knapweedrack-entry';
 /** Header with the value `1` when the server may be one that wants no requests from the entry that opens the tunnel. */
 export const ignoresRefusalHeader = 'knapweedrack-ignores-refusal';
+/** Header with the id that the asking entry gives to the tunnel. */
+export const tunnelIdHeader = 'knapweedrack-tunnel';
+/** Path under which the entry that passes a tunnel on tells whether its backend server has ended it; followed by the id. */
+export const tunnelEndPath = '/tunnels/';
 /** Header of a refusal with the code of the error, as of the operating system where there is one. */
 export const tunnelErrorHeader = 'knapweedrack-error';
 
@@ -19,11 +23,13 @@
 }
 
 /** Asks another entry to open a connection to a backend server (`host:port`) and to pass its bytes in both directions. */
-export const openTunnel = async ({peerAddress, entryId, address, timeoutMs, ignoresRefusal = false}: {
+export const openTunnel = async ({peerAddress, entryId, tunnelId, address, timeoutMs, ignoresRefusal = false}: {
 	/** `host:port` of the other entry. */
 	peerAddress: string;
 	/** Id of this entry. */
 	entryId: string;
+	/** Unique id of the tunnel, for `confirmTunnelEnd`. */
+	tunnelId: string;
 	address: string;
 	/** Time for both connections together, in ms. */
 	timeoutMs: number;
@@ -36,7 +42,7 @@
 	try {
 		asked = request({
 			host, port, method: 'CONNECT', path: address, agent: false,
-			headers: {[tunnelSenderHeader]: entryId, ...(ignoresRefusal && {[ignoresRefusalHeader]: '1'})},
+			headers: {[tunnelSenderHeader]: entryId, [tunnelIdHeader]: tunnelId, ...(ignoresRefusal && {[ignoresRefusalHeader]: '1'})},
 		});
 		// Without a listener, an error after the deadline would end the process.
 		asked.on('error', () => undefined);
@@ -57,3 +63,32 @@
 		timeout.cancel();
 	}
 };
+
+/**
+ * Asks the entry that passed a tunnel on whether the backend server ended it regularly, after all its bytes were passed on. The operating
+ * system closes the connections of a process that is killed in the same way, so a closed tunnel alone does not show this. Entries of
+ * earlier builds confirm nothing.
+ */
+export const confirmTunnelEnd = async ({peerAddress, tunnelId, timeoutMs}: {peerAddress: string; tunnelId: string; timeoutMs: number}): Promise<boolean> => {
+	const [host, port] = peerAddress.split(':');
+	const timeout = startTimeout(timeoutMs);
+	let asked: ClientRequest | undefined;
+	try {
+		asked = request({
+			host, port, path: `${tunnelEndPath}${tunnelId}`, agent: false,
+		});
+		asked.on('error', () => undefined);
+		asked.end();
+		const [answer] = await once(asked, 'response', {signal: timeout.signal}) as [IncomingMessage];
+		answer.resume();
+		return answer.statusCode === confirmedStatus;
+	} catch {
+		// The caller logs the attempt whose answer is not confirmed.
+		return false;
+	} finally {
+		asked?.destroy();
+		timeout.cancel();
+	}
+};
+
+const confirmedStatus = 200;
--- a/packages/relay/src/tunnels/server-connector.ts
+++ b/packages/relay/src/tunnels/server-connector.ts
@@ -1,9 +1,10 @@
+import {randomUUID} from 'node:crypto';
 import {createError, createOk, type Result} from '@knapweedrack/core';
 import {
 	openDirectConnection, type OpenedConnection, type OpeningOptions, type SocketOpener,
 } from '../exchange/connection-opener.js';
 import type {RelayMetrics} from '../metrics/relay-metrics.js';
-import {openTunnel, TunnelError} from './open-tunnel.js';
+import {confirmTunnelEnd, openTunnel, TunnelError} from './open-tunnel.js';
 import type {ReachabilityTask} from './reachability-task.js';
 
 /** Most entries that are asked for a tunnel before a connection fails. */
@@ -98,12 +99,15 @@
 		const asked = peers.slice(0, tunnelAttempts);
 		for (const [index, {id, peerAddress}] of asked.entries()) {
 			const factor = index === asked.length - 1 ? lastFactor : tunnelTimeoutFactor;
+			const tunnelId = randomUUID();
 			const tunnel = await openTunnel({
-				peerAddress, entryId, address, timeoutMs: timeoutMs * factor, ignoresRefusal,
+				peerAddress, entryId, tunnelId, address, timeoutMs: timeoutMs * factor, ignoresRefusal,
 			});
 			if (tunnel.ok) {
 				metrics.countEvent('tunnel.used');
-				return createOk({socket: tunnel.value, tunnelPeerId: id});
+				return createOk({
+					socket: tunnel.value, tunnelPeerId: id, confirmClose: async () => confirmTunnelEnd({peerAddress, tunnelId, timeoutMs: timeoutMs * tunnelTimeoutFactor}),
+				});
 			}
 
 			metrics.countEvent('tunnel.failed');
--- a/packages/relay/src/tunnels/tunnel-server.test.ts
+++ b/packages/relay/src/tunnels/tunnel-server.test.ts
@@ -78,7 +78,7 @@
 	/** Asks for a tunnel to a backend server; returns the code of the refusal, or undefined. */
 	const fetchRefusal = async (peerAddress: string, address = getBackendAddress(), ignoresRefusal = false): Promise<string | undefined> => {
 		const tunnel = await openTunnel({
-			peerAddress, entryId: 'b', address, timeoutMs: 500, ignoresRefusal,
+			peerAddress, entryId: 'b', tunnelId: 't', address, timeoutMs: 500, ignoresRefusal,
 		});
 		if (tunnel.ok) {
 			tunnel.value.destroy();
--- a/packages/relay/src/tunnels/tunnel-server.ts
+++ b/packages/relay/src/tunnels/tunnel-server.ts
@@ -7,13 +7,17 @@
 import {watchReset} from '../exchange/reset-watch.js';
 import type {DecisionLog} from '../logging/decision-log.js';
 import type {RelayMetrics} from '../metrics/relay-metrics.js';
-import {ignoresRefusalHeader, tunnelErrorHeader, tunnelSenderHeader} from './open-tunnel.js';
+import {
+	ignoresRefusalHeader, tunnelEndPath, tunnelErrorHeader, tunnelIdHeader, tunnelSenderHeader,
+} from './open-tunnel.js';
 import type {ReachabilityTask} from './reachability-task.js';
 
 /** Most tunnels that an entry passes on at a time; each has two sockets. */
 const tunnelLimit = 500;
 /** Interval at which a stopping process checks whether all tunnels have ended, in ms. */
 const drainCheckMs = 25;
+/** Time for which the end of a tunnel is remembered once both sides have closed it, in ms; the asking entry wants to know it within this time. */
+const endMemoryMs = 5000;
 
 /** Dependencies of the tunnel server. */
 export type TunnelServerOptions = {
@@ -41,11 +45,13 @@
 	readonly #server: Server;
 	/** Open tunnels, with the entry that uses each and the backend server that it leads to. */
 	readonly #tunnels = new Map<Duplex, {sender: string | undefined; serverId: string}>();
+	/** Ids of the tunnels whose backend server has closed its connection after its last byte was passed on. */
+	readonly #endedIds = new Set<string>();
 
 	constructor(options: TunnelServerOptions) {
 		this.#options = options;
-		this.#server = createServer((_request, response) => {
-			response.writeHead(405, {'content-length': 0}).end();
+		this.#server = createServer((request, response) => {
+			response.writeHead(this.#findStatus(request), {'content-length': 0}).end();
 		});
 		this.#server.on('connect', (request: IncomingMessage, socket: Duplex) => {
 			void this.#open(request, socket);
@@ -94,10 +100,20 @@
 		this.#server.close();
 		this.#server.closeAllConnections();
 		for (const tunnel of this.#tunnels.keys()) {
-			tunnel.destroy();
+			// A regular close would be the end mark of an answer without a length.
+			(tunnel as Socket).resetAndDestroy();
 		}
 	}
 
+	/** Status of the answer to the question whether a tunnel was ended by its backend server. */
+	#findStatus({method, url = ''}: IncomingMessage): number {
+		if (method !== 'GET' || !url.startsWith(tunnelEndPath)) {
+			return 405;
+		}
+
+		return this.#endedIds.has(url.slice(tunnelEndPath.length)) ? 200 : 404;
+	}
+
 	async #open(request: IncomingMessage, tunnel: Duplex): Promise<void> {
 		const {openSocket, reachability, findServerByAddress, getConnectTimeoutMs, log, metrics} = this.#options;
 		const address = request.url ?? '';
@@ -137,6 +153,29 @@
 		metrics.countEvent('tunnel.opened');
 		log.write('tunnel.opened', {sender, server: server.id, open: this.size});
 		passBytes(tunnel as Socket, opened.value.socket);
+		const id = request.headers[tunnelIdHeader];
+		if (typeof id === 'string') {
+			this.#recordEnd(id, tunnel as Socket, opened.value.socket);
+		}
+	}
+
+	/** Remembers that the backend server has ended a tunnel, from the moment at which its last byte was passed on. */
+	#recordEnd(id: string, tunnel: Socket, server: Socket): void {
+		const {timer} = this.#options;
+		let hasServerEnded = false;
+		server.on('end', () => {
+			hasServerEnded = !tunnel.destroyed;
+		});
+		tunnel.on('finish', () => {
+			if (hasServerEnded) {
+				this.#endedIds.add(id);
+			}
+		});
+		tunnel.on('close', () => {
+			timer.schedule(endMemoryMs, () => {
+				this.#endedIds.delete(id);
+			});
+		});
 	}
 
 	#findRefusal(server: {id: string} | undefined, ignoresRefusal: boolean): string | undefined {
