Read the store to the end before a reader replaces it

An entry that reads the store goes on until all watches with a time limit are answered; only then the state counts as confirmed, and a reader that was found meanwhile replaces the own calls. If the store fails for it, the reader does at once.

--- a/packages/relay/src/state-feed/state-feed.test.ts
+++ b/packages/relay/src/state-feed/state-feed.test.ts
@@ -25,6 +25,7 @@
 	name: 'configuration', prefix: 'configuration/', waitMs: 300, minIntervalMs: 5, maxBackoffMs: 100, isProbe: true, isTimely: true, listsEntries: false,
 };
 
+const serversPlan = {...plan, name: 'servers', prefix: 'servers/', isProbe: false};
 const entriesPlan = {
 	...plan, name: 'entries', prefix: 'entries/', waitMs: 10_000, isProbe: false, isTimely: false, listsEntries: true,
 };
@@ -32,9 +33,8 @@
 const emptyPlan = {
 	...entriesPlan, name: 'outages', prefix: 'outages/', listsEntries: false,
 };
-/** Times after which a call without an answer fails, in ms: of a list, and of a watch beyond its wait. */
+/** Time after which a list without an answer fails, in ms. */
 const callTimeoutMs = 1200;
-const watchAllowanceMs = 600;
 /** Delay of each answer of the store, in ms. */
 const storeDelayMs = 25;
 
@@ -44,6 +44,10 @@
 	readonly cutOff = new Set<string>();
 	/** Entries whose calls are not answered. */
 	readonly silenced = new Set<string>();
+	/** Time after which a watch without an answer fails, beyond its wait, in ms. */
+	watchAllowanceMs = 600;
+	/** Delay of each answer to a watch of the servers, in ms. */
+	serversDelayMs = 0;
 	revision = 1;
 	era = 1;
 	readonly #objects = new Map<string, {version: number; value: unknown}>();
@@ -86,10 +90,11 @@
 			},
 			get: async (key: string) => check() ?? createOk({key, ...this.#objects.get(key)!}),
 			watch: async (prefix: string, after: number, waitMs: number, options?: {era?: number}) => {
+				await sleep(prefix === serversPlan.prefix ? this.serversDelayMs : 0);
 				const deadline = Date.now() + waitMs;
 				const failure = check();
 				if (failure !== undefined) {
-					await sleep(this.silenced.has(entryId) ? waitMs + watchAllowanceMs : 0);
+					await sleep(this.silenced.has(entryId) ? waitMs + this.watchAllowanceMs : 0);
 					return failure;
 				}
 
@@ -104,7 +109,7 @@
 				const events = this.#changes.filter(({version, key}) => version > after && key.startsWith(prefix))
 					.map(({isDelete, ...event}) => ({type: isDelete ? 'delete' : 'put', ...event}));
 				if (this.silenced.has(entryId)) {
-					await sleep(deadline + watchAllowanceMs - Date.now());
+					await sleep(deadline + this.watchAllowanceMs - Date.now());
 				}
 
 				return (this.cutOff.has(entryId) || this.silenced.has(entryId) ? createError({kind: 'unavailable', message: 'cut off'}) : createOk({revision: this.revision, events}));
@@ -120,6 +125,8 @@
 	server: Server;
 	sockets: Set<Socket>;
 	last: WatchedState | undefined;
+	/** Keys of the servers that it knows. */
+	servers: Set<string>;
 	confirmedAt: number;
 	notified: Set<string>;
 	isRunning: boolean;
@@ -187,7 +194,7 @@
 		const member: Member = {
 			entry, source, feed: new FeedServer({
 				timer, log, metrics: new RelayMetrics(), source,
-			}), server, sockets, last: undefined, confirmedAt: Number.NEGATIVE_INFINITY, notified: new Set(), isRunning: true, isListed: true, isFrozen: false,
+			}), server, sockets, last: undefined, servers: new Set(), confirmedAt: Number.NEGATIVE_INFINITY, notified: new Set(), isRunning: true, isListed: true, isFrozen: false,
 		};
 		return member;
 	};
@@ -234,9 +241,13 @@
 		await waitUntil(() => listReaders().length === 2);
 	});
 
-	const startSource = async (member: Member): Promise<void> => member.source.start([entriesPlan, plan, emptyPlan], {
+	const startSource = async (member: Member): Promise<void> => member.source.start([entriesPlan, plan, serversPlan, emptyPlan], {
 		notify(watch, state) {
 			member.notified.add(watch);
+			if (watch === serversPlan.name) {
+				member.servers = new Set(state.objects.keys());
+			}
+
 			if (watch === plan.name) {
 				member.last = {...state, objects: new Map(state.objects)};
 				member.confirmedAt = Math.max(member.confirmedAt, state.sentAt);
@@ -294,7 +305,7 @@
 			members = [...members, starting];
 			await startSource(starting);
 			await waitUntil(() => starting.source.readerId !== undefined || listReaders().includes(starting));
-			await waitUntil(() => starting.notified.size === 3, 1500);
+			await waitUntil(() => starting.notified.size === 4, 1500);
 		});
 
 		// Guards against a reader without confirmations, which answers its followers and never tells an age.
@@ -352,8 +363,9 @@
 
 			await sleep(50);
 			store.put('configuration/main', 'v2');
+			store.put('servers/s', 'draining');
 			const changedAt = timer.now();
-			await waitUntil(() => members.filter(member => !readers.includes(member)).every(member => findVersion(member) === 'v2'));
+			await waitUntil(() => members.filter(member => !readers.includes(member)).every(member => findVersion(member) === 'v2' && member.servers.has('servers/s')));
 			expect(timer.now() - changedAt).to.be.below(bounds.leaveServerMs);
 		};
 
@@ -368,6 +380,15 @@
 		it('leave no follower with an old state when they are frozen', async () => checkChange(reader => {
 			freeze(reader);
 		}));
+		// Guards against a follower that reads the store, and stops before it has read the servers, because a reader has sent its state that
+		// has not noticed that it gets no answers either.
+		it('leave no follower with an old state when they do not notice that the store does not answer them', async () => {
+			store.watchAllowanceMs = 5000;
+			store.serversDelayMs = 50;
+			await checkChange(({entry}) => {
+				store.silenced.add(entry.id);
+			});
+		});
 		it('leave no follower with an old state when they are killed', async () => checkChange(reader => {
 			kill(reader, {isListed: true});
 		}));
--- a/packages/relay/src/state-feed/state-source-task.ts
+++ b/packages/relay/src/state-feed/state-source-task.ts
@@ -373,7 +373,11 @@
 				// The state of this reader may be as old as that of the one before, until its first ages arrive.
 				this.#confirmedAt = Math.max(this.#confirmedAt, timer.now() - confirmationMs + (askMs * firstAgesFactor));
 				this.#selector.recordReached();
-				this.#stopReading();
+				// The reader may have lost the store without notice, so what this entry reads itself is read to its end.
+				if (this.#reading === undefined || this.#hasReadAll || this.#isStoreFailing) {
+					this.#stopReading();
+				}
+
 				log.write('feed.following', {peer: reader.id, failureDomain: reader.failureDomain});
 			}
 		};
@@ -553,11 +557,12 @@
 				this.#handlers.notify(plan.name, answer);
 				publish(plan.name, update);
 				if (plan.isProbe) {
-					this.#confirmedAt = Math.max(this.#confirmedAt, answer.sentAt);
 					this.#startOtherWatches();
 				}
 
-				this.#resolveReadingWaiters();
+				if (this.#hasReadAll) {
+					this.#handleReadAll(answer.sentAt);
+				}
 			},
 			notifyFailure: failure => {
 				this.#recordFailure(state, failure);
@@ -586,11 +591,15 @@
 		this.#openingFeed = undefined;
 	}
 
-	#resolveReadingWaiters(): void {
-		if (this.#hasReadAll) {
-			for (const finish of this.#readingWaiters) {
-				finish(true);
-			}
+	/** Handles an answer of the store to a call that was sent at `sentAt`, once this entry has read all state. */
+	#handleReadAll(sentAt: number): void {
+		this.#confirmedAt = Math.max(this.#confirmedAt, sentAt);
+		for (const finish of this.#readingWaiters) {
+			finish(true);
+		}
+
+		if (this.#feed !== undefined) {
+			this.#stopReading();
 		}
 	}
 
@@ -626,6 +635,10 @@
 
 		state.failingSince = timer.now();
 		log.write('store.lost', {watch: state.plan.name, failure: failure.kind, message: 'message' in failure ? failure.message : undefined});
+		if (this.#feed !== undefined) {
+			this.#stopReading();
+		}
+
 		this.#checkLoss();
 		timer.schedule(this.#timing.failureToleranceMs + 1, () => {
 			this.#checkLoss();
