Check that a server still runs at the end of an answer without a length

The check whether a server has ended was made after such answers, for the record of crashes. It is made before the end is passed on now, and only once: another open connection to the server, or a new one, and no other incarnation at its address.

--- a/packages/relay/src/exchange/attempt.ts
+++ b/packages/relay/src/exchange/attempt.ts
@@ -78,7 +78,10 @@
 		controller?.abort(new Error(cause));
 	};
 
-	/** An answer without a length is complete when its server closes the connection, but not when that is reset or closed on the way. */
+	/**
+	 * An answer without a length is complete when its server closes the connection, but not when that is reset or closed on the way. The
+	 * operating system closes the connections of a server that is killed, so the server must still run.
+	 */
 	const endUndelimited = async (): Promise<void> => {
 		if (connection.wasReset()) {
 			end({type: 'broken', cause: 'the connection was reset during an answer without a length', isConnectionLost: true});
@@ -87,7 +90,7 @@
 
 		end(await connection.confirmClose()
 			? {type: 'complete', isDelimited: false}
-			: {type: 'broken', cause: 'the connection was closed on the way during an answer without a length', isConnectionLost: true});
+			: {type: 'broken', cause: 'the connection was lost during an answer without a length', isConnectionLost: true});
 	};
 
 	connection.expectAnswer({
--- a/packages/relay/src/exchange/backend-connections.test.ts
+++ b/packages/relay/src/exchange/backend-connections.test.ts
@@ -40,7 +40,7 @@
 				const opened = await open(target, options);
 				return opened.ok && tunnelPeerId !== undefined ? createOk({...opened.value, tunnelPeerId}) : opened;
 			},
-			isUsable: () => true, isRefusingRequests: () => false, notifyReceived: () => undefined, notifyStaleAnswer: () => undefined,
+			isUsable: () => true, isRefusingRequests: () => false, confirmRunning: async () => true, notifyReceived: () => undefined, notifyStaleAnswer: () => undefined,
 		});
 	};
 
--- a/packages/relay/src/exchange/backend-connections.ts
+++ b/packages/relay/src/exchange/backend-connections.ts
@@ -30,7 +30,7 @@
 	dispatcher: Dispatcher;
 	/** True when the connection that carried the last answer was reset rather than closed. */
 	wasReset: () => boolean;
-	/** Resolves to true when it was the backend server that closed the connection which carried the last answer. */
+	/** Resolves to true when a backend server that still runs has closed the connection which carried the last answer. */
 	confirmClose: () => Promise<boolean>;
 	/** Names the request that is sent next, so that late answers to earlier ones are removed. */
 	expectAnswer: (expected: ExpectedAnswer) => void;
@@ -52,6 +52,8 @@
 	isUsable: (tunnelPeerId: string | undefined) => boolean;
 	/** True when no request may reach a backend server now, which may change while a connection is opened. */
 	isRefusingRequests: (serverId: string) => boolean;
+	/** Resolves to true unless a backend server that has closed a connection has ended. */
+	confirmRunning: (server: ServerAddress) => Promise<boolean>;
 	/** Called when bytes arrive on any connection. */
 	notifyReceived: () => void;
 	/** Called when a late answer to an earlier request was removed. */
@@ -89,7 +91,7 @@
 			},
 			dispatcher: client.client,
 			wasReset: () => client.wasReset,
-			confirmClose: async () => client.confirmTunnelClose?.() ?? true,
+			confirmClose: async () => (await client.confirmTunnelClose?.() ?? true) && this.options.confirmRunning(this.server),
 			expectAnswer(expected) {
 				client.expectAnswer(expected);
 			},
--- a/packages/relay/src/exchange/reset-order.test.ts
+++ b/packages/relay/src/exchange/reset-order.test.ts
@@ -22,7 +22,7 @@
 
 	beforeEach(async () => {
 		connections = new BackendConnections({
-			openConnection: createDirectOpener(openTcpSocket), isUsable: () => true, isRefusingRequests: () => false, notifyReceived: () => undefined, notifyStaleAnswer: () => undefined,
+			openConnection: createDirectOpener(openTcpSocket), isUsable: () => true, isRefusingRequests: () => false, confirmRunning: async () => true, notifyReceived: () => undefined, notifyStaleAnswer: () => undefined,
 		});
 		server = createServer(socket => {
 			socket.on('error', () => undefined);
--- a/packages/relay/src/peers/peer-report-task.test.ts
+++ b/packages/relay/src/peers/peer-report-task.test.ts
@@ -81,7 +81,7 @@
 
 	const buildDetection = (member: Member): CrashDetectionTask => new CrashDetectionTask({
 		timer, metrics: new RelayMetrics(), connections: new BackendConnections({
-			openConnection: createDirectOpener(openTcpSocket), isUsable: () => true, isRefusingRequests: () => false, notifyReceived: () => undefined, notifyStaleAnswer: () => undefined,
+			openConnection: createDirectOpener(openTcpSocket), isUsable: () => true, isRefusingRequests: () => false, confirmRunning: async () => true, notifyReceived: () => undefined, notifyStaleAnswer: () => undefined,
 		}),
 		openSocket: openTcpSocket, checkReplaced: async () => false, findServer: () => undefined,
 		// The check of a killed entry has no result.
--- a/packages/relay/src/quarantine/crash-detection-task.ts
+++ b/packages/relay/src/quarantine/crash-detection-task.ts
@@ -25,7 +25,7 @@
 export const lossKinds = {
 	/** The backend server, or the network, ended the connection. */
 	connection: 'connection',
-	/** The connection was closed at the end of an answer without a length. */
+	/** The connection was closed at the end of an answer without a length, by a backend server that still ran. */
 	close: 'close',
 	/** No answer came before the attempt was cancelled. */
 	silence: 'silence',
@@ -69,13 +69,18 @@
 		return this.#lost.listUnsettled();
 	}
 
-	/** Records an attempt that was lost, or may have been; after the end of its connection, checks the backend server. */
+	/** Resolves to true unless a backend server that has closed a connection has ended. */
+	async confirmRunning(server: {id: string; address: string}): Promise<boolean> {
+		return await this.#findEvidence(server) === undefined;
+	}
+
+	/** Records an attempt that was lost, or may have been; after the loss of its connection, checks the backend server. */
 	async recordLoss(attempt: LostAttempt, address: string, kind: LossKind): Promise<void> {
 		const {timer, metrics, notifyLoss, notifyChecked} = this.#options;
 		const settle = this.#lost.add(attempt, timer.now());
 		if (kind !== lossKinds.silence) {
 			notifyLoss(attempt);
-			const evidence = await this.#findEvidence({id: attempt.serverId, address});
+			const evidence = kind === lossKinds.connection ? await this.#findEvidence({id: attempt.serverId, address}) : undefined;
 			if (evidence !== undefined) {
 				this.#report(attempt.serverId, evidence);
 			}
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -115,6 +115,7 @@
 			openConnection: async (server, options) => connector.open(server, options),
 			isUsable: tunnelPeerId => connector.isUsable(tunnelPeerId),
 			isRefusingRequests,
+			confirmRunning: async server => this.#crashDetection.confirmRunning(server),
 			notifyReceived: () => {
 				this.#reachability.recordReceived();
 			},
--- a/packages/relay/src/state-feed/state-feed.test.ts
+++ b/packages/relay/src/state-feed/state-feed.test.ts
@@ -25,7 +25,9 @@
 	name: 'configuration', prefix: 'configuration/', waitMs: 300, minIntervalMs: 5, maxBackoffMs: 100, isProbe: true, isTimely: true, listsEntries: false,
 };
 
-const serversPlan = {...plan, name: 'servers', prefix: 'servers/', isProbe: false};
+const serversPlan = {
+	...plan, name: 'servers', prefix: 'servers/', isProbe: false,
+};
 const entriesPlan = {
 	...plan, name: 'entries', prefix: 'entries/', waitMs: 10_000, isProbe: false, isTimely: false, listsEntries: true,
 };
