Let a repeated stop wait for the one under way

A second SIGTERM within the grace period ended an entry after some 25 ms with code 0 and cut what it served (LOST).

Cause: Relay.stop returned at once while a stop was under way, and the handler of the second signal went on to close everything and to exit. There is one stop now, and each caller waits for its end; a repetition is logged.

"finishes open requests although it is asked to stop again" failed before: the second stop ended before the open request.

--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -77,6 +77,7 @@
 	/** Time at which the last earlier process of this entry may have ended, on the clock of the timer service. */
 	readonly #startedAt: number;
 	#stoppingSince: number | undefined;
+	#stop: Promise<void> | undefined;
 	/** Time at which a planned stop ends open requests, on the clock of the timer service, in ms. */
 	#stopDeadline: number | undefined;
 
@@ -354,12 +355,20 @@
 		this.#log.write('settings.unusable', {message});
 	}
 
-	/** Stops the process as planned: leaves the lists of entries, still serves new requests for a while, then finishes open ones. */
+	/**
+	 * Stops the process as planned: leaves the lists of entries, still serves new requests for a while, then finishes open ones. Resolves
+	 * at the end of the stop, also when one is under way.
+	 */
 	async stop(reason: string): Promise<void> {
-		if (this.#stoppingSince !== undefined) {
-			return;
+		if (this.#stop !== undefined) {
+			this.#log.write('process.already_stopping', {reason, openRequests: this.#front.openRequests});
 		}
 
+		this.#stop ??= this.#runStop(reason);
+		return this.#stop;
+	}
+
+	async #runStop(reason: string): Promise<void> {
 		const bounds = this.#bounds;
 		const now = this.timer.now();
 		const deadline = now + bounds.graceMs - connectionCloseMs;
