Refuse requests that would be sent late in a planned stop

A stream whose body ended 3.8 s after SIGTERM was sent to a server and cut when the process ended, although requests that may not finish by then are refused from 2.4 s on (LOST).

Cause: that was checked only when the head arrived. It is checked before each attempt now, and again after memory was reserved, while no server can have run the request; then it is refused with 503, not run, and may go to another entry.

--- a/packages/relay/src/front/admitted-request.ts
+++ b/packages/relay/src/front/admitted-request.ts
@@ -19,4 +19,6 @@
 	arrivedAt: number;
 	/** Returns the time until the deadline or the timeout of the route, in ms. */
 	computeRemainingMs: () => number;
+	/** Returns true when a planned stop has come so far that a backend server may not finish the request before the process ends. */
+	isLateInStop: () => boolean;
 };
--- a/packages/relay/src/front/prepare-attempt.ts
+++ b/packages/relay/src/front/prepare-attempt.ts
@@ -20,6 +20,8 @@
 export type UnpreparedAttempt =
 	/** It is not needed any more: the answer has ended or continues, or nobody waits for one. */
 	| {type: 'over'}
+	/** The process ends before an attempt may, and no backend server can have run the request yet. */
+	| {type: 'stopping'}
 	/** The content must not run. */
 	| {type: 'content_refused'}
 	/** No backend server can take the request. */
@@ -34,6 +36,8 @@
 	excludedServerIds: ReadonlySet<string>;
 	/** Returns false once the attempt is not needed any more. */
 	isNeeded: () => boolean;
+	/** Returns true when the request must not begin to run, because the process ends soon. */
+	isRefusedByStop: () => boolean;
 	/** Returns true when the content must not run. */
 	isContentRefused: () => boolean;
 	/** Returns the time at which the caller was sent the latest part of an answer, in ms; undefined when it has none. */
@@ -43,8 +47,12 @@
 /** Selects backend servers for an attempt and reserves the memory that it needs; waits for both while the attempt is needed. */
 export const prepareAttempt = async (services: RelayServices, admitted: AdmittedRequest, options: PreparationOptions): Promise<AttemptPreparation> => {
 	const {timer, placement} = services;
-	const {excludedServerIds, isNeeded, isContentRefused, getLatestPartAt} = options;
+	const {excludedServerIds, isNeeded, isRefusedByStop, isContentRefused, getLatestPartAt} = options;
 	while (isNeeded()) {
+		if (isRefusedByStop()) {
+			return {type: 'stopping'};
+		}
+
 		if (isContentRefused()) {
 			return {type: 'content_refused'};
 		}
@@ -71,8 +79,8 @@
 			continue;
 		}
 
-		// While memory was being reserved, the request may have ended, its content may have ended servers, or a server may have left.
-		if (isNeeded() && !isContentRefused() && isPlacementUsable(services, placed)) {
+		// While memory was being reserved, the request may have ended, its content may have ended servers, a server may have left, or a stop may have gone on.
+		if (isNeeded() && !isRefusedByStop() && !isContentRefused() && isPlacementUsable(services, placed)) {
 			return {type: 'prepared', placed, reservation};
 		}
 
--- a/packages/relay/src/front/relay-request.ts
+++ b/packages/relay/src/front/relay-request.ts
@@ -85,7 +85,7 @@
 	}
 
 	#admit(): {route: Route; table: RouteTable; workspace: string | undefined} | AnswerReason {
-		const {storeState, getStoppingMs, getStopLeftMs, bounds} = this.#services;
+		const {storeState} = this.#services;
 		const {table} = storeState;
 		if (table === undefined || !storeState.isLoaded) {
 			return 'unconfigured';
@@ -101,8 +101,7 @@
 			return 'unknownRoute';
 		}
 
-		const isLateInStop = (getStoppingMs() ?? 0) > Math.min(bounds.graceMs * stopRefusalShare, stopRefusalMs);
-		if (isLateInStop && (route.execution === executionKinds.stream || this.#computeRemainingMs(route) > getStopLeftMs()!)) {
+		if (this.#isLateInStop(route)) {
 			return 'stopping';
 		}
 
@@ -110,6 +109,13 @@
 		return typeof workspace === 'string' ? workspace : {route, table, workspace: workspace.name};
 	}
 
+	/** True when a planned stop has come so far that a backend server may not finish the request before the process ends. */
+	#isLateInStop(route: Route): boolean {
+		const {getStoppingMs, getStopLeftMs, bounds} = this.#services;
+		const isLate = (getStoppingMs() ?? 0) > Math.min(bounds.graceMs * stopRefusalShare, stopRefusalMs);
+		return isLate && (route.execution === executionKinds.stream || this.#computeRemainingMs(route) > getStopLeftMs()!);
+	}
+
 	#findWorkspace(table: RouteTable, route: Route): {name: string | undefined} | AnswerReason {
 		if (!table.isCredentialRequired || route.isPublic) {
 			return {name: undefined};
@@ -136,7 +142,7 @@
 		getBudget(service.name).recordRequest(timer.now());
 		this.#attempts = new RequestAttempts(this.#services, {
 			request: this.#request, envelope: this.#envelope, body, route, service, workspace, fingerprints: this.#fingerprints,
-			writer: this.#writer, arrivedAt: this.#arrivedAt, computeRemainingMs: () => this.#computeRemainingMs(route),
+			writer: this.#writer, arrivedAt: this.#arrivedAt, computeRemainingMs: () => this.#computeRemainingMs(route), isLateInStop: () => this.#isLateInStop(route),
 		});
 		this.#answerEnd(await this.#attempts.run(), route);
 	}
@@ -153,6 +159,11 @@
 			return;
 		}
 
+		if (end.type === 'stopping') {
+			this.#answer('stopping');
+			return;
+		}
+
 		if (end.type === 'content_refused') {
 			this.#answer(this.#mayHaveRun ? 'serverFailed' : 'quarantined');
 		}
--- a/packages/relay/src/front/request-attempts.ts
+++ b/packages/relay/src/front/request-attempts.ts
@@ -153,7 +153,8 @@
 
 	async #prepare(isNeeded: () => boolean): Promise<AttemptPreparation> {
 		return prepareAttempt(this.#services, this.#admitted, {
-			excludedServerIds: this.#excludedServerIds, isNeeded, isContentRefused: () => this.#isContentRefused(), getLatestPartAt: () => this.#progress.latestPartAt,
+			excludedServerIds: this.#excludedServerIds, isNeeded, isRefusedByStop: () => !this.mayHaveRun && this.#admitted.isLateInStop(),
+			isContentRefused: () => this.#isContentRefused(), getLatestPartAt: () => this.#progress.latestPartAt,
 		});
 	}
 
@@ -454,6 +455,7 @@
 /** Reasons for which no further attempt was prepared; none when it was no longer needed. */
 const preparationRefusals: Record<UnpreparedAttempt['type'], RetryRefusal | undefined> = {
 	over: undefined,
+	stopping: retryRefusals.stopping,
 	content_refused: retryRefusals.content, // eslint-disable-line @typescript-eslint/naming-convention -- End of the attempts of a request.
 	unplaced: retryRefusals.noServer,
 };
--- a/packages/relay/src/front/retry-refusals.ts
+++ b/packages/relay/src/front/retry-refusals.ts
@@ -7,6 +7,8 @@
 	deadline: 'deadline',
 	attemptLimit: 'attempt limit',
 	budget: 'retry budget',
+	/** The process ends before another attempt may. */
+	stopping: 'stopping',
 	/** Backend servers have ended under the content. */
 	content: 'content',
 	/** No other backend server can take the request now. */
