--- a/packages/relay/src/state-feed/state-source-task.ts
+++ b/packages/relay/src/state-feed/state-source-task.ts
@@ -26,7 +26,7 @@
 const firstOpenShare = 0.5;
 /** Interval at which confirmations of a reader are passed on while nothing changes, in ms; a watch of the store answers about as often. */
 const confirmMs = 1000;
-/** Time in which a reader must have sent its first ages, in intervals between two questions for them. */
+/** Time in which a reader that replaces another source must have sent its first ages, in intervals between two questions for them. */
 const firstAgesFactor = 2;
 /** Interval at which all objects are listed again in case a watch missed a change, in ms. */
 const relistMs = 300_000;
@@ -371,7 +371,8 @@
 				this.#feed = feed;
 				this.#openingFeed = undefined;
 				// The state of this reader may be as old as that of the one before, until its first ages arrive.
-				this.#confirmedAt = Math.max(this.#confirmedAt, timer.now() - confirmationMs + (askMs * firstAgesFactor));
+				const firstAgesMs = Number.isFinite(this.#confirmedAt) ? askMs * firstAgesFactor : confirmationMs;
+				this.#confirmedAt = Math.max(this.#confirmedAt, timer.now() - confirmationMs + firstAgesMs);
 				this.#selector.recordReached();
 				// The reader may have lost the store without notice, so what this entry reads itself is read to its end.
 				if (this.#reading === undefined || this.#hasReadAll || this.#isStoreFailing) {
@@ -535,7 +536,8 @@
 				const waitMs = isFirstCall ? firstWaitMs : this.#computeWaitMs(plan);
 				isFirstCall = false;
 				return waitMs;
-			}, minIntervalMs: plan.minIntervalMs, relistMs, store, timer,
+			},
+			minIntervalMs: plan.minIntervalMs, relistMs, store, timer,
 			maxBackoffMs: isFallback ? fallbackBackoffMs : plan.maxBackoffMs,
 			metrics: {
 				count(event) {
--- a/packages/relay/src/tunnels/tunnel-server.test.ts
+++ b/packages/relay/src/tunnels/tunnel-server.test.ts
@@ -7,7 +7,7 @@
 import {createTimerService} from '@knapweedrack/entry/timer-service';
 import type {DecisionLog} from '../logging/decision-log.js';
 import {RelayMetrics} from '../metrics/relay-metrics.js';
-import {openTunnel} from './open-tunnel.js';
+import {confirmTunnelEnd, openTunnel} from './open-tunnel.js';
 import {TunnelServer, type TunnelServerOptions} from './tunnel-server.js';
 
 const host = '127.0.0.1';
@@ -124,6 +124,25 @@
 		expect(await fetchRefusal(`${host}:1`)).to.equal('TUNNEL_PEER_LOST');
 	});
 
+	// Guards against an answer without a length that counts as complete, or as cut, because of what the other entry says of its end.
+	it('confirms the end of a tunnel once the server has closed its connection', async () => {
+		const peerAddress = await start();
+		const tunnel = await openTunnel({
+			peerAddress, entryId: 'b', tunnelId: 't1', address: getBackendAddress(), timeoutMs: 500,
+		});
+		if (!tunnel.ok) {
+			throw tunnel.error;
+		}
+
+		const fetchEnd = async (tunnelId: string): Promise<boolean> => confirmTunnelEnd({peerAddress, tunnelId, timeoutMs: 500});
+		expect(await fetchEnd('t1')).to.equal(false);
+		accepted[0]!.end('last bytes');
+		tunnel.value.resume();
+		await once(tunnel.value, 'end');
+		expect(await fetchEnd('t1')).to.equal(true);
+		expect(await fetchEnd('t2')).to.equal(false);
+	});
+
 	// Guards against renewals of reserved memory that are turned away, so that its lease expires under a running answer.
 	it('opens a tunnel for accepted work to a server that wants no requests, and to no other one', async () => {
 		const peerAddress = await start({isRefusingRequests: () => true});
