--- a/packages/relay/src/quarantine/crash-detection-task.ts
+++ b/packages/relay/src/quarantine/crash-detection-task.ts
@@ -33,19 +33,6 @@
 /** Value of `lossKinds`. */
 export type LossKind = (typeof lossKinds)[keyof typeof lossKinds];
 
-/** Result of a check of the connections to a backend server. */
-const connectionChecks = {
-	/** A connection to it is open. */
-	open: 'open',
-	/** It accepts a new one. */
-	accepted: 'accepted',
-	/** It refuses a new one, and not because of the links of this entry. */
-	refused: 'refused',
-	/** A new one has failed for another reason, which shows nothing. */
-	failed: 'failed',
-} as const;
-type ConnectionCheck = (typeof connectionChecks)[keyof typeof connectionChecks];
-
 /** Dependencies of the crash detection task. */
 export type CrashDetectionOptions = {
 	timer: TimerService;
@@ -82,9 +69,11 @@
 		return this.#lost.listUnsettled();
 	}
 
-	/** Resolves to true unless a backend server that has closed a connection has ended. Does not wait for a slot, as the check for another incarnation does. */
+	/** Resolves to true unless a backend server that has closed a connection has ended: it refuses a new one, and not because of the links of this entry. */
 	async confirmRunning(server: {id: string; address: string}): Promise<boolean> {
-		return await this.#checkConnection(server) !== connectionChecks.refused;
+		const {connections, openSocket, confirmEnd} = this.#options;
+		const failure = await tryConnect(openSocket, server.address, connections.connectTimeoutMs);
+		return failure !== 'ECONNREFUSED' || !(await confirmEnd(server));
 	}
 
 	/** Records an attempt that was lost, or may have been; after the end of its connection, checks the backend server. */
@@ -132,28 +121,18 @@
 
 	/** Looks for evidence that a backend server without an open connection has ended. */
 	async #findEvidence(server: {id: string; address: string}): Promise<CrashEvidence | undefined> {
-		const check = await this.#checkConnection(server);
-		if (check === connectionChecks.refused) {
-			return crashEvidence.refused;
-		}
-
-		return check === connectionChecks.accepted && await this.#checkReplaced(server) ? crashEvidence.misdirected : undefined;
-	}
-
-	/** Opens a connection to a backend server that has no open one. */
-	async #checkConnection(server: {id: string; address: string}): Promise<ConnectionCheck> {
 		const {timer, connections, openSocket, confirmEnd} = this.#options;
 		await waitFor(timer, closeSpreadMs);
 		if (connections.countOpen(server.id) > 0) {
-			return connectionChecks.open;
+			return undefined;
 		}
 
 		const failure = await tryConnect(openSocket, server.address, connections.connectTimeoutMs);
-		if (failure === undefined) {
-			return connectionChecks.accepted;
+		if (failure === 'ECONNREFUSED') {
+			return await confirmEnd(server) ? crashEvidence.refused : undefined;
 		}
 
-		return failure === 'ECONNREFUSED' && await confirmEnd(server) ? connectionChecks.refused : connectionChecks.failed;
+		return failure === undefined && await this.#checkReplaced(server) ? crashEvidence.misdirected : undefined;
 	}
 
 	/** Checks a server once for all attempts that it lost at the same time, since the check takes a slot. */
