--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -10,6 +10,7 @@
 export * from './lifecycle/index.js';
 export * from './limits/index.js';
 export * from './membership/index.js';
+export * from './memory-ledger/index.js';
 export * from './outcomes/index.js';
 export * from './ownership/index.js';
 export * from './placement/index.js';
--- /dev/null
+++ b/packages/core/src/memory-ledger/index.ts
@@ -0,0 +1,1 @@
+export * from './memory-account.js';
