Give whole shares of a cold server's bound to some entries of a large fleet

Cause: each entry had floor(rate / entries) requests a second for a cold server, which is 0 with more entries than the rate (17 a second beside 35 or 77 entries). Cold servers stayed empty while the others were full. Change: where the equal share is below one, floor(rate) entries have a share of one, selected by rendezvous hash of the server and the entry. Fleets with an equal share of at least one are served as before.

--- a/packages/core/src/warmup/cold-arrival-gate.ts
+++ b/packages/core/src/warmup/cold-arrival-gate.ts
@@ -1,21 +1,18 @@
 /** Length of the sliding window; the limit is per second. */
 const windowMs = 1000;
 
-/** Largest arrival rate of a cold backend server over all entries, and the number of entries that share it equally. */
-export type ColdArrivalLimit = {requestsPerSecond: number; entries: number};
-
 /** Sliding-window limit on the requests that one entry sends to each cold backend server. */
 export class ColdArrivalGate {
 	readonly #arrivals = new Map<string, number[]>();
 
-	/** True when this entry's share allows one more arrival within the last second. */
-	hasRoom(serverId: string, now: number, limit: ColdArrivalLimit): boolean {
-		return this.#listRecent(serverId, now).length < Math.floor(limit.requestsPerSecond / Math.max(1, limit.entries));
+	/** True when this entry's share, in requests per second, allows one more arrival within the last second. */
+	hasRoom(serverId: string, now: number, share: number): boolean {
+		return this.#listRecent(serverId, now).length < share;
 	}
 
 	/** Counts one arrival; false when this entry's share is used up. */
-	tryConsume(serverId: string, now: number, limit: ColdArrivalLimit): boolean {
-		if (!this.hasRoom(serverId, now, limit)) {
+	tryConsume(serverId: string, now: number, share: number): boolean {
+		if (!this.hasRoom(serverId, now, share)) {
 			return false;
 		}
 
--- a/packages/core/src/warmup/index.ts
+++ b/packages/core/src/warmup/index.ts
@@ -1,2 +1,3 @@
 export * from './warmup-level.js';
 export * from './cold-arrival-gate.js';
+export * from './cold-share.js';
--- a/packages/relay/src/placement/placement-task.ts
+++ b/packages/relay/src/placement/placement-task.ts
@@ -1,5 +1,5 @@
 import {
-	ColdArrivalGate, computePromptValue, healthSignals, LoadTable, selectPlacement, ServerHealth,
+	ColdArrivalGate, ColdShareTable, computePromptValue, healthSignals, LoadTable, selectPlacement, ServerHealth,
 	type EngineProfile, type PlacementCandidate, type PlacementDecision, type PromptDemand, type HealthSignal, type ServerWork, type Service,
 } from '@knapweedrack/core';
 import type {TimerService} from '@knapweedrack/entry/contracts';
@@ -55,8 +55,9 @@
 	failureDomain: string;
 	/** Returns a random number in [0, 1). */
 	random: () => number;
-	/** Number of entries that may be running, including this one. */
-	countEntries: () => number;
+	entryId: string;
+	/** Ids of the entries that may be running, including this one once it is registered; the same array until the entries change. */
+	listEntryIds: () => readonly string[];
 	/** Called when the load that this entry puts on a backend server has changed. */
 	notifyLoad: (serverId: string) => void;
 };
@@ -67,6 +68,7 @@
 	readonly #options: PlacementOptions;
 	readonly #health = new ServerHealth();
 	readonly #coldArrivals = new ColdArrivalGate();
+	readonly #coldShares = new ColdShareTable();
 
 	constructor(options: PlacementOptions) {
 		this.#options = options;
@@ -86,7 +88,7 @@
 			? this.#placePlain(servers, now)
 			: this.#placePrompt(service.engine, servers, demand, now);
 		if (placed !== undefined && placed !== 'wait' && isCold(service, placed.server, now)) {
-			this.#coldArrivals.tryConsume(placed.server.id, now, this.#getColdBound(service));
+			this.#coldArrivals.tryConsume(placed.server.id, now, this.#computeColdShare(service, placed.server));
 		}
 
 		if (placed !== undefined && placed !== 'wait') {
@@ -136,6 +138,7 @@
 	retain(serverIds: ReadonlySet<string>): void {
 		this.#health.retain(serverIds);
 		this.#coldArrivals.retain(serverIds);
+		this.#coldShares.retain(serverIds);
 	}
 
 	#placePlain(servers: readonly KnownServer[], now: number): PlacedRequest | undefined {
@@ -257,11 +260,12 @@
 	}
 
 	#isColdRequestAllowed(service: Service, server: KnownServer, now: number): boolean {
-		return !isCold(service, server, now) || this.#coldArrivals.hasRoom(server.id, now, this.#getColdBound(service));
+		return !isCold(service, server, now) || this.#coldArrivals.hasRoom(server.id, now, this.#computeColdShare(service, server));
 	}
 
-	#getColdBound(service: Service): {requestsPerSecond: number; entries: number} {
-		return {requestsPerSecond: service.coldRequestsPerSecond, entries: this.#options.countEntries()};
+	#computeColdShare(service: Service, server: KnownServer): number {
+		const {entryId, listEntryIds} = this.#options;
+		return this.#coldShares.computeShare(server.id, {requestsPerSecond: service.coldRequestsPerSecond, entryId, entryIds: listEntryIds()});
 	}
 }
 
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -189,7 +189,8 @@
 		});
 		this.#placement = new PlacementTask({
 			serverLimits: this.#serverLimits, serverNotices: this.#serverNotices,
-			storeState: this.#storeState, timer, failureDomain: settings.failureDomain, random: Math.random, countEntries: () => this.#countEntries(),
+			storeState: this.#storeState, timer, entryId: settings.entryId, failureDomain: settings.failureDomain, random: Math.random,
+			listEntryIds: () => this.#storeState.entryIds,
 			notifyLoad: serverId => {
 				this.#peers.notifyLoad(serverId);
 			},
--- a/packages/relay/src/store-state/store-state-task.ts
+++ b/packages/relay/src/store-state/store-state-task.ts
@@ -97,6 +97,7 @@
 	#serversByService = new Map<string, KnownServer[]>();
 	#outages: ReadonlySet<string> = new Set();
 	#entries = new Map<string, RegisteredEntry>();
+	#entryIds: readonly string[] = [];
 	readonly #decodeServer: (id: string, value: unknown) => RegisteredServer | undefined;
 	readonly #decodeEntry: (id: string, value: unknown) => RegisteredEntry | undefined;
 	readonly #decodeStoredConfiguration: (key: string, value: unknown) => TrafficConfiguration | undefined;
@@ -139,6 +140,11 @@
 		return this.#entries;
 	}
 
+	/** Ids of the registered entries; the same array until the entries change. */
+	get entryIds(): readonly string[] {
+		return this.#entryIds;
+	}
+
 	/** True once the configuration, the backend servers, the failure domains and the content that must not run were read. */
 	get isLoaded(): boolean {
 		return this.#table !== undefined && [watchNames.servers, watchNames.outages, watchNames.quarantine].every(name => this.#latestStates.has(name));
@@ -417,6 +423,7 @@
 		}
 
 		this.#entries = entries;
+		this.#entryIds = [...entries.keys()];
 		notifyEntries(entries, {revision, isRestored});
 	}
 
