Spread short prompts where load figures come by summaries

Cause: all entries filled engines from one end of a shared order, from figures of other failure domains that are up to some hundred ms old (busiest engine 3.0 times the mean with 35 entries and 54 servers). Change: in fleets with summaries a candidate has a random place in the order for short prompts, with the same weight. Fleets with direct reports keep the shared order. Result: the tests of placement, report topology and peer reports pass.

--- a/packages/core/src/placement/placement-plan.ts
+++ b/packages/core/src/placement/placement-plan.ts
@@ -42,7 +42,7 @@
 	const value = computePromptValue(demand);
 	const estimateCandidate = (candidate: PlacementCandidate, index: number, {endMs, lostValue}: {endMs: number; lostValue: number}): RatedCandidate => {
 		const position = demand.isShort
-			? index / candidates.length
+			? candidate.spreadOrder ?? (index / candidates.length)
 			: ((candidates.length - 1 - index) / candidates.length) + candidate.orderShift;
 		const lateRisk = computeLateRisk(endMs, demand.targetMs) * lateLossShare;
 		const preference = (position * orderWeight) + ((endMs / demand.targetMs) * firstTokenWeight);
--- a/packages/core/src/placement/placement.test.ts
+++ b/packages/core/src/placement/placement.test.ts
@@ -114,6 +114,15 @@
 		});
 	});
 
+	describe('load pattern: short prompts while the figures are aged', () => {
+		// Guards against entries that all choose the same first engines from the same old figures (busiest engine at 3.0 times the mean).
+		it('takes the engines in the order given to the candidates', () => {
+			const orders = [0.9, 0.1, 0.5];
+			const candidates = buildCandidates(orders.map(() => buildLoad(3))).map((candidate, index) => ({...candidate, spreadOrder: orders[index]}));
+			expect(selectPlacement(profile, candidates, shortPrompt)).to.have.nested.property('placement.serverId', 'e1');
+		});
+	});
+
 	describe('load pattern: long prompts beside short streams', () => {
 		// Guards against short streams whose pauses become too long because of a long prefill on the same engine.
 		it('keeps long prefills off engines with short streams', () => {
--- a/packages/relay/src/peers/peer-report-task.ts
+++ b/packages/relay/src/peers/peer-report-task.ts
@@ -9,7 +9,7 @@
 import {encodeLimitReport, type LimitReport} from '../server-limits/limit-report.js';
 import {encodeNoticeReport, type NoticeReport} from '../server-notices/notice-report.js';
 import type {ReportedLoad} from './load-codec.js';
-import {selectTopology, type ReportTopology} from './report-topology.js';
+import {hasSummaries, selectTopology, type ReportTopology} from './report-topology.js';
 import {
 	decodePeerDatagram, encodeDomainSummary, encodePeerMessage, type DomainSummary, type EntryState, type PeerMessage,
 } from './peer-message.js';
@@ -71,6 +71,7 @@
 	readonly #unsubscribes: Array<() => void> = [];
 	#peers = new Map<string, RegisteredEntry>();
 	#topology: ReportTopology = {memberIds: [], collectorIds: [], isCollector: false};
+	#hasAgedLoads = false;
 	#sequence = 0;
 	#isSendScheduled = false;
 
@@ -153,6 +154,11 @@
 		this.#updateTopology();
 	}
 
+	/** True while the loads of other failure domains come in summaries, so that they are up to some hundred ms old. */
+	get hasAgedLoads(): boolean {
+		return this.#hasAgedLoads;
+	}
+
 	/** True while a peer runs and is not stopping: it sent a message recently, or registered too recently to have sent one. */
 	isRunning(entryId: string): boolean {
 		return this.#states.isRunning(entryId);
@@ -204,6 +210,7 @@
 	#updateTopology(): void {
 		const {entryId, failureDomain} = this.#options;
 		const others = [...this.#peers.values()];
+		this.#hasAgedLoads = hasSummaries({id: entryId, failureDomain}, others);
 		this.#topology = selectTopology({id: entryId, failureDomain}, others, id => this.#states.isRunning(id));
 		const members = new Set(this.#topology.memberIds);
 		this.#states.setCollected(new Set(others.map(({id}) => id).filter(id => !members.has(id))));
--- a/packages/relay/src/peers/report-topology.test.ts
+++ b/packages/relay/src/peers/report-topology.test.ts
@@ -1,5 +1,7 @@
 import {expect} from 'chai';
-import {directEntryLimit, selectTopology, type PlacedEntry} from './report-topology.js';
+import {
+	directEntryLimit, hasSummaries, selectTopology, type PlacedEntry,
+} from './report-topology.js';
 
 const buildEntries = (perDomain: number, domains: readonly string[]): PlacedEntry[] =>
 	domains.flatMap(failureDomain => Array.from({length: perDomain}, (_, index) => ({id: `${failureDomain}-${index + 10}`, failureDomain})));
@@ -13,6 +15,14 @@
 		expect(selectTopology(self!, others, isRunning)).to.deep.equal({memberIds: others.map(({id}) => id), collectorIds: [], isCollector: false});
 	});
 
+	// Guards against another placement of requests in fleets whose reports are direct.
+	it('has summaries only in a large fleet with several failure domains', () => {
+		const hasThem = ([self, ...others]: PlacedEntry[]): boolean => hasSummaries(self!, others);
+		expect(hasThem(buildEntries(4, ['east', 'north', 'west']))).to.equal(false);
+		expect(hasThem(buildEntries(5, ['east', 'north', 'west']))).to.equal(true);
+		expect(hasThem(buildEntries(15, ['east']))).to.equal(false);
+	});
+
 	describe('large fleet', () => {
 		const entries = buildEntries(29, ['east', 'north', 'west']);
 		const select = (id: string, isUp: (id: string) => boolean = isRunning) =>
--- a/packages/relay/src/peers/report-topology.ts
+++ b/packages/relay/src/peers/report-topology.ts
@@ -17,6 +17,10 @@
 	isCollector: boolean;
 };
 
+/** True when the load of other failure domains reaches an entry in summaries, so that its figures are aged. */
+export const hasSummaries = (self: PlacedEntry, others: readonly PlacedEntry[]): boolean =>
+	others.length >= directEntryLimit && others.some(({failureDomain}) => failureDomain !== self.failureDomain);
+
 /**
  * Selects the recipients of an entry's reports. In a large fleet, the entries of a failure domain send reports to each other directly.
  * The running entry with the lowest id is the collector of its failure domain: it exchanges summaries with the other collectors and
--- a/packages/relay/src/placement/placement-task.ts
+++ b/packages/relay/src/placement/placement-task.ts
@@ -57,6 +57,8 @@
 	random: () => number;
 	/** Number of entries that may be running, including this one. */
 	countEntries: () => number;
+	/** True while the load figures of other failure domains come in summaries. */
+	hasAgedLoads: () => boolean;
 	/** Called when the load that this entry puts on a backend server has changed. */
 	notifyLoad: (serverId: string) => void;
 };
@@ -159,13 +161,19 @@
 	}
 
 	#placePrompt(profile: EngineProfile, servers: readonly KnownServer[], demand: PlacementDemand, now: number): PlacedRequest | 'wait' | undefined {
+		const {random, hasAgedLoads} = this.#options;
 		const byId = new Map(servers.map(server => [server.id, server]));
-		const candidates = sortServers(servers).map((server): PlacementCandidate => ({
-			id: server.id,
-			load: this.loads.computeLoad(server.id, now),
-			penaltyMs: this.#computePenaltyMs(server, now),
-			orderShift: this.#options.random(),
-		}));
+		const isSpread = hasAgedLoads();
+		const candidates = sortServers(servers).map((server): PlacementCandidate => {
+			const orderShift = random();
+			return {
+				id: server.id,
+				load: this.loads.computeLoad(server.id, now),
+				penaltyMs: this.#computePenaltyMs(server, now),
+				orderShift,
+				spreadOrder: isSpread ? orderShift : undefined,
+			};
+		});
 		const decision = this.#selectPlacement(profile, candidates, {servers: byId, demand});
 		if (decision.type !== 'place') {
 			return decision.type === 'wait' ? 'wait' : undefined;
