Give each failure domain home servers where load figures are aged

Cause: a random order keeps the load even, but requests of a failure domain still meet those of others, of which its figures tell up to some hundred ms later: a long prompt's part and a short prompt, or two requests for a last slot. Change: in fleets with summaries each failure domain prefers every n-th engine, in random order for short prompts, and leaves the last slots of the others to the domains before it. A domain with over 1.25 times an equal share of the requests uses its home servers for a part of them. Services without engines take one of several nearly equal servers. Metrics: busiest to mean, collisions, age of load figures.

--- /dev/null
+++ b/packages/core/src/balance/index.ts
@@ -0,0 +1,2 @@
+export * from './balance-window.js';
+export * from './spread-candidates.js';
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,4 +1,5 @@
 export * from './admission/index.js';
+export * from './balance/index.js';
 export * from './configuration/index.js';
 export * from './drain/index.js';
 export * from './engine-model/index.js';
--- a/packages/core/src/placement/load-table.ts
+++ b/packages/core/src/placement/load-table.ts
@@ -12,6 +12,8 @@
 export class LoadTable {
 	readonly #own = new Map<string, Map<symbol, ServerWork>>();
 	readonly #peers = new Map<string, Map<string, PeerLoad>>();
+	/** Loads of other failure domains, which are also in `#peers`. */
+	readonly #domains = new Map<string, Map<string, PeerLoad>>();
 
 	/** Adds work of this entry; the returned key identifies the work until `remove`. */
 	add(serverId: string, work: ServerWork): symbol {
@@ -61,6 +63,29 @@
 		this.#peers.set(entryId, loads);
 	}
 
+	/** Replaces the load that the entries of another failure domain have put on one backend server. */
+	setDomainLoad(failureDomain: string, serverId: string, load: ServerLoad, now: number): void {
+		// Cannot equal the id of an entry, which contains no slash.
+		const key = `domain/${failureDomain}`;
+		this.setPeerLoad(key, serverId, load, now);
+		this.#domains.set(key, this.#peers.get(key)!);
+	}
+
+	/** Requests that other failure domains have on a backend server, with the age of the oldest of these figures in ms; undefined without figures. */
+	computeDomainRequests(serverId: string, now: number): {requests: number; ageMs: number | undefined} {
+		let requests = 0;
+		let oldestAt = Number.POSITIVE_INFINITY;
+		for (const loads of this.#domains.values()) {
+			const report = loads.get(serverId);
+			if (report !== undefined && now - report.receivedAt <= loadReportLifetimeMs) {
+				requests += report.load.requests;
+				oldestAt = Math.min(oldestAt, report.receivedAt);
+			}
+		}
+
+		return {requests, ageMs: oldestAt === Number.POSITIVE_INFINITY ? undefined : now - oldestAt};
+	}
+
 	/** Removes the load reports of an entry that has ended. */
 	removePeer(entryId: string): void {
 		this.#peers.delete(entryId);
--- a/packages/core/src/placement/placement-types.ts
+++ b/packages/core/src/placement/placement-types.ts
@@ -10,10 +10,12 @@
 	/** Random offset in the order of engines for long prompts, from 0 to 1, so that entries that place at the same moment choose different engines. */
 	orderShift: number;
 	/**
-	 * Place in the order of engines for short prompts, from 0 to 1, where the load figures are aged; undefined for the order that
+	 * Place in the order of engines for short prompts, from 0 on, where the load figures are aged; undefined for the order that
 	 * all entries share.
 	 */
 	spreadOrder?: number | undefined;
+	/** Slots that short prompts leave to other failure domains while other engines have room; undefined for none. */
+	sparedSlots?: number | undefined;
 };
 
 /** KV memory in tokens that a helper reserves for a prompt that the primary engine cannot hold alone. */
--- a/packages/core/src/placement/select-placement.ts
+++ b/packages/core/src/placement/select-placement.ts
@@ -88,10 +88,13 @@
 	const isLate = !demand.hasBegun && demand.waitedMs > demand.targetMs * shortLateWaitShare;
 	const spareSlots = isLate ? Math.floor(profile.slots * lateSpareSlotShare) : countSpareSlots(profile);
 	const free = candidates.filter(({load}) => load.requests < profile.slots - spareSlots);
-	const plan = buildPlan(profile, free, {...demand, isShort: true}, 1);
+	const preferred = free.filter(({load, sparedSlots = 0}) => load.requests < profile.slots - spareSlots - sparedSlots);
 	const limitMs = demand.targetMs * (isLate || demand.hasBegun ? lateShortTargetMultiple : shortFirstTokenShare);
-	if (plan !== undefined && plan.placement.firstTokenMs <= limitMs) {
-		return toDecision(plan);
+	for (const engines of preferred.length === free.length ? [free] : [preferred, free]) {
+		const plan = buildPlan(profile, engines, {...demand, isShort: true}, 1);
+		if (plan !== undefined && plan.placement.firstTokenMs <= limitMs) {
+			return toDecision(plan);
+		}
 	}
 
 	return candidates.length > 0 && demand.waitedMs < Math.min(demand.targetMs * shortWaitTargetMultiple, demand.deadlineMs)
--- a/packages/relay/src/metrics/relay-metrics.ts
+++ b/packages/relay/src/metrics/relay-metrics.ts
@@ -5,6 +5,8 @@
 
 /** Bucket bounds of the latency histograms in seconds, from an answer by the entry itself to the longest deadline. */
 const latencyBuckets = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2, 3, 5, 10, 15];
+/** Bucket bounds of the age of load figures in seconds, up to the age at which they no longer count. */
+const loadAgeBuckets = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1, 1.5];
 const msPerSecond = 1000;
 
 /** Counters and latency histograms of a relay process. */
@@ -36,6 +38,29 @@
 		buckets: latencyBuckets, registers: [this.registry],
 	});
 
+	readonly #collisions = new Counter({
+		name: 'relay_collisions_total', help: 'Requests that a backend server rejected as full while another one had room by the known load, by service',
+		labelNames: ['service'], registers: [this.registry],
+	});
+
+	readonly #loadAge = new Histogram({
+		name: 'relay_load_age_seconds', help: 'Age of the oldest load figure of another failure domain for a chosen backend server, by service', labelNames: ['service'],
+		buckets: loadAgeBuckets, registers: [this.registry],
+	});
+
+	/** Publishes a value for each service that is read each time the metrics are fetched; the name gets the prefix `relay_`. */
+	addServiceGauge(name: string, list: () => Iterable<[service: string, value: number]>): void {
+		const gauge: Gauge = new Gauge({
+			name: `relay_${name}`, help: `Present value of ${name.replaceAll('_', ' ')} by service`, labelNames: ['service'], registers: [this.registry],
+			collect() {
+				gauge.reset();
+				for (const [service, value] of list()) {
+					gauge.set({service}, value);
+				}
+			},
+		});
+	}
+
 	/** Publishes a value that is read each time the metrics are fetched; the name gets the prefix `relay_`. */
 	addGauge(name: string, read: () => number): void {
 		const gauge: Gauge = new Gauge({
@@ -63,6 +88,16 @@
 		this.#events.inc({event});
 	}
 
+	/** Counts a choice that a backend server rejected while another one had room. */
+	countCollision(service: string): void {
+		this.#collisions.inc({service});
+	}
+
+	/** Records the age of a load figure that a choice was based on. */
+	recordLoadAge(service: string, ageMs: number): void {
+		this.#loadAge.observe({service}, ageMs / msPerSecond);
+	}
+
 	recordFirstByte(route: string, durationMs: number): void {
 		this.#firstByte.observe({route}, durationMs / msPerSecond);
 	}
--- a/packages/relay/src/peers/peer-report-task.ts
+++ b/packages/relay/src/peers/peer-report-task.ts
@@ -9,7 +9,7 @@
 import {encodeLimitReport, type LimitReport} from '../server-limits/limit-report.js';
 import {encodeNoticeReport, type NoticeReport} from '../server-notices/notice-report.js';
 import type {ReportedLoad} from './load-codec.js';
-import {hasSummaries, selectTopology, type ReportTopology} from './report-topology.js';
+import {listSummaryDomains, selectTopology, type ReportTopology} from './report-topology.js';
 import {
 	decodePeerDatagram, encodeDomainSummary, encodePeerMessage, type DomainSummary, type EntryState, type PeerMessage,
 } from './peer-message.js';
@@ -71,7 +71,7 @@
 	readonly #unsubscribes: Array<() => void> = [];
 	#peers = new Map<string, RegisteredEntry>();
 	#topology: ReportTopology = {memberIds: [], collectorIds: [], isCollector: false};
-	#hasAgedLoads = false;
+	#summaryDomains: readonly string[] = [];
 	#sequence = 0;
 	#isSendScheduled = false;
 
@@ -154,9 +154,9 @@
 		this.#updateTopology();
 	}
 
-	/** True while the loads of other failure domains come in summaries, so that they are up to some hundred ms old. */
-	get hasAgedLoads(): boolean {
-		return this.#hasAgedLoads;
+	/** Sorted failure domains with running entries while their loads come in summaries, so that these are aged; empty while reports are direct. */
+	get summaryDomains(): readonly string[] {
+		return this.#summaryDomains;
 	}
 
 	/** True while a peer runs and is not stopping: it sent a message recently, or registered too recently to have sent one. */
@@ -210,7 +210,7 @@
 	#updateTopology(): void {
 		const {entryId, failureDomain} = this.#options;
 		const others = [...this.#peers.values()];
-		this.#hasAgedLoads = hasSummaries({id: entryId, failureDomain}, others);
+		this.#summaryDomains = listSummaryDomains({id: entryId, failureDomain}, others, id => this.#states.isRunning(id));
 		this.#topology = selectTopology({id: entryId, failureDomain}, others, id => this.#states.isRunning(id));
 		const members = new Set(this.#topology.memberIds);
 		this.#states.setCollected(new Set(others.map(({id}) => id).filter(id => !members.has(id))));
@@ -285,7 +285,7 @@
 		this.#summarySequences.set(source, {bootId: summary.bootId, sequence: summary.sequence});
 		const now = timer.now();
 		for (const {serverId, load} of summary.loads) {
-			loads.setPeerLoad(formatDomainLoadKey(summary.failureDomain), serverId, load, now);
+			loads.setDomainLoad(summary.failureDomain, serverId, load, now);
 		}
 
 		for (const {ageMs, ...state} of summary.entries) {
@@ -420,9 +420,6 @@
 	}
 }
 
-/** Key of the loads of another failure domain in the load table; cannot equal the id of an entry, which contains no slash. */
-const formatDomainLoadKey = (failureDomain: string): string => `domain/${failureDomain}`;
-
 /** Splits a list into parts of one datagram each. An empty list is one empty part, because its datagram is still a heartbeat. */
 const splitList = <Item>(items: readonly Item[]): Item[][] => {
 	const parts: Item[][] = [];
--- a/packages/relay/src/peers/report-topology.test.ts
+++ b/packages/relay/src/peers/report-topology.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import {
-	directEntryLimit, hasSummaries, selectTopology, type PlacedEntry,
+	directEntryLimit, listSummaryDomains, selectTopology, type PlacedEntry,
 } from './report-topology.js';
 
 const buildEntries = (perDomain: number, domains: readonly string[]): PlacedEntry[] =>
@@ -15,12 +15,13 @@
 		expect(selectTopology(self!, others, isRunning)).to.deep.equal({memberIds: others.map(({id}) => id), collectorIds: [], isCollector: false});
 	});
 
-	// Guards against another placement of requests in fleets whose reports are direct.
-	it('has summaries only in a large fleet with several failure domains', () => {
-		const hasThem = ([self, ...others]: PlacedEntry[]): boolean => hasSummaries(self!, others);
-		expect(hasThem(buildEntries(4, ['east', 'north', 'west']))).to.equal(false);
-		expect(hasThem(buildEntries(5, ['east', 'north', 'west']))).to.equal(true);
-		expect(hasThem(buildEntries(15, ['east']))).to.equal(false);
+	// Guards against another placement of requests in fleets whose reports are direct, and against servers kept for a domain that is gone.
+	it('lists the failure domains only of a large fleet with several of them', () => {
+		const list = ([self, ...others]: PlacedEntry[], isUp: (id: string) => boolean = isRunning): string[] => listSummaryDomains(self!, others, isUp);
+		expect(list(buildEntries(4, ['east', 'north', 'west']))).to.deep.equal([]);
+		expect(list(buildEntries(15, ['east']))).to.deep.equal([]);
+		expect(list(buildEntries(5, ['west', 'north', 'east']))).to.deep.equal(['east', 'north', 'west']);
+		expect(list(buildEntries(5, ['west', 'north', 'east']), id => !id.startsWith('north'))).to.deep.equal(['east', 'west']);
 	});
 
 	describe('large fleet', () => {
--- a/packages/relay/src/peers/report-topology.ts
+++ b/packages/relay/src/peers/report-topology.ts
@@ -17,9 +17,15 @@
 	isCollector: boolean;
 };
 
-/** True when the load of other failure domains reaches an entry in summaries, so that its figures are aged. */
-export const hasSummaries = (self: PlacedEntry, others: readonly PlacedEntry[]): boolean =>
-	others.length >= directEntryLimit && others.some(({failureDomain}) => failureDomain !== self.failureDomain);
+/**
+ * Sorted failure domains with running entries, including this entry's, in a fleet whose loads come in summaries; empty in a fleet
+ * whose entries report to each other directly.
+ */
+export const listSummaryDomains = (self: PlacedEntry, others: readonly PlacedEntry[], isRunning: (id: string) => boolean): string[] => {
+	const isDirect = others.length < directEntryLimit || others.every(({failureDomain}) => failureDomain === self.failureDomain);
+	const running = others.filter(({id}) => isRunning(id));
+	return isDirect ? [] : [...new Set([self, ...running].map(({failureDomain}) => failureDomain))].toSorted();
+};
 
 /**
  * Selects the recipients of an entry's reports. In a large fleet, the entries of a failure domain send reports to each other directly.
--- a/packages/relay/src/placement/placement-task.ts
+++ b/packages/relay/src/placement/placement-task.ts
@@ -1,9 +1,10 @@
 import {
-	ColdArrivalGate, computePromptValue, healthSignals, LoadTable, selectPlacement, ServerHealth,
-	type EngineProfile, type PlacementCandidate, type PlacementDecision, type PromptDemand, type HealthSignal, type ServerWork, type Service,
+	BalanceWindow, ColdArrivalGate, computePromptValue, computeRequestShare, healthSignals, LoadTable, selectPlacement, ServerHealth, spreadCandidates,
+	type EngineProfile, type ListedCandidate, type PlacementCandidate, type PlacementDecision, type PromptDemand, type HealthSignal, type ServerWork, type Service,
 } from '@knapweedrack/core';
 import type {TimerService} from '@knapweedrack/entry/contracts';
 import type {ReservedPart} from '../exchange/memory-reservation.js';
+import type {RelayMetrics} from '../metrics/relay-metrics.js';
 import type {ServerLimitTask} from '../server-limits/server-limit-task.js';
 import type {ServerNoticeTask} from '../server-notices/server-notice-task.js';
 import type {StoreStateTask, KnownServer} from '../store-state/store-state-task.js';
@@ -57,8 +58,9 @@
 	random: () => number;
 	/** Number of entries that may be running, including this one. */
 	countEntries: () => number;
-	/** True while the load figures of other failure domains come in summaries. */
-	hasAgedLoads: () => boolean;
+	metrics: Pick<RelayMetrics, 'addServiceGauge' | 'countCollision' | 'recordLoadAge'>;
+	/** Sorted failure domains with running entries while their loads come in summaries; empty while reports are direct. */
+	listSummaryDomains: () => readonly string[];
 	/** Called when the load that this entry puts on a backend server has changed. */
 	notifyLoad: (serverId: string) => void;
 };
@@ -69,24 +71,29 @@
 	readonly #options: PlacementOptions;
 	readonly #health = new ServerHealth();
 	readonly #coldArrivals = new ColdArrivalGate();
+	/** Requests that this entry has sent, by service. */
+	readonly #windows = new Map<string, BalanceWindow>();
 
 	constructor(options: PlacementOptions) {
 		this.#options = options;
+		options.metrics.addServiceGauge('busiest_to_mean', () => this.#listBusiestToMean());
 	}
 
 	/** Selects backend servers for a request; returns `wait` when one may accept it soon, undefined when none can. */
 	place(service: Service, demand: PlacementDemand, excluded: ReadonlySet<string>): PlacedRequest | 'wait' | undefined {
 		const {storeState, timer, serverLimits, serverNotices} = this.#options;
 		const now = timer.now();
-		const usable = storeState.listUsableServers(service.name);
+		const isAged = this.#options.listSummaryDomains().length > 0;
+		const listed = storeState.listUsableServers(service.name);
+		const usable = isAged ? sortServers(listed) : listed;
 		const open = usable.filter(server => !excluded.has(server.id) && this.#isColdRequestAllowed(service, server, now)
 			&& serverLimits.hasRoom(server) && serverNotices.getHold(server) === undefined);
 		// A request that one server has turned away does not try another one that may do so, too.
 		const confirmed = excluded.size === 0 ? open : open.filter(server => !serverNotices.isUnconfirmed(server));
 		const servers = confirmed.length === 0 ? open : confirmed;
 		const placed = service.engine === undefined
-			? this.#placePlain(servers, now)
-			: this.#placePrompt(service.engine, servers, demand, now);
+			? this.#placePlain(servers, now, isAged)
+			: this.#placePrompt(service.engine, {listed: usable, servers}, demand, now);
 		if (placed !== undefined && placed !== 'wait' && isCold(service, placed.server, now)) {
 			this.#coldArrivals.tryConsume(placed.server.id, now, this.#getColdBound(service));
 		}
@@ -94,6 +101,7 @@
 		if (placed !== undefined && placed !== 'wait') {
 			serverLimits.consume(placed.server);
 			serverNotices.recordSent(placed.server);
+			this.#recordChoice(service.name, placed.server.id, now);
 		}
 
 		return placed;
@@ -120,6 +128,9 @@
 	/** Records the outcome of an attempt for the health of its backend server. */
 	recordSignal(serverId: string, signal: HealthSignal): void {
 		this.#health.record(serverId, signal, this.#options.timer.now());
+		if (signal === healthSignals.busy) {
+			this.#countCollision(serverId);
+		}
 	}
 
 	/** Records that a backend server is silent now; called repeatedly, it keeps the server paused while the silence lasts. */
@@ -140,13 +151,40 @@
 		this.#coldArrivals.retain(serverIds);
 	}
 
-	#placePlain(servers: readonly KnownServer[], now: number): PlacedRequest | undefined {
+	#recordChoice(service: string, serverId: string, now: number): void {
+		const window = this.#windows.get(service) ?? new BalanceWindow();
+		window.record(serverId, now);
+		this.#windows.set(service, window);
+		const {ageMs} = this.loads.computeDomainRequests(serverId, now);
+		if (ageMs !== undefined) {
+			this.#options.metrics.recordLoadAge(service, ageMs);
+		}
+	}
+
+	#listBusiestToMean(): Array<[service: string, value: number]> {
+		const {storeState, timer} = this.#options;
+		return [...this.#windows].map(([service, window]) =>
+			[service, window.computeBusiestToMean(storeState.listUsableServers(service).map(({id}) => id), timer.now())]);
+	}
+
+	#countCollision(serverId: string): void {
+		const {storeState, timer, metrics} = this.#options;
+		const service = storeState.findServer(serverId)?.service;
+		const others = service === undefined ? [] : storeState.listUsableServers(service).filter(({id}) => id !== serverId);
+		if (others.some(({id, slots}) => this.loads.computeLoad(id, timer.now()).requests < slots)) {
+			metrics.countCollision(service!);
+		}
+	}
+
+	/** Selects the least loaded server. Where figures are aged, servers that differ by less than one request are used alternately. */
+	#placePlain(servers: readonly KnownServer[], now: number, isAged: boolean): PlacedRequest | undefined {
 		const [best] = servers
 			.map(server => {
 				const {requests} = this.loads.computeLoad(server.id, now);
-				return {server, costMs: ((requests + 1) / server.slots * plainWorkMs) + this.#computePenaltyMs(server, now)};
+				const costMs = ((requests + 1) / server.slots * plainWorkMs) + this.#computePenaltyMs(server, now);
+				return {server, costMs, rankMs: costMs + (isAged ? this.#options.random() * plainWorkMs / server.slots : 0)};
 			})
-			.toSorted((a, b) => a.costMs - b.costMs);
+			.toSorted((a, b) => a.rankMs - b.rankMs);
 		if (best === undefined) {
 			return undefined;
 		}
@@ -160,20 +198,21 @@
 		}, [[best.server.id, work]]);
 	}
 
-	#placePrompt(profile: EngineProfile, servers: readonly KnownServer[], demand: PlacementDemand, now: number): PlacedRequest | 'wait' | undefined {
-		const {random, hasAgedLoads} = this.#options;
+	#placePrompt(
+		profile: EngineProfile,
+		{listed, servers}: {listed: readonly KnownServer[]; servers: readonly KnownServer[]},
+		demand: PlacementDemand,
+		now: number,
+	): PlacedRequest | 'wait' | undefined {
 		const byId = new Map(servers.map(server => [server.id, server]));
-		const isSpread = hasAgedLoads();
-		const candidates = sortServers(servers).map((server): PlacementCandidate => {
-			const orderShift = random();
-			return {
-				id: server.id,
-				load: this.loads.computeLoad(server.id, now),
-				penaltyMs: this.#computePenaltyMs(server, now),
-				orderShift,
-				spreadOrder: isSpread ? orderShift : undefined,
-			};
-		});
+		const listIndexes = new Map(listed.map(({id}, index) => [id, index]));
+		const candidates = this.#spread(profile, sortServers(servers).map((server): ListedCandidate => ({
+			id: server.id,
+			load: this.loads.computeLoad(server.id, now),
+			penaltyMs: this.#computePenaltyMs(server, now),
+			orderShift: this.#options.random(),
+			listIndex: listIndexes.get(server.id)!,
+		})), now);
 		const decision = this.#selectPlacement(profile, candidates, {servers: byId, demand});
 		if (decision.type !== 'place') {
 			return decision.type === 'wait' ? 'wait' : undefined;
@@ -217,6 +256,25 @@
 		);
 	}
 
+	/** Prepares candidates for figures that are aged; returns them unchanged while reports are direct. */
+	#spread(profile: EngineProfile, candidates: readonly ListedCandidate[], now: number): readonly PlacementCandidate[] {
+		const {listSummaryDomains, failureDomain, random} = this.#options;
+		const domains = listSummaryDomains();
+		if (domains.length === 0) {
+			return candidates;
+		}
+
+		let requests = 0;
+		let agedRequests = 0;
+		for (const {id, load} of candidates) {
+			requests += load.requests;
+			agedRequests += this.loads.computeDomainRequests(id, now).requests;
+		}
+
+		const requestShare = computeRequestShare(domains.length, {requests, agedRequests});
+		return spreadCandidates(profile, candidates, {place: {index: domains.indexOf(failureDomain), count: domains.length, requestShare}, random});
+	}
+
 	/** Selects a placement whose helpers name no limit: a part of a prompt loads a server like a request, but is not counted by it as one. */
 	#selectPlacement(profile: EngineProfile, candidates: readonly PlacementCandidate[], {servers, demand}: {servers: ReadonlyMap<string, KnownServer>; demand: PlacementDemand}): PlacementDecision {
 		const isLimited = (id: string): boolean => this.#options.serverLimits.isLimited(servers.get(id)!);
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -190,7 +190,7 @@
 		this.#placement = new PlacementTask({
 			serverLimits: this.#serverLimits, serverNotices: this.#serverNotices,
 			storeState: this.#storeState, timer, failureDomain: settings.failureDomain, random: Math.random, countEntries: () => this.#countEntries(),
-			hasAgedLoads: () => this.#peers.hasAgedLoads,
+			metrics, listSummaryDomains: () => this.#peers.summaryDomains,
 			notifyLoad: serverId => {
 				this.#peers.notifyLoad(serverId);
 			},
