Bound the share of a server that aged figures show as idle

Cause: the preference for the earliest first token sent most requests of a domain to a server that old figures show as idle. Change: with aged figures, predictions below the time from which a first token may be late count as equal; penalties still count. Result: balance and placement tests pass.

--- a/packages/core/src/placement/placement-plan.ts
+++ b/packages/core/src/placement/placement-plan.ts
@@ -1,6 +1,6 @@
 import type {EngineProfile} from '../engine-model/engine-profile.js';
 import {
-	computeLateRisk, computeStreamLoss, computePromptLoss, lateLossShare,
+	computeLateRisk, computeStreamLoss, computePromptLoss, lateLossShare, lateRiskRange,
 } from './lateness.js';
 import {
 	computePromptValue, type HelperReservation, type Placement, type PlacementCandidate, type PromptDemand,
@@ -45,7 +45,12 @@
 			? candidate.spreadOrder ?? (index / candidates.length)
 			: ((candidates.length - 1 - index) / candidates.length) + candidate.orderShift;
 		const lateRisk = computeLateRisk(endMs, demand.targetMs) * lateLossShare;
-		const preference = (position * orderWeight) + ((endMs / demand.targetMs) * firstTokenWeight);
+		// Aged figures do not tell which of several engines that are on time is the fastest; a preference for the one that seems idle
+		// would send the requests of all entries there.
+		const comparedMs = demand.isShort && candidate.spreadOrder !== undefined
+			? Math.max(endMs - candidate.penaltyMs, lateRiskRange.from * demand.targetMs) + candidate.penaltyMs
+			: endMs;
+		const preference = (position * orderWeight) + ((comparedMs / demand.targetMs) * firstTokenWeight);
 		return {
 			candidate, endMs, lostValue, cost: lostValue + (value * (lateRisk + preference) / parts),
 		};
--- /dev/null
+++ b/packages/testkit/src/balance/index.ts
@@ -0,0 +1,3 @@
+export * from './balance-run.js';
+export * from './choices.js';
+export * from './compare-choices.js';
