Merge even load: home servers for each failure domain

Cause: entries of several failure domains chose the same first servers from the same old summaries. Change: where loads come in summaries, each domain prefers its own home servers and spreads short prompts in random order; fleets with direct reports keep their decisions.

--- a/packages/relay/src/peers/report-topology.test.ts
+++ b/packages/relay/src/peers/report-topology.test.ts
@@ -1,5 +1,7 @@
 import {expect} from 'chai';
-import {directEntryLimit, selectTopology, type PlacedEntry} from './report-topology.js';
+import {
+	directEntryLimit, listSummaryDomains, selectTopology, type PlacedEntry,
+} from './report-topology.js';
 
 const buildEntries = (perDomain: number, domains: readonly string[]): PlacedEntry[] =>
 	domains.flatMap(failureDomain => Array.from({length: perDomain}, (_, index) => ({id: `${failureDomain}-${index + 10}`, failureDomain})));
@@ -13,6 +15,15 @@
 		expect(selectTopology(self!, others, isRunning)).to.deep.equal({memberIds: others.map(({id}) => id), collectorIds: [], isCollector: false});
 	});
 
+	// Guards against another placement of requests in fleets whose reports are direct, and against servers kept for a domain that is gone.
+	it('lists the failure domains only of a large fleet with several of them', () => {
+		const list = ([self, ...others]: PlacedEntry[], isUp: (id: string) => boolean = isRunning): string[] => listSummaryDomains(self!, others, isUp);
+		expect(list(buildEntries(4, ['east', 'north', 'west']))).to.deep.equal([]);
+		expect(list(buildEntries(15, ['east']))).to.deep.equal([]);
+		expect(list(buildEntries(5, ['west', 'north', 'east']))).to.deep.equal(['east', 'north', 'west']);
+		expect(list(buildEntries(5, ['west', 'north', 'east']), id => !id.startsWith('north'))).to.deep.equal(['east', 'west']);
+	});
+
 	describe('large fleet', () => {
 		const entries = buildEntries(29, ['east', 'north', 'west']);
 		const select = (id: string, isUp: (id: string) => boolean = isRunning) =>
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -191,6 +191,7 @@
 			serverLimits: this.#serverLimits, serverNotices: this.#serverNotices,
 			storeState: this.#storeState, timer, entryId: settings.entryId, failureDomain: settings.failureDomain, random: Math.random,
 			listEntryIds: () => this.#storeState.entryIds,
+			metrics, listSummaryDomains: () => this.#peers.summaryDomains,
 			notifyLoad: serverId => {
 				this.#peers.notifyLoad(serverId);
 			},
