--- a/packages/core/src/balance/balance-window.ts
+++ b/packages/core/src/balance/balance-window.ts
@@ -1,32 +1,30 @@
 /** Window over which the balance of a service is computed, in ms. */
 const windowMs = 10_000;
-const partMs = 1000;
+const sampleIntervalMs = 1000;
 
-type Part = {startedAt: number; sent: Map<string, number>};
+type Sample = {takenAt: number; requests: ReadonlyMap<string, number>};
 
-/** Counts the requests that this entry sent to each backend server of a service over the last 10 s. */
+/** Samples of the open requests of all entries on the backend servers of a service, one a second over the last 10 s. */
 export class BalanceWindow {
-	#parts: Part[] = [];
+	#samples: Sample[] = [];
 
-	/** Records a request to a backend server. */
-	record(serverId: string, now: number): void {
-		let part = this.#parts.at(-1);
-		if (part === undefined || now - part.startedAt >= partMs) {
-			part = {startedAt: now, sent: new Map()};
-			this.#parts = [...this.#parts.filter(({startedAt}) => now - startedAt < windowMs), part];
-		}
+	/** True when the last sample is at least one second old. */
+	isDue(now: number): boolean {
+		const last = this.#samples.at(-1);
+		return last === undefined || now - last.takenAt >= sampleIntervalMs;
+	}
 
-		part.sent.set(serverId, (part.sent.get(serverId) ?? 0) + 1);
+	/** Records the known open requests by backend server. */
+	record(requests: ReadonlyMap<string, number>, now: number): void {
+		this.#samples = [...this.#listRecent(now), {takenAt: now, requests}];
 	}
 
-	/** Requests to the busiest of the given backend servers as a multiple of the mean; 0 without requests. */
-	computeBusiestToMean(serverIds: readonly string[], now: number): number {
-		const sums = new Map(serverIds.map(id => [id, 0]));
-		for (const {sent} of this.#parts.filter(({startedAt}) => now - startedAt < windowMs)) {
-			for (const [id, count] of sent) {
-				if (sums.has(id)) {
-					sums.set(id, sums.get(id)! + count);
-				}
+	/** Open requests of the busiest backend server as a multiple of the mean, both over the window; 0 without requests. */
+	computeBusiestToMean(now: number): number {
+		const sums = new Map<string, number>();
+		for (const {requests} of this.#listRecent(now)) {
+			for (const [id, count] of requests) {
+				sums.set(id, (sums.get(id) ?? 0) + count);
 			}
 		}
 
@@ -34,4 +32,8 @@
 		const total = counts.reduce((sum, count) => sum + count, 0);
 		return total === 0 ? 0 : Math.max(...counts) * counts.length / total;
 	}
+
+	#listRecent(now: number): Sample[] {
+		return this.#samples.filter(({takenAt}) => now - takenAt < windowMs);
+	}
 }
--- a/packages/relay/src/placement/placement-task.ts
+++ b/packages/relay/src/placement/placement-task.ts
@@ -71,7 +71,7 @@
 	readonly #options: PlacementOptions;
 	readonly #health = new ServerHealth();
 	readonly #coldArrivals = new ColdArrivalGate();
-	/** Requests that this entry has sent, by service. */
+	/** Samples of the load of all entries, by service. */
 	readonly #windows = new Map<string, BalanceWindow>();
 
 	constructor(options: PlacementOptions) {
@@ -153,8 +153,12 @@
 
 	#recordChoice(service: string, serverId: string, now: number): void {
 		const window = this.#windows.get(service) ?? new BalanceWindow();
-		window.record(serverId, now);
 		this.#windows.set(service, window);
+		if (window.isDue(now)) {
+			const servers = this.#options.storeState.listUsableServers(service);
+			window.record(new Map(servers.map(({id}) => [id, this.loads.computeLoad(id, now).requests])), now);
+		}
+
 		const {ageMs} = this.loads.computeDomainRequests(serverId, now);
 		if (ageMs !== undefined) {
 			this.#options.metrics.recordLoadAge(service, ageMs);
@@ -162,9 +166,8 @@
 	}
 
 	#listBusiestToMean(): Array<[service: string, value: number]> {
-		const {storeState, timer} = this.#options;
-		return [...this.#windows].map(([service, window]) =>
-			[service, window.computeBusiestToMean(storeState.listUsableServers(service).map(({id}) => id), timer.now())]);
+		const now = this.#options.timer.now();
+		return [...this.#windows].map(([service, window]) => [service, window.computeBusiestToMean(now)]);
 	}
 
 	#countCollision(serverId: string): void {
