Bound the home share also where the servers do not divide evenly

Cause: with five servers and three failure domains, the one domain with a single home server sent it a third of all requests, 1.67 times an equal share, before the limit of 1.25 applied. Change: the limit compares the share of the requests to the share of the servers that are home servers. Result: balance, placement, placement task and scenario tests pass; nothing changes where the number of servers is a multiple of the number of domains.

--- a/packages/core/src/balance/balance.test.ts
+++ b/packages/core/src/balance/balance.test.ts
@@ -5,7 +5,7 @@
 import {noLoad} from '../placement/server-load.js';
 import {BalanceWindow} from './balance-window.js';
 import {
-	computeHomeProbability, computeRequestShare, rankDomain, spreadCandidates, type ListedCandidate,
+	computeHomeProbability, computeRequestShare, rankDomain, spreadCandidates, type DomainPlace, type ListedCandidate,
 } from './spread-candidates.js';
 
 const profile: EngineProfile = {
@@ -34,6 +34,9 @@
 
 const listRanks = (listIndex: number, count: number): number[] => Array.from({length: count}, (_, index) => rankDomain(listIndex, {index, count}));
 
+const countHomeServers = (place: DomainPlace): number =>
+	Array.from({length: place.servers}, (_, listIndex) => rankDomain(listIndex, place)).filter(rank => rank === 0).length;
+
 describe('balance', () => {
 	describe('home servers', () => {
 		// Guards against a server that two domains fill to its last slot from figures that do not show each other's requests.
@@ -47,10 +50,14 @@
 
 		// Guards against a busy failure domain that overloads its home servers while those of the others are idle.
 		it('sends at most 1.25 times an equal share to home servers by preference', () => {
-			fc.assert(fc.property(fc.integer({min: 2, max: 12}), fc.double({min: 0, max: 1, noNaN: true}), (count, requestShare) => {
-				const probability = computeHomeProbability({index: 0, count, requestShare});
+			const places = fc.record({
+				index: fc.nat(11), count: fc.constant(12), servers: fc.integer({min: 1, max: 100}), requestShare: fc.double({min: 0, max: 1, noNaN: true}),
+			});
+			fc.assert(fc.property(places, place => {
+				const probability = computeHomeProbability(place);
+				const homeServers = countHomeServers(place);
 				expect(probability).to.be.within(0, 1);
-				expect(probability * requestShare * count).to.be.at.most(1.2501);
+				expect(probability * place.requestShare).to.be.at.most((1.25 * homeServers / place.servers) + 0.0001);
 			}), {seed: 1, numRuns: 200});
 			expect(computeRequestShare(4, {requests: 0, agedRequests: 0})).to.equal(0.25);
 			expect(computeRequestShare(4, {requests: 10, agedRequests: 4})).to.equal(0.6);
@@ -59,7 +66,11 @@
 		// Guards against engines with few slots of which some domains never use the only one.
 		it('spares no slots on engines with fewer than four', () => {
 			for (const slots of [1, 2, 3]) {
-				const spread = spreadCandidates({...profile, slots}, buildCandidates([0, 0, 0], () => 0.5), {place: {index: 0, count: 3, requestShare: 0.3}, random: () => 0});
+				const spread = spreadCandidates({...profile, slots}, buildCandidates([0, 0, 0], () => 0.5), {
+					place: {
+						index: 0, count: 3, requestShare: 0.3, servers: 3,
+					}, random: () => 0,
+				});
 				expect(spread.map(({sparedSlots}) => sparedSlots)).to.deep.equal([0, 0, 0]);
 			}
 		});
@@ -68,7 +79,11 @@
 		it('uses spared slots when no other slot is free', () => {
 			const candidates = buildCandidates([8, 7, 8], () => 0.5);
 			for (const index of [0, 1, 2]) {
-				const spread = spreadCandidates(profile, candidates, {place: {index, count: 3, requestShare: 0.3}, random: () => 0});
+				const spread = spreadCandidates(profile, candidates, {
+					place: {
+						index, count: 3, requestShare: 0.3, servers: 3,
+					}, random: () => 0,
+				});
 				expect(selectPlacement(profile, spread, shortPrompt)).to.have.nested.property('placement.serverId', 's1');
 			}
 		});
@@ -84,7 +99,9 @@
 				const sums = new Map<string, number>();
 				const draws = 150;
 				for (const [index, requests] of loads.entries()) {
-					const place = {index, count: 3, requestShare: weights[index]! / total};
+					const place = {
+						index, count: 3, requestShare: weights[index]! / total, servers: 24,
+					};
 					for (let draw = 0; draw < draws; draw++) {
 						const decision = selectPlacement(profile, spreadCandidates(profile, buildCandidates(requests, random), {place, random}), shortPrompt);
 						const id = decision.type === 'place' ? decision.placement.serverId : '';
--- a/packages/core/src/balance/spread-candidates.ts
+++ b/packages/core/src/balance/spread-candidates.ts
@@ -21,6 +21,8 @@
 	count: number;
 	/** Share of all known requests that the entries of this domain have sent. */
 	requestShare: number;
+	/** Number of servers of the service, also those that are no candidates. */
+	servers: number;
 };
 
 /** A candidate with its place in the list of all servers of the service, which is the same on all entries. */
@@ -53,8 +55,11 @@
 };
 
 /** Probability that a request prefers the home servers of its domain, so that these get at most `homeShareLimit` times an equal share. */
-export const computeHomeProbability = ({count, requestShare}: DomainPlace): number =>
-	requestShare * count <= homeShareLimit ? 1 : homeShareLimit / (requestShare * count);
+export const computeHomeProbability = ({index, count, servers, requestShare}: DomainPlace): number => {
+	const homeServers = Math.ceil(Math.max(0, servers - index) / count);
+	const limit = homeShareLimit * homeServers / servers;
+	return requestShare <= limit ? 1 : limit / requestShare;
+};
 
 /** Number of failure domains that go before one on a server; 0 on its home servers. */
 export const rankDomain = (listIndex: number, {index, count}: Pick<DomainPlace, 'index' | 'count'>): number =>
--- a/packages/relay/src/placement/placement-task.ts
+++ b/packages/relay/src/placement/placement-task.ts
@@ -213,7 +213,7 @@
 	): PlacedRequest | 'wait' | undefined {
 		const byId = new Map(servers.map(server => [server.id, server]));
 		const listIndexes = new Map(listed.map(({id}, index) => [id, index]));
-		const candidates = this.#spread({service, profile}, sortServers(servers).map((server): ListedCandidate => ({
+		const candidates = this.#spread({service, profile, listed}, sortServers(servers).map((server): ListedCandidate => ({
 			id: server.id,
 			load: this.loads.computeLoad(server.id, now),
 			penaltyMs: this.#computePenaltyMs(server, now),
@@ -264,7 +264,11 @@
 	}
 
 	/** Prepares candidates for figures that are aged; returns them unchanged while reports are direct. */
-	#spread({service, profile}: {service: string; profile: EngineProfile}, candidates: readonly ListedCandidate[], now: number): readonly PlacementCandidate[] {
+	#spread(
+		{service, profile, listed}: {service: string; profile: EngineProfile; listed: readonly KnownServer[]},
+		candidates: readonly ListedCandidate[],
+		now: number,
+	): readonly PlacementCandidate[] {
 		const {listSummaryDomains, failureDomain, random} = this.#options;
 		const domains = listSummaryDomains();
 		if (domains.length === 0) {
@@ -276,7 +280,10 @@
 			? known
 			: {value: this.#computeRequestShare(candidates, domains.length, now), computedAt: now};
 		this.#requestShares.set(service, share);
-		return spreadCandidates(profile, candidates, {place: {index: domains.indexOf(failureDomain), count: domains.length, requestShare: share.value}, random});
+		const place = {
+			index: domains.indexOf(failureDomain), count: domains.length, requestShare: share.value, servers: listed.length,
+		};
+		return spreadCandidates(profile, candidates, {place, random});
 	}
 
 	#computeRequestShare(candidates: readonly PlacementCandidate[], domains: number, now: number): number {
--- a/packages/testkit/src/balance/choices.ts
+++ b/packages/testkit/src/balance/choices.ts
@@ -59,7 +59,9 @@
 const spread: PrepareCandidates = ({candidates, domain, domains, profile, random, getAged}) => {
 	const requests = candidates.reduce((sum, {load}) => sum + load.requests, 0);
 	const agedRequests = candidates.reduce((sum, {id}) => sum + getAged(id).requests, 0);
-	const place = {index: domain, count: domains, requestShare: computeRequestShare(domains, {requests, agedRequests})};
+	const place = {
+		index: domain, count: domains, requestShare: computeRequestShare(domains, {requests, agedRequests}), servers: candidates.length,
+	};
 	const listed = candidates.map(candidate => ({...candidate, listIndex: Number(candidate.id.slice(1))}));
 	return spreadCandidates(profile, listed, {place, random});
 };
