Queue waiting requests by urgency where a service has several

Cause: each waiting request polled placement every 20 ms for itself, so that the request whose timer fired first took a freed slot, whatever its priority, and X-Request-Urgency was never set.

Change: a queue per entry and service decides which request is tried next, for services whose requests can have more than one urgency by the configuration; load reports and summaries name what waits at other entries, and less urgent requests leave it room for a bounded time; requests that would pass their deadline in the queue are refused with a retry delay from its drain rate; backend servers get the urgency. All other services keep the poll.

--- a/packages/core/src/fairness/binary-heap.ts
+++ b/packages/core/src/fairness/binary-heap.ts
@@ -17,6 +17,11 @@
 		return this.#items[0];
 	}
 
+	/** Copies the items, smallest first. */
+	toSorted(): Item[] {
+		return this.#items.toSorted(this.#compare);
+	}
+
 	/** Inserts an item in logarithmic time. */
 	add(item: Item): void {
 		this.#items.push(item);
--- a/packages/core/src/fairness/fair-queue.ts
+++ b/packages/core/src/fairness/fair-queue.ts
@@ -88,6 +88,48 @@
 		return entry;
 	}
 
+	/** Lists the entries in the order in which they would be served, without changing the queue. */
+	* list(): Generator<FairQueueEntry<Value>> {
+		const flows = [...this.#flows.values()].filter(({entries}) => entries.size > 0)
+			.map(({entries, startTag}) => ({rest: entries.toSorted(), startTag}));
+		while (flows.length > 0) {
+			let first = 0;
+			for (const [index, flow] of flows.entries()) {
+				if (flow.startTag < flows[first]!.startTag) {
+					first = index;
+				}
+			}
+
+			const flow = flows[first]!;
+			const entry = flow.rest.shift()!;
+			if (flow.rest.length === 0) {
+				flows.splice(first, 1);
+			}
+
+			flow.startTag += entry.cost / entry.weight;
+			yield entry;
+		}
+	}
+
+	/** Removes an entry and charges its cost to its workspace, also when it is not the first one; false when it is absent. */
+	serve(entry: FairQueueEntry<Value>): boolean {
+		const flow = this.#flows.get(entry.workspaceId);
+		if (!flow?.entries.remove(entry)) {
+			return false;
+		}
+
+		// The heap of flows is ordered by their tags, so that a flow leaves it while its tag changes.
+		this.#active.remove(flow);
+		this.#virtualTime = Math.max(this.#virtualTime, flow.startTag);
+		flow.startTag += entry.cost / entry.weight;
+		this.#updateAfterRemoval(flow, entry);
+		if (flow.entries.size > 0) {
+			this.#active.add(flow);
+		}
+
+		return true;
+	}
+
 	/** Removes an entry without charging its workspace; false when it is absent. */
 	remove(entry: FairQueueEntry<Value>): boolean {
 		const flow = this.#flows.get(entry.workspaceId);
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -26,4 +26,5 @@
 export * from './streams/index.js';
 export * from './traffic/index.js';
 export * from './types/index.js';
+export * from './waiting/index.js';
 export * from './warmup/index.js';
--- a/packages/relay/src/front/admitted-request.ts
+++ b/packages/relay/src/front/admitted-request.ts
@@ -12,6 +12,8 @@
 	route: Route;
 	service: Service;
 	workspace: string | undefined;
+	/** 0 to 9, 0 is the first; undefined on a service whose requests all have the same urgency. */
+	urgency: number | undefined;
 	/** Fingerprints of the content and of the parts of its prompt that other requests may share. */
 	fingerprints: string[];
 	writer: AnswerWriter;
--- a/packages/relay/src/front/attempt-options.ts
+++ b/packages/relay/src/front/attempt-options.ts
@@ -24,6 +24,8 @@
 	service: Service;
 	placed: PlacedRequest;
 	workspace: string | undefined;
+	/** 0 to 9, 0 is the first; undefined selects the backend server's default. */
+	urgency: number | undefined;
 	/** Reservation id by the id of the helper that holds the memory. */
 	reservations: ReadonlyMap<string, string>;
 	remainingMs: number;
--- a/packages/relay/src/front/compute-retry-delay.test.ts
+++ b/packages/relay/src/front/compute-retry-delay.test.ts
@@ -2,7 +2,7 @@
 import {computeRetryDelayMs, type RefusedRequest} from './compute-retry-delay.js';
 
 const refused: RefusedRequest = {
-	reason: 'noServer', isQuarantined: false, backoffMs: undefined, targetMs: 300, callerLeftMs: 9000, random: 0,
+	reason: 'noServer', queue: undefined, isQuarantined: false, backoffMs: undefined, targetMs: 300, callerLeftMs: 9000, random: 0,
 };
 
 describe('computeRetryDelayMs', () => {
--- a/packages/relay/src/front/compute-retry-delay.ts
+++ b/packages/relay/src/front/compute-retry-delay.ts
@@ -1,3 +1,4 @@
+import {computeWaitingRetryDelayMs} from '@knapweedrack/core';
 import type {AnswerReason} from './answer-reasons.js';
 
 /** Range from which the retry delay of a caller is drawn when no better estimate exists, in ms. */
@@ -9,9 +10,14 @@
 /** Maximum retry delay as a share of the caller's remaining time; callers ignore a longer one. */
 const retryAfterShare = 1 / 3;
 
+/** Reasons of refusals after which the drain of the queue decides when a caller should return. */
+const queueReasons = new Set<AnswerReason>(['overloaded', 'hopeless']);
+
 /** What decides when a refused caller should come back. */
 export type RefusedRequest = {
 	reason: AnswerReason;
+	/** Queue that the request waited in; undefined on a service without one. `drainMs` is undefined while unknown. */
+	queue: {urgency: number; drainMs: number | undefined} | undefined;
 	/** True when the content is refused until its record expires. */
 	isQuarantined: boolean;
 	/** Time until the first backend server accepts requests again, in ms; undefined unless all of them are backing off. */
@@ -29,11 +35,17 @@
  * slots and engines become free in about that time; quarantined content is refused again whenever it returns. While all backend servers
  * back off, an earlier return would be refused again, so that the delay is not limited by the caller's time.
  */
-export const computeRetryDelayMs = ({reason, isQuarantined, backoffMs, targetMs, callerLeftMs, random}: RefusedRequest): number => {
+export const computeRetryDelayMs = ({reason, queue, isQuarantined, backoffMs, targetMs, callerLeftMs, random}: RefusedRequest): number => {
 	if (backoffMs !== undefined) {
 		return backoffMs + (random * backoffSpreadMs);
 	}
 
+	if (queue !== undefined && queueReasons.has(reason)) {
+		return computeWaitingRetryDelayMs({
+			...queue, targetMs, callerLeftMs, random,
+		});
+	}
+
 	const {least, most} = retryAfterRangeMs;
 	const overloadMs = reason === 'overloaded' ? targetMs : 0;
 	const quarantineMs = reason === 'quarantined' && isQuarantined ? quarantinedRetryAfterMs : 0;
--- a/packages/relay/src/front/prepare-attempt.ts
+++ b/packages/relay/src/front/prepare-attempt.ts
@@ -1,6 +1,7 @@
 import {waitFor} from '@knapweedrack/entry/timer-service';
 import {reserveMemory, type MemoryReservation} from '../exchange/memory-reservation.js';
 import type {PlacedRequest, PlacementDemand} from '../placement/placement-task.js';
+import type {WaitingEnd} from '../waiting/waiting-task.js';
 import type {AdmittedRequest} from './admitted-request.js';
 import type {RelayServices} from './relay-services.js';
 import {isPlacementUsable} from './server-availability.js';
@@ -25,7 +26,9 @@
 	/** The content must not run. */
 	| {type: 'content_refused'}
 	/** No backend server can take the request. */
-	| {type: 'unplaced'};
+	| {type: 'unplaced'}
+	/** The request would pass its deadline in the queue of its service. */
+	| {type: 'hopeless'};
 
 /** Result of `prepareAttempt`. */
 export type AttemptPreparation = PreparedAttempt | UnpreparedAttempt;
@@ -58,8 +61,18 @@
 		}
 
 		const demand = buildDemand(services, admitted, getLatestPartAt());
-		const placed = placement.place(admitted.service, demand, excludedServerIds);
-		if (placed === undefined && !canWaitForServer(services, admitted, demand, options)) {
+		const placed = admitted.urgency === undefined
+			? placement.place(admitted.service, demand, excludedServerIds)
+			: await waitInQueue(services, admitted, admitted.urgency, options);
+		if (placed === 'over') {
+			continue;
+		}
+
+		if (placed === 'hopeless') {
+			return {type: 'hopeless'};
+		}
+
+		if (placed === 'unplaced' || (placed === undefined && !canWaitForServer(services, admitted, demand, options))) {
 			return {type: 'unplaced'};
 		}
 
@@ -91,6 +104,17 @@
 	return {type: 'over'};
 };
 
+/** Waits in the queue of a service whose requests differ in urgency. */
+const waitInQueue = async (services: RelayServices, admitted: AdmittedRequest, urgency: number, options: PreparationOptions): Promise<PlacedRequest | WaitingEnd> => {
+	const {excludedServerIds, isNeeded, isRefusedByStop, isContentRefused, getLatestPartAt} = options;
+	return services.waiting.acquire({
+		requestId: admitted.envelope.requestId, route: admitted.route.name, service: admitted.service, urgency, workspace: admitted.workspace, excludedServerIds,
+		buildDemand: () => buildDemand(services, admitted, getLatestPartAt()),
+		canWait: demand => canWaitForServer(services, admitted, demand, options),
+		isOver: () => !isNeeded() || isRefusedByStop() || isContentRefused(),
+	});
+};
+
 /**
  * True while a stream that has begun may wait for another server. Its caller has been promised the rest, so it is not refused as a new
  * request is that would be late; it ends when no server can take it before its deadline, or when its caller leaves.
--- a/packages/relay/src/front/relay-request.ts
+++ b/packages/relay/src/front/relay-request.ts
@@ -7,7 +7,7 @@
 import {answerReasons, type AnswerReason} from './answer-reasons.js';
 import {AnswerWriter} from './answer-writer.js';
 import type {AttemptResult} from './attempt-result.js';
-import {computeRetryDelayMs} from './compute-retry-delay.js';
+import {computeRetryDelayMs, type RefusedRequest} from './compute-retry-delay.js';
 import {hashContent, hashPart} from './hash-content.js';
 import {RequestAttempts, type AttemptsEnd} from './request-attempts.js';
 import {readRequestBody} from './request-body.js';
@@ -32,6 +32,10 @@
 	/** Undefined until the whole request was read. */
 	#attempts: RequestAttempts | undefined;
 	#route: Route | undefined;
+	/** Name of the service; undefined until one was selected. */
+	#service: string | undefined;
+	/** Urgency of the request on a service whose requests differ in it. */
+	#urgency: number | undefined;
 	/** Fingerprints of the content and of the parts of its prompt that other requests may share; empty until the whole request was read. */
 	#fingerprints: string[] = [];
 
@@ -139,9 +143,11 @@
 			return;
 		}
 
+		this.#service = service.name;
+		this.#urgency = table.getUrgency(service.name, route, workspace);
 		getBudget(service.name).recordRequest(timer.now());
 		this.#attempts = new RequestAttempts(this.#services, {
-			request: this.#request, envelope: this.#envelope, body, route, service, workspace, fingerprints: this.#fingerprints,
+			request: this.#request, envelope: this.#envelope, body, route, service, workspace, urgency: this.#urgency, fingerprints: this.#fingerprints,
 			writer: this.#writer, arrivedAt: this.#arrivedAt, computeRemainingMs: () => this.#computeRemainingMs(route), isLateInStop: () => this.#isLateInStop(route),
 		});
 		this.#answerEnd(await this.#attempts.run(), route);
@@ -159,6 +165,11 @@
 			return;
 		}
 
+		if (end.type === 'hopeless') {
+			this.#answer(this.#mayHaveRun ? 'serverFailed' : 'hopeless');
+			return;
+		}
+
 		if (end.type === 'stopping') {
 			this.#answer('stopping');
 			return;
@@ -220,6 +231,7 @@
 		const {quarantine, random, timer} = this.#services;
 		return computeRetryDelayMs({
 			reason,
+			queue: this.#describeQueue(),
 			isQuarantined: quarantine.isQuarantined(this.#fingerprints),
 			backoffMs: backoffReasons.has(reason) ? computeBackoffMs(this.#services, listUsableServers(this.#services, this.#route)) : undefined,
 			targetMs: this.#route?.targetMs ?? 0,
@@ -228,6 +240,12 @@
 		});
 	}
 
+	#describeQueue(): RefusedRequest['queue'] {
+		return this.#service === undefined || this.#urgency === undefined
+			? undefined
+			: {urgency: this.#urgency, drainMs: this.#services.waiting.estimateDrainMs(this.#service, this.#urgency)};
+	}
+
 	/** Fields of the log line of a request that is refused because of its content. */
 	#describeQuarantine(): Record<string, unknown> {
 		const causes = this.#services.quarantine.describeCauses(this.#fingerprints);
--- a/packages/relay/src/front/relay-services.ts
+++ b/packages/relay/src/front/relay-services.ts
@@ -11,6 +11,7 @@
 import type {CrashDetectionTask} from '../quarantine/crash-detection-task.js';
 import type {QuarantineTask} from '../quarantine/quarantine-task.js';
 import type {ServerLimitTask} from '../server-limits/server-limit-task.js';
+import type {WaitingTask} from '../waiting/waiting-task.js';
 import type {ServerNoticeTask} from '../server-notices/server-notice-task.js';
 
 /** Services of the process that a request uses. */
@@ -22,6 +23,7 @@
 	metrics: RelayMetrics;
 	storeState: StoreStateTask;
 	placement: PlacementTask;
+	waiting: WaitingTask;
 	connections: BackendConnections;
 	reachability: ReachabilityTask;
 	silentServers: SilentServerTask;
--- a/packages/relay/src/front/request-attempts.ts
+++ b/packages/relay/src/front/request-attempts.ts
@@ -337,11 +337,11 @@
 	/** Runs one attempt and counts whether it reached its backend server. */
 	async #runToResult({placed, reservation}: PreparedAttempt, attempt: Attempt, release: () => void): Promise<AttemptResult> {
 		const {
-			service, route, request, envelope, body, workspace, arrivedAt, writer, computeRemainingMs,
+			service, route, request, envelope, body, workspace, urgency, arrivedAt, writer, computeRemainingMs,
 		} = this.#admitted;
 		let isSent = false;
 		const result = await runAttempt(this.#services, {
-			request, requestId: envelope.requestId, body, route, service, placed, workspace, reservations: reservation.ids,
+			request, requestId: envelope.requestId, body, route, service, placed, workspace, urgency, reservations: reservation.ids,
 			remainingMs: computeRemainingMs(), arrivedAt, writer, progress: this.#progress,
 			claimAnswer: () => this.#claimAnswer(attempt),
 			isAlone: () => this.#race.running.length === 1,
@@ -458,6 +458,7 @@
 	stopping: retryRefusals.stopping,
 	content_refused: retryRefusals.content, // eslint-disable-line @typescript-eslint/naming-convention -- End of the attempts of a request.
 	unplaced: retryRefusals.noServer,
+	hopeless: retryRefusals.deadline,
 };
 
 const signalsByResult = new Map<AttemptResult['type'], HealthSignal>([
--- a/packages/relay/src/front/run-attempt.ts
+++ b/packages/relay/src/front/run-attempt.ts
@@ -340,7 +340,7 @@
 			remainingMs,
 			workspace,
 			helpers: placed.helpers.map(({id, address}) => ({address, reservationId: reservations.get(id)})),
-			urgency: undefined,
+			urgency: this.options.urgency,
 			lastEventId: progress.lastEventId,
 		});
 	}
--- a/packages/relay/src/metrics/relay-metrics.ts
+++ b/packages/relay/src/metrics/relay-metrics.ts
@@ -5,6 +5,8 @@
 
 /** Bucket bounds of the latency histograms in seconds, from an answer by the entry itself to the longest deadline. */
 const latencyBuckets = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2, 3, 5, 10, 15];
+/** Bucket bounds of the time in a queue in seconds, from a run of the queue to the longest deadline. */
+const waitingBuckets = [0.002, 0.01, 0.025, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10];
 const msPerSecond = 1000;
 
 /** Counters and latency histograms of a relay process. */
@@ -36,6 +38,15 @@
 		buckets: latencyBuckets, registers: [this.registry],
 	});
 
+	readonly #waited = new Histogram({
+		name: 'relay_waited_seconds', help: 'Time for which a request waited in the queue of its service', labelNames: ['service', 'urgency'],
+		buckets: waitingBuckets, registers: [this.registry],
+	});
+
+	readonly #waitingRefusals = new Counter({
+		name: 'relay_waiting_refusals_total', help: 'Requests that were refused in the queue of their service, by reason', labelNames: ['service', 'urgency', 'reason'], registers: [this.registry],
+	});
+
 	/** Publishes a value that is read each time the metrics are fetched; the name gets the prefix `relay_`. */
 	addGauge(name: string, read: () => number): void {
 		const gauge: Gauge = new Gauge({
@@ -63,6 +74,14 @@
 		this.#events.inc({event});
 	}
 
+	recordWaiting(service: string, urgency: number, waitedMs: number): void {
+		this.#waited.observe({service, urgency: String(urgency)}, waitedMs / msPerSecond);
+	}
+
+	countWaitingRefusal(service: string, urgency: number, reason: string): void {
+		this.#waitingRefusals.inc({service, urgency: String(urgency), reason});
+	}
+
 	recordFirstByte(route: string, durationMs: number): void {
 		this.#firstByte.observe({route}, durationMs / msPerSecond);
 	}
--- a/packages/relay/src/peers/peer-message.ts
+++ b/packages/relay/src/peers/peer-message.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {z} from 'zod';
+import type {WaitingDemand} from '@knapweedrack/core';
 import {decodeCrashReport, type CrashReport} from '../quarantine/crash-report.js';
 import {decodeLimitReport, type LimitReport} from '../server-limits/limit-report.js';
 import {decodeNoticeReport, type NoticeReport} from '../server-notices/notice-report.js';
@@ -22,9 +23,13 @@
 	version: z.number(),
 });
 
+/** Requests that wait: service, urgency, number, cost. Earlier versions of the entry neither send nor read them. */
+const waitingSchema = z.array(z.tuple([z.string(), z.number(), z.number(), z.number()])).default([]);
+
 const messageSchema = entrySchema.extend({
 	sequence: z.number(),
 	loads: z.array(loadSchema),
+	waiting: waitingSchema,
 });
 
 const summarySchema = z.object({
@@ -37,6 +42,7 @@
 	/** True once the receiving collector relays the summary within its own failure domain. */
 	isRelayed: z.boolean(),
 	loads: z.array(loadSchema),
+	waiting: waitingSchema,
 	entries: z.array(entrySchema.extend({
 		/** Time since the collector received a message from the entry, in ms. */
 		ageMs: z.number(),
@@ -57,7 +63,7 @@
 };
 
 /** Load report: state of an entry and its load on backend servers, in one datagram. */
-export type PeerMessage = EntryState & {sequence: number; loads: ReportedLoad[]};
+export type PeerMessage = EntryState & {sequence: number; loads: ReportedLoad[]; waiting: WaitingDemand[]};
 
 /** State of an entry in a summary; `ageMs` is the time since the collector received it. */
 export type CollectedEntry = EntryState & {ageMs: number};
@@ -70,6 +76,7 @@
 	sequence: number;
 	isRelayed: boolean;
 	loads: ReportedLoad[];
+	waiting: WaitingDemand[];
 	entries: CollectedEntry[];
 };
 
@@ -82,15 +89,25 @@
 	| {type: 'notice_report'; report: NoticeReport};
 
 /** Encodes a load report as JSON. */
-export const encodePeerMessage = (message: PeerMessage): Buffer => Buffer.from(JSON.stringify({
-	...encodeState(message), loads: message.loads.map(load => encodeLoad(load)),
+export const encodePeerMessage = ({waiting, loads, ...state}: PeerMessage): Buffer => Buffer.from(JSON.stringify({
+	...encodeState(state), loads: loads.map(load => encodeLoad(load)), ...encodeWaiting(waiting),
 }));
 
 /** Encodes a summary as JSON; the field `summaryOf` distinguishes it from a load report. */
-export const encodeDomainSummary = ({failureDomain, ...summary}: DomainSummary): Buffer => Buffer.from(JSON.stringify({
+export const encodeDomainSummary = ({failureDomain, waiting, ...summary}: DomainSummary): Buffer => Buffer.from(JSON.stringify({
 	...summary, summaryOf: failureDomain, loads: summary.loads.map(load => encodeLoad(load)), entries: summary.entries.map(entry => encodeState(entry)),
+	...encodeWaiting(waiting),
 }));
 
+/** Omits the list while nothing waits. */
+const encodeWaiting = (waiting: readonly WaitingDemand[]): {waiting?: z.infer<typeof waitingSchema>} =>
+	waiting.length === 0 ? {} : {waiting: waiting.map(({service, urgency, requests, cost}) => [service, urgency, requests, cost])};
+
+const decodeWaiting = (waiting: z.infer<typeof waitingSchema>): WaitingDemand[] =>
+	waiting.map(([service, urgency, requests, cost]) => ({
+		service, urgency, requests, cost,
+	}));
+
 /** Omits a flag that is almost always false, since each entry sends its state to all members twice a second. */
 const encodeState = <State extends EntryState>({isCutOff, ...state}: State): Omit<State, 'isCutOff'> & {isCutOff?: true} =>
 	isCutOff ? {...state, isCutOff} : state;
@@ -100,7 +117,11 @@
 	const value = parseJson(bytes.toString('utf8'));
 	const message = messageSchema.safeParse(value);
 	if (message.success) {
-		return {type: 'entry', message: {...message.data, callerAddress: message.data.callerAddress, loads: message.data.loads.map(load => decodeLoad(load))}};
+		return {
+			type: 'entry', message: {
+				...message.data, callerAddress: message.data.callerAddress, loads: message.data.loads.map(load => decodeLoad(load)), waiting: decodeWaiting(message.data.waiting),
+			},
+		};
 	}
 
 	const summary = summarySchema.safeParse(value);
@@ -108,13 +129,14 @@
 		return decodeReport(value, now);
 	}
 
-	const {summaryOf, loads, entries, ...rest} = summary.data;
+	const {summaryOf, loads, waiting, entries, ...rest} = summary.data;
 	return {
 		type: 'summary',
 		summary: {
 			...rest,
 			failureDomain: summaryOf,
 			loads: loads.map(load => decodeLoad(load)),
+			waiting: decodeWaiting(waiting),
 			entries: entries.map(entry => ({...entry, callerAddress: entry.callerAddress})),
 		},
 	};
--- a/packages/relay/src/peers/peer-report-task.test.ts
+++ b/packages/relay/src/peers/peer-report-task.test.ts
@@ -3,7 +3,9 @@
 import {createServer, type AddressInfo} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
-import {LoadTable, type ChainPosition, type ServerWork} from '@knapweedrack/core';
+import {
+	LoadTable, type WaitingDemand, type ChainPosition, type ServerWork,
+} from '@knapweedrack/core';
 import {createTimerService} from '@knapweedrack/entry/timer-service';
 import type {ObjectStore} from '@knapweedrack/platform-client';
 import type {RegisteredEntry, StoreCodec} from '../contracts.js';
@@ -25,7 +27,7 @@
 	pauseTargetMs: 200, targetMs: 300, value: 100,
 };
 
-type Member = {id: string; entry: RegisteredEntry; task: PeerReportTask; quarantine: QuarantineTask; detection: CrashDetectionTask; loads: LoadTable; isStopping: boolean; isKilled: boolean};
+type Member = {id: string; entry: RegisteredEntry; task: PeerReportTask; quarantine: QuarantineTask; detection: CrashDetectionTask; loads: LoadTable; waiting: WaitingDemand[]; isStopping: boolean; isKilled: boolean};
 
 const waitUntil = async (condition: () => boolean, limitMs = 5000): Promise<void> => {
 	const deadline = Date.now() + limitMs;
@@ -99,12 +101,14 @@
 
 	const buildMember = (entry: RegisteredEntry, bootId: string): Member => {
 		const member: Member = {
-			id: entry.id, entry, loads: new LoadTable(), isStopping: false, isKilled: false, task: undefined!, quarantine: undefined!, detection: undefined!,
+			id: entry.id, entry, loads: new LoadTable(), isStopping: false, isKilled: false, waiting: [], task: undefined!, quarantine: undefined!, detection: undefined!,
 		};
 		member.task = new PeerReportTask({
 			entryId: entry.id, bootId, failureDomain: entry.failureDomain, callerAddress: entry.callerAddress,
 			address: {host, port: Number(entry.peerAddress.split(':')[1])}, timer, log, metrics: new RelayMetrics(), loads: member.loads,
 			isReady: () => true, isStopping: () => member.isStopping, isCutOff: () => false, getVersion: () => 1,
+			listWaiting: () => member.waiting,
+			notifyReported: () => undefined,
 			acceptCrashReport(report) {
 				member.quarantine.acceptCrashReport(report);
 			},
@@ -185,6 +189,24 @@
 				await waitUntil(() => members.every(member => countRequests(member) === 0), 1500);
 			});
 
+			// Guards against entries that leave no room to more urgent requests elsewhere, or leave it after these have been served.
+			it('reports what waits at one entry to every other entry, and that it no longer does', async () => {
+				await start(perDomain);
+				const demand = {
+					service: 'chat', urgency: 0, requests: 2, cost: 900,
+				};
+				const sender = find('north-1');
+				const others = members.filter(member => member !== sender);
+				await waitUntil(() => others.every(({task}) => task.listWaitingElsewhere() !== undefined));
+				sender.waiting = [demand];
+				sender.task.notifyWaiting();
+				await waitUntil(() => others.every(({task}) => task.listWaitingElsewhere()?.length === 1), 1500);
+				expect(others.map(({task}) => task.listWaitingElsewhere())).to.deep.equal(others.map(() => [demand]));
+				sender.waiting = [];
+				sender.task.notifyWaiting();
+				await waitUntil(() => others.every(({task}) => task.listWaitingElsewhere()?.length === 0), 1500);
+			});
+
 			// Guards against content that goes on ending servers at entries which saw none of the earlier crashes.
 			it('refuses content at every entry once three servers ended under it, one after the other', async () => {
 				await start(perDomain);
--- a/packages/relay/src/peers/peer-report-task.ts
+++ b/packages/relay/src/peers/peer-report-task.ts
@@ -1,6 +1,8 @@
 import type {Buffer} from 'node:buffer';
 import {createSocket, type Socket} from 'node:dgram';
-import type {LoadTable} from '@knapweedrack/core';
+import {
+	mergeDemands, WaitingReports, type LoadTable, type WaitingDemand,
+} from '@knapweedrack/core';
 import type {TimerService} from '@knapweedrack/entry/contracts';
 import type {RegisteredEntry} from '../contracts.js';
 import type {DecisionLog} from '../logging/decision-log.js';
@@ -46,6 +48,10 @@
 	/** True while this entry reaches no backend server by its own connections. */
 	isCutOff: () => boolean;
 	getVersion: () => number;
+	/** What waits at this entry. */
+	listWaiting: () => WaitingDemand[];
+	/** Called when another entry has reported loads. */
+	notifyReported: () => void;
 	/** Called with the crash reports of other entries. */
 	acceptCrashReport: (report: CrashReport) => void;
 	/** Called with the limit reports of other entries. */
@@ -73,6 +79,10 @@
 	#topology: ReportTopology = {memberIds: [], collectorIds: [], isCollector: false};
 	#sequence = 0;
 	#isSendScheduled = false;
+	#isWaitingChanged = false;
+	readonly #waiting = new WaitingReports();
+	/** True when the last summary named waiting requests, so that the next one must say that none are left. */
+	#hasSummarizedWaiting = false;
 
 	constructor(options: PeerReportOptions) {
 		this.#options = options;
@@ -112,13 +122,19 @@
 	/** Schedules a report of the load that this entry puts on a backend server. */
 	notifyLoad(serverId: string): void {
 		this.#changedServerIds.add(serverId);
-		if (!this.#isSendScheduled) {
-			this.#isSendScheduled = true;
-			this.#options.timer.schedule(coalesceMs, () => {
-				this.#isSendScheduled = false;
-				this.#sendChanged();
-			});
-		}
+		this.#scheduleSend();
+	}
+
+	/** Schedules a report of what waits at this entry. */
+	notifyWaiting(): void {
+		this.#isWaitingChanged = true;
+		this.#scheduleSend();
+	}
+
+	/** What waits at other entries, as far as their reports are fresh; undefined while no other entry is heard. */
+	listWaitingElsewhere(): WaitingDemand[] | undefined {
+		const now = this.#options.timer.now();
+		return this.#waiting.hasFresh(now) ? this.#waiting.list(now) : undefined;
 	}
 
 	/** Sends crash reports to one entry, or to all entries that this one reports to. */
@@ -201,6 +217,16 @@
 		this.#socket.close();
 	}
 
+	#scheduleSend(): void {
+		if (!this.#isSendScheduled) {
+			this.#isSendScheduled = true;
+			this.#options.timer.schedule(coalesceMs, () => {
+				this.#isSendScheduled = false;
+				this.#sendChanged();
+			});
+		}
+	}
+
 	#updateTopology(): void {
 		const {entryId, failureDomain} = this.#options;
 		const others = [...this.#peers.values()];
@@ -264,6 +290,9 @@
 		for (const {serverId, load} of message.loads) {
 			loads.setPeerLoad(message.entryId, serverId, load, now);
 		}
+
+		this.#waiting.record(message.entryId, message.waiting, now);
+		this.#options.notifyReported();
 	}
 
 	#acceptSummary(summary: DomainSummary): void {
@@ -281,6 +310,8 @@
 			loads.setPeerLoad(formatDomainLoadKey(summary.failureDomain), serverId, load, now);
 		}
 
+		this.#waiting.record(formatDomainLoadKey(summary.failureDomain), summary.waiting, now);
+		this.#options.notifyReported();
 		for (const {ageMs, ...state} of summary.entries) {
 			if (state.entryId !== entryId) {
 				this.#reportStateChange(state, this.#states.recordCollected(state, ageMs));
@@ -310,7 +341,8 @@
 	#sendChanged(): void {
 		const changed = [...this.#changedServerIds];
 		this.#changedServerIds.clear();
-		if (changed.length > 0) {
+		if (changed.length > 0 || this.#isWaitingChanged) {
+			this.#isWaitingChanged = false;
 			this.#sendLoads(changed);
 		}
 	}
@@ -322,7 +354,7 @@
 			this.#sequence++;
 			this.#sendTo(this.#topology.memberIds, encodePeerMessage({
 				...this.#buildOwnState(), sequence: this.#sequence,
-				loads: ids.map(serverId => ({serverId, load: loads.computeOwnLoad(serverId, now)})),
+				loads: ids.map(serverId => ({serverId, load: loads.computeOwnLoad(serverId, now)})), waiting: this.#options.listWaiting(),
 			}));
 		}
 	}
@@ -335,7 +367,9 @@
 		}
 
 		const loads = this.#listDomainLoads();
-		if (loads.length > 0) {
+		const hasWaiting = this.#listDomainWaiting().length > 0;
+		if (loads.length > 0 || hasWaiting || this.#hasSummarizedWaiting) {
+			this.#hasSummarizedWaiting = hasWaiting;
 			for (const part of splitList(loads)) {
 				this.#sendTo(collectorIds, this.#encodeSummary(part, []));
 			}
@@ -373,11 +407,17 @@
 		return collected;
 	}
 
+	/** What waits at the entries of this failure domain. */
+	#listDomainWaiting(): WaitingDemand[] {
+		const members = new Set(this.#topology.memberIds);
+		return mergeDemands([...this.#options.listWaiting(), ...this.#waiting.list(this.#options.timer.now(), source => members.has(source))]);
+	}
+
 	#encodeSummary(loads: ReportedLoad[], entries: DomainSummary['entries']): Buffer {
 		const {failureDomain, entryId, bootId} = this.#options;
 		this.#sequence++;
 		return encodeDomainSummary({
-			failureDomain, collectorId: entryId, bootId, sequence: this.#sequence, isRelayed: false, loads, entries,
+			failureDomain, collectorId: entryId, bootId, sequence: this.#sequence, isRelayed: false, loads, waiting: this.#listDomainWaiting(), entries,
 		});
 	}
 
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -25,6 +25,7 @@
 import {ReachabilityTask} from './tunnels/reachability-task.js';
 import {ServerConnector} from './tunnels/server-connector.js';
 import {TunnelServer} from './tunnels/tunnel-server.js';
+import {WaitingTask} from './waiting/waiting-task.js';
 import {ServerLimitTask} from './server-limits/server-limit-task.js';
 import {ServerNoticeTask} from './server-notices/server-notice-task.js';
 
@@ -63,6 +64,7 @@
 	readonly #feedServer: FeedServer;
 	readonly #storeState: StoreStateTask;
 	readonly #placement: PlacementTask;
+	readonly #waiting: WaitingTask;
 	readonly #peers: PeerReportTask;
 	readonly #registration: RegistrationTask;
 	readonly #crashDetection: CrashDetectionTask;
@@ -158,6 +160,7 @@
 				this.#connections.retain(serverIds);
 				this.#crashDetection.handleServers();
 				this.#serverLimits.retain(serverIds);
+				this.#waiting.notifyRoom();
 			},
 			notifyEntries: (entries, list) => {
 				this.#peers.applyEntries(entries);
@@ -192,6 +195,16 @@
 			storeState: this.#storeState, timer, failureDomain: settings.failureDomain, random: Math.random, countEntries: () => this.#countEntries(),
 			notifyLoad: serverId => {
 				this.#peers.notifyLoad(serverId);
+				this.#waiting.notifyRoom();
+			},
+		});
+		this.#waiting = new WaitingTask({
+			timer, log, metrics, placement: this.#placement,
+			countServers: service => this.#storeState.listUsableServers(service).length,
+			countEntries: () => this.#countEntries(),
+			listElsewhere: () => this.#peers.listWaitingElsewhere(),
+			notifyWaiting: () => {
+				this.#peers.notifyWaiting();
 			},
 		});
 		const silentServers = new SilentServerTask(timer, ({serverId, requestIds, isNew}) => {
@@ -213,6 +226,10 @@
 				this.#serverLimits.handleEntryStarted(entryId);
 				this.#serverNotices.handleEntryStarted(entryId);
 			},
+			listWaiting: () => this.#waiting.listWaiting(),
+			notifyReported: () => {
+				this.#waiting.notifyReport();
+			},
 			acceptLimitReport: report => {
 				this.#serverLimits.acceptLimitReport(report);
 			},
@@ -258,7 +275,7 @@
 			readWallClock: Date.now,
 		});
 		const services: RelayServices = {
-			bounds, wire, timer, log, metrics, storeState: this.#storeState, placement: this.#placement, connections: this.#connections, reachability: this.#reachability,
+			bounds, wire, timer, log, metrics, storeState: this.#storeState, placement: this.#placement, waiting: this.#waiting, connections: this.#connections, reachability: this.#reachability,
 			orders: options.orders, silentServers,
 			crashDetection: this.#crashDetection, quarantine: this.#quarantine, serverLimits: this.#serverLimits, serverNotices: this.#serverNotices,
 			getBudget: service => this.#getBudget(service),
@@ -444,6 +461,7 @@
 		metrics.addGauge('reads_store', () => this.#stateSource.readerId === undefined ? 1 : 0);
 		metrics.addGauge('open_requests', () => this.#front.openRequests);
 		metrics.addGauge('requests', () => this.#front.totalRequests);
+		metrics.addGauge('waiting_requests', () => this.#waiting.size);
 		metrics.addGauge('entries', () => this.#storeState.entries.size);
 		metrics.addGauge('backend_servers', () => this.#storeState.serverIds.size);
 		metrics.addGauge('configuration_version', () => this.#storeState.table?.configuration.version ?? 0);
