--- a/packages/core/src/traffic/route-table.ts
+++ b/packages/core/src/traffic/route-table.ts
@@ -1,4 +1,4 @@
-import {computeUrgency, listRankedServices} from '../waiting/urgency.js';
+import {UrgencyTable} from '../waiting/urgency.js';
 import type {
 	Route, Service, TrafficConfiguration, TrafficWorkspace,
 } from './traffic-configuration.js';
@@ -9,7 +9,7 @@
 	readonly #routes = new Map<string, Route[]>();
 	readonly #services: Map<string, Service>;
 	readonly #workspaces = new Map<string, TrafficWorkspace>();
-	readonly #rankedServices: ReadonlySet<string>;
+	readonly #urgencies: UrgencyTable;
 
 	constructor(readonly configuration: TrafficConfiguration) {
 		for (const route of configuration.routes) {
@@ -22,7 +22,7 @@
 		}
 
 		this.#services = new Map(configuration.services.map(service => [service.name, service]));
-		this.#rankedServices = listRankedServices(configuration);
+		this.#urgencies = new UrgencyTable(configuration);
 		for (const workspace of configuration.workspaces ?? []) {
 			for (const credential of workspace.credentials) {
 				this.#workspaces.set(credential, workspace);
@@ -46,12 +46,7 @@
 
 	/** Urgency of a request, 0 to 9, 0 is the first; undefined for a service whose requests all have the same. */
 	getUrgency(service: string, route: Route, workspaceName: string | undefined): number | undefined {
-		if (!this.#rankedServices.has(service)) {
-			return undefined;
-		}
-
-		const workspace = workspaceName === undefined ? undefined : this.configuration.workspaces?.find(({name}) => name === workspaceName);
-		return computeUrgency(route.priority, workspace?.priority);
+		return this.#urgencies.getUrgency(service, route, workspaceName);
 	}
 
 	findWorkspace(credential: string): TrafficWorkspace | undefined {
--- a/packages/relay/src/metrics/relay-metrics.ts
+++ b/packages/relay/src/metrics/relay-metrics.ts
@@ -57,6 +57,19 @@
 		});
 	}
 
+	/** Publishes values with labels that are read each time the metrics are fetched; the name gets the prefix `relay_`. */
+	addLabelledGauge<Label extends string>(name: string, labelNames: readonly Label[], read: () => Array<{labels: Record<Label, string>; value: number}>): void {
+		const gauge: Gauge<Label> = new Gauge<Label>({
+			name: `relay_${name}`, help: `Present values of ${name.replaceAll('_', ' ')}`, labelNames, registers: [this.registry],
+			collect() {
+				gauge.reset();
+				for (const {labels, value} of read()) {
+					gauge.set(labels, value);
+				}
+			},
+		});
+	}
+
 	countAnswer(route: string, reason: string): void {
 		this.#answers.inc({route, reason});
 	}
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -200,7 +200,7 @@
 		});
 		this.#waiting = new WaitingTask({
 			timer, log, metrics, placement: this.#placement,
-			countServers: service => this.#storeState.listUsableServers(service).length,
+			listServers: service => this.#storeState.listUsableServers(service).map(({id}) => id),
 			countEntries: () => this.#countEntries(),
 			listElsewhere: () => this.#peers.listWaitingElsewhere(),
 			notifyWaiting: () => {
@@ -462,6 +462,7 @@
 		metrics.addGauge('open_requests', () => this.#front.openRequests);
 		metrics.addGauge('requests', () => this.#front.totalRequests);
 		metrics.addGauge('waiting_requests', () => this.#waiting.size);
+		metrics.addLabelledGauge('largest_waiting', ['service', 'urgency', 'workspace'], () => this.#waiting.listLargest().map(({requests, ...labels}) => ({labels, value: requests})));
 		metrics.addGauge('entries', () => this.#storeState.entries.size);
 		metrics.addGauge('backend_servers', () => this.#storeState.serverIds.size);
 		metrics.addGauge('configuration_version', () => this.#storeState.table?.configuration.version ?? 0);
--- a/packages/relay/src/waiting/waiting-task.ts
+++ b/packages/relay/src/waiting/waiting-task.ts
@@ -1,5 +1,5 @@
 import {
-	computeStaticShare, isHopeless, isYielding, trialResults, WaitingQueue, type AdmissionInputs, type Service, type TrialResult, type WaitingDemand, type WaitingItem,
+	computeReservedServers, computeStaticShare, decideYield, isHopeless, trialResults, yieldKinds, WaitingQueue, type AdmissionInputs, type Service, type TrialResult, type WaitingDemand, type WaitingItem,
 } from '@knapweedrack/core';
 import type {TimerService} from '@knapweedrack/entry/contracts';
 import type {DecisionLog} from '../logging/decision-log.js';
@@ -13,6 +13,8 @@
 /** Least time between runs that load reports start, in ms; in a large fleet they arrive all the time. */
 const reportRunMs = 10;
 
+/** Most groups of waiting requests that the metrics name. */
+const describedLimit = 8;
 /** Share of the target after which a waiting request counts as late; the same as for short prompts in `selectPlacement`. */
 const lateShare = 0.6;
 
@@ -49,8 +51,8 @@
 	log: DecisionLog;
 	metrics: RelayMetrics;
 	placement: Pick<PlacementTask, 'place'>;
-	/** Number of usable backend servers of a service. */
-	countServers: (service: string) => number;
+	/** Ids of the usable backend servers of a service. */
+	listServers: (service: string) => string[];
 	/** Number of entries that may be running, including this one. */
 	countEntries: () => number;
 	/** What waits at other entries, as far as their reports are fresh; undefined while no other entry is heard. */
@@ -75,6 +77,9 @@
 	cancelRun: (() => void) | undefined;
 };
 
+/** What waits at this entry, and what waits anywhere as far as reports tell; `demands` is undefined while no other entry is heard. */
+type KnownDemands = {local: readonly WaitingDemand[]; demands: readonly WaitingDemand[] | undefined};
+
 /** Holds the requests that wait for backend servers, by service, and decides which of them is tried next. */
 export class WaitingTask {
 	readonly #options: WaitingOptions;
@@ -130,6 +135,22 @@
 		return [...this.#queues.values()].flatMap(({name, queue}) => queue.summarize(name));
 	}
 
+	/** Numbers of waiting requests by service, urgency and workspace, the largest first. */
+	listLargest(): Array<{service: string; urgency: string; workspace: string; requests: number}> {
+		const counts = new Map<string, {service: string; urgency: string; workspace: string; requests: number}>();
+		for (const {name, queue} of this.#queues.values()) {
+			for (const {request: {urgency, workspaceId}} of queue.list()) {
+				const key = JSON.stringify([name, urgency, workspaceId]);
+				const known = counts.get(key);
+				counts.set(key, {
+					service: name, urgency: String(urgency), workspace: workspaceId, requests: (known?.requests ?? 0) + 1,
+				});
+			}
+		}
+
+		return [...counts.values()].toSorted((a, b) => b.requests - a.requests).slice(0, describedLimit);
+	}
+
 	/** Number of requests that wait at this entry. */
 	get size(): number {
 		let size = 0;
@@ -171,10 +192,10 @@
 	#run(queue: ServiceQueue): void {
 		const now = this.#options.timer.now();
 		queue.lastRunAt = now;
-		const elsewhere = this.#options.listElsewhere();
-		const ofService = elsewhere?.filter(({service}) => service === queue.name);
-		const mostUrgent = Math.min(...[...queue.queue.list()].map(({request}) => request.urgency));
-		queue.queue.run(now, item => this.#tryItem(queue, item, {elsewhere: ofService, mostUrgent}));
+		const local = queue.queue.summarize(queue.name);
+		const elsewhere = this.#options.listElsewhere()?.filter(({service}) => service === queue.name);
+		const demands = elsewhere && [...local, ...elsewhere];
+		queue.queue.run(now, item => this.#tryItem(queue, item, {local, demands}));
 		this.#update(queue);
 	}
 
@@ -194,7 +215,7 @@
 		this.#run(queue);
 	}
 
-	#tryItem(queue: ServiceQueue, item: WaitingItem<Waiter>, {elsewhere, mostUrgent}: {elsewhere: readonly WaitingDemand[] | undefined; mostUrgent: number}): TrialResult {
+	#tryItem(queue: ServiceQueue, item: WaitingItem<Waiter>, {local, demands}: KnownDemands): TrialResult {
 		const {service, excludedServerIds, buildDemand, canWait, isOver, urgency, resolve} = item.value;
 		try {
 			if (isOver()) {
@@ -203,14 +224,18 @@
 			}
 
 			const demand = buildDemand();
-			const isHeldBack = elsewhere === undefined
-				? this.#isAboveStaticShare(queue, service, {urgency, hasBegun: demand.hasBegun, mostUrgent})
-				: isYielding({...demand, urgency}, elsewhere);
-			if (isHeldBack) {
+			const yielding = demands === undefined ? yieldKinds.none : decideYield({...demand, urgency}, demands);
+			if (yielding === yieldKinds.full || (demands === undefined && this.#isAboveStaticShare(queue, service, {urgency, hasBegun: demand.hasBegun, local}))) {
 				return trialResults.skipped;
 			}
 
-			const placed = this.#options.placement.place(service, demand, excludedServerIds);
+			const isPartial = yielding === yieldKinds.part;
+			const reserved = isPartial ? this.#listReserved(service, urgency, demands!) : [];
+			const placed = this.#options.placement.place(service, demand, reserved.length === 0 ? excludedServerIds : new Set([...excludedServerIds, ...reserved]));
+			if (placed === undefined && reserved.length > 0) {
+				return trialResults.blocked;
+			}
+
 			if (placed === 'wait' || (placed === undefined && canWait(demand))) {
 				return excludedServerIds.size === 0 ? trialResults.noRoom : trialResults.blocked;
 			}
@@ -230,15 +255,22 @@
 		}
 	}
 
+	/** Backend servers that are left to more urgent requests: the first ones by id, so that all entries leave the same ones. */
+	#listReserved(service: Service, urgency: number, demands: readonly WaitingDemand[]): string[] {
+		const servers = this.#options.listServers(service.name);
+		const count = computeReservedServers(urgency, demands, {servers: servers.length, slots: service.engine?.slots ?? 1});
+		return servers.toSorted().slice(0, count);
+	}
+
 	/** While no other entry is heard, less urgent requests keep to this entry's share of the slots. */
-	#isAboveStaticShare(queue: ServiceQueue, service: Service, {urgency, hasBegun, mostUrgent}: {urgency: number; hasBegun: boolean; mostUrgent: number}): boolean {
-		const {countServers, countEntries} = this.#options;
+	#isAboveStaticShare(queue: ServiceQueue, service: Service, {urgency, hasBegun, local}: {urgency: number; hasBegun: boolean; local: readonly WaitingDemand[]}): boolean {
+		const {listServers, countEntries} = this.#options;
 		const entries = countEntries();
-		if (entries <= 1 || service.engine === undefined || hasBegun || urgency <= mostUrgent) {
+		if (entries <= 1 || service.engine === undefined || hasBegun || local.every(demand => demand.urgency >= urgency)) {
 			return false;
 		}
 
-		return queue.placed >= computeStaticShare(countServers(service.name) * service.engine.slots, entries);
+		return queue.placed >= computeStaticShare(listServers(service.name).length * service.engine.slots, entries);
 	}
 
 	#countPlaced(queue: ServiceQueue, placed: PlacedRequest): PlacedRequest {
