--- a/packages/core/src/fairness/fair-queue.test.ts
+++ b/packages/core/src/fairness/fair-queue.test.ts
@@ -2,6 +2,8 @@
 import fc from 'fast-check';
 import {FairQueue} from './fair-queue.js';
 
+const compareText = (a: string, b: string): number => a < b ? -1 : 1;
+
 describe('FairQueue', () => {
 	const createEntry = (workspaceId: string, cost: number, weight = 1, order = 0) => ({
 		workspaceId, weight, cost, order, value: workspaceId,
@@ -51,6 +53,44 @@
 		expect(next.filter(workspaceId => workspaceId === 'busy')).to.have.lengthOf.within(9, 11);
 	});
 
+	// Guards against a choice beyond the first entry that differs from the order of service, or that is not charged.
+	it('lists the entries in the order in which they are served, and charges one that is served out of order', () => {
+		const entries = fc.array(fc.record({workspace: fc.nat(3), cost: fc.integer({min: 1, max: 100}), order: fc.nat(1000)}), {minLength: 1, maxLength: 60});
+		fc.assert(fc.property(entries, fc.nat(), (list, choice) => {
+			const queue = new FairQueue<string>();
+			const byFirst = new FairQueue<string>();
+			for (const {workspace, cost, order} of list) {
+				queue.add(createEntry(`w${workspace}`, cost, 1, order));
+				byFirst.add(createEntry(`w${workspace}`, cost, 1, order));
+			}
+
+			const listed = [...queue.list()];
+			const served = listed.map(() => byFirst.removeFirst()!);
+			expect(listed.map(({workspaceId}) => workspaceId).toSorted(compareText)).to.deep.equal(served.map(({workspaceId}) => workspaceId).toSorted(compareText));
+			expect(new Set(listed).size).to.equal(list.length);
+			const chosen = listed[choice % listed.length]!;
+			const before = queue.cost;
+			expect(queue.serve(chosen)).to.be.true;
+			expect(queue.serve(chosen)).to.be.false;
+			expect(queue.cost).to.equal(before - chosen.cost);
+			expect([...queue.list()]).to.have.members(listed.filter(entry => entry !== chosen));
+		}), {seed: 20_261_206});
+	});
+
+	it('serves another workspace after one that was served out of order', () => {
+		const queue = new FairQueue<string>();
+		const first = createEntry('a', 10, 1, 0);
+		const second = createEntry('a', 10, 1, 1);
+		const other = createEntry('b', 10, 1, 0);
+		for (const entry of [first, second, other]) {
+			queue.add(entry);
+		}
+
+		queue.serve(second);
+		expect([...queue.list()]).to.deep.equal([other, first]);
+		expect(queue.removeFirst()).to.equal(other);
+	});
+
 	// Guards against lost or repeated entries and against wrong totals after removals in any order.
 	it('returns every entry once and keeps its totals', () => {
 		const actions = fc.array(fc.record({
--- a/packages/core/src/waiting/room-sharing.ts
+++ b/packages/core/src/waiting/room-sharing.ts
@@ -1,11 +1,15 @@
+import type {EngineProfile} from '../engine-model/engine-profile.js';
+import {computePrefillMs} from '../engine-model/engine-timing.js';
+import type {PromptDemand} from '../placement/placement-types.js';
+
 /** Share of its target for which a request leaves all room to more urgent ones that wait; the rest suffices to be on time. */
 const fullYieldShare = 0.2;
-/** Share of its target for which it still leaves them some backend servers; after that it is placed like any other, so that it does not starve. */
-const partYieldShare = 0.5;
-/** Multiple of the slots that more urgent requests need, since as many more arrive while a long prompt is prefilled. */
-const reserveMultiple = 2;
-/** Largest share of the backend servers that is left to more urgent requests. */
-const maxReserveShare = 0.5;
+/** Multiple of the slots that more urgent requests need, since slots become free one at a time on all servers alike, and more requests arrive meanwhile. */
+const reserveMultiple = 8;
+/** Largest share of the backend servers that is left to more urgent requests; the rest keeps the others from starving. */
+const maxReserveShare = 0.75;
+/** Share of its target in which a prompt is prefilled on the servers that it needs. */
+const prefillTargetShare = 0.4;
 
 /** What waits at one or more entries for a service, by urgency. */
 export type WaitingDemand = {service: string; urgency: number; requests: number; cost: number};
@@ -20,16 +24,27 @@
 
 /** Decides how much room a request leaves to more urgent ones that wait at any entry. */
 export const decideYield = ({urgency, hasBegun, waitedMs, targetMs}: YieldingRequest, demands: readonly WaitingDemand[]): YieldKind => {
-	if (hasBegun || waitedMs >= targetMs * partYieldShare || countMoreUrgent(urgency, demands) === 0) {
+	if (hasBegun || countMoreUrgent(urgency, demands) === 0) {
 		return yieldKinds.none;
 	}
 
 	return waitedMs < targetMs * fullYieldShare ? yieldKinds.full : yieldKinds.part;
 };
 
-/** Number of backend servers that a less urgent request leaves to the more urgent ones that wait. */
-export const computeReservedServers = (urgency: number, demands: readonly WaitingDemand[], {servers, slots}: {servers: number; slots: number}): number =>
-	Math.min(Math.floor(servers * maxReserveShare), Math.ceil(countMoreUrgent(urgency, demands) * reserveMultiple / slots));
+/** Room of a service: usable backend servers, slots of each, and the number of servers that the request itself needs. */
+export type ServiceRoom = {servers: number; slots: number; neededServers: number};
+
+/** Number of backend servers that a less urgent request leaves to the more urgent ones that wait; the servers that it needs itself remain. */
+export const computeReservedServers = (urgency: number, demands: readonly WaitingDemand[], {servers, slots, neededServers}: ServiceRoom): number =>
+	Math.max(0, Math.min(Math.floor(servers * maxReserveShare), servers - neededServers, Math.ceil(countMoreUrgent(urgency, demands) * reserveMultiple / slots)));
+
+/** Number of backend servers that a prompt needs for its prefill to be on time and for its memory. */
+export const computeNeededServers = (profile: EngineProfile, {promptTokens, outputTokens, targetMs}: Pick<PromptDemand, 'promptTokens' | 'outputTokens' | 'targetMs'>): number =>
+	Math.max(
+		1,
+		Math.ceil(computePrefillMs(profile, promptTokens) / (targetMs * prefillTargetShare)),
+		Math.ceil((promptTokens + outputTokens) / profile.memoryTokens),
+	);
 
 const countMoreUrgent = (urgency: number, demands: readonly WaitingDemand[]): number => {
 	let requests = 0;
--- a/packages/relay/src/waiting/waiting-task.ts
+++ b/packages/relay/src/waiting/waiting-task.ts
@@ -1,5 +1,6 @@
 import {
-	computeReservedServers, computeStaticShare, decideYield, isHopeless, trialResults, yieldKinds, WaitingQueue, type AdmissionInputs, type Service, type TrialResult, type WaitingDemand, type WaitingItem,
+	computeNeededServers, computeReservedServers, computeStaticShare, decideYield, isHopeless, trialResults, yieldKinds, WaitingQueue,
+	type AdmissionInputs, type Service, type TrialResult, type WaitingDemand, type WaitingItem,
 } from '@knapweedrack/core';
 import type {TimerService} from '@knapweedrack/entry/contracts';
 import type {DecisionLog} from '../logging/decision-log.js';
@@ -77,9 +78,6 @@
 	cancelRun: (() => void) | undefined;
 };
 
-/** What waits at this entry, and what waits anywhere as far as reports tell; `demands` is undefined while no other entry is heard. */
-type KnownDemands = {local: readonly WaitingDemand[]; demands: readonly WaitingDemand[] | undefined};
-
 /** Holds the requests that wait for backend servers, by service, and decides which of them is tried next. */
 export class WaitingTask {
 	readonly #options: WaitingOptions;
@@ -192,10 +190,8 @@
 	#run(queue: ServiceQueue): void {
 		const now = this.#options.timer.now();
 		queue.lastRunAt = now;
-		const local = queue.queue.summarize(queue.name);
 		const elsewhere = this.#options.listElsewhere()?.filter(({service}) => service === queue.name);
-		const demands = elsewhere && [...local, ...elsewhere];
-		queue.queue.run(now, item => this.#tryItem(queue, item, {local, demands}));
+		queue.queue.run(now, item => this.#tryItem(queue, item, elsewhere));
 		this.#update(queue);
 	}
 
@@ -215,7 +211,7 @@
 		this.#run(queue);
 	}
 
-	#tryItem(queue: ServiceQueue, item: WaitingItem<Waiter>, {local, demands}: KnownDemands): TrialResult {
+	#tryItem(queue: ServiceQueue, item: WaitingItem<Waiter>, elsewhere: readonly WaitingDemand[] | undefined): TrialResult {
 		const {service, excludedServerIds, buildDemand, canWait, isOver, urgency, resolve} = item.value;
 		try {
 			if (isOver()) {
@@ -224,15 +220,16 @@
 			}
 
 			const demand = buildDemand();
+			const local = queue.queue.summarize(queue.name);
+			const demands = elsewhere && [...local, ...elsewhere];
 			const yielding = demands === undefined ? yieldKinds.none : decideYield({...demand, urgency}, demands);
 			if (yielding === yieldKinds.full || (demands === undefined && this.#isAboveStaticShare(queue, service, {urgency, hasBegun: demand.hasBegun, local}))) {
 				return trialResults.skipped;
 			}
 
-			const isPartial = yielding === yieldKinds.part;
-			const reserved = isPartial ? this.#listReserved(service, urgency, demands!) : [];
-			const placed = this.#options.placement.place(service, demand, reserved.length === 0 ? excludedServerIds : new Set([...excludedServerIds, ...reserved]));
-			if (placed === undefined && reserved.length > 0) {
+			const reserved = yielding === yieldKinds.part ? this.#listReserved(service, urgency, {demand, demands: demands!}) : [];
+			const placed = this.#place(service, demand, {excludedServerIds, reserved});
+			if (placed === undefined && reserved.length > 0 && demand.waitedMs < demand.targetMs) {
 				return trialResults.blocked;
 			}
 
@@ -256,12 +253,27 @@
 	}
 
 	/** Backend servers that are left to more urgent requests: the first ones by id, so that all entries leave the same ones. */
-	#listReserved(service: Service, urgency: number, demands: readonly WaitingDemand[]): string[] {
-		const servers = this.#options.listServers(service.name);
-		const count = computeReservedServers(urgency, demands, {servers: servers.length, slots: service.engine?.slots ?? 1});
+	#listReserved({name, engine}: Service, urgency: number, {demand, demands}: {demand: PlacementDemand; demands: readonly WaitingDemand[]}): string[] {
+		if (engine === undefined) {
+			return [];
+		}
+
+		const servers = this.#options.listServers(name);
+		const count = computeReservedServers(urgency, demands, {servers: servers.length, slots: engine.slots, neededServers: computeNeededServers(engine, demand)});
 		return servers.toSorted().slice(0, count);
 	}
 
+	/** Places a request outside the reserved servers; on these, too, when it is late and no other one can take it. */
+	#place(service: Service, demand: PlacementDemand, {excludedServerIds, reserved}: {excludedServerIds: ReadonlySet<string>; reserved: readonly string[]}): PlacedRequest | 'wait' | undefined {
+		const {placement} = this.#options;
+		if (reserved.length === 0) {
+			return placement.place(service, demand, excludedServerIds);
+		}
+
+		const placed = placement.place(service, demand, new Set([...excludedServerIds, ...reserved]));
+		return placed === undefined && demand.waitedMs >= demand.targetMs ? placement.place(service, demand, excludedServerIds) : placed;
+	}
+
 	/** While no other entry is heard, less urgent requests keep to this entry's share of the slots. */
 	#isAboveStaticShare(queue: ServiceQueue, service: Service, {urgency, hasBegun, local}: {urgency: number; hasBegun: boolean; local: readonly WaitingDemand[]}): boolean {
 		const {listServers, countEntries} = this.#options;
