Refuse by estimate only with four requests ahead

Cause: at an entry with one request a second, a long prompt that leaves room to others makes the queue look slow: 4 short prompts placed in 1.6 s give 12.5 tokens per ms, by which the next long prompt, 220,000 tokens behind it, would wait 17.6 s and be refused while servers are free.

Change: the estimate counts from four requests ahead on; the log line names their number.

--- a/packages/core/src/waiting/waiting-queue.test.ts
+++ b/packages/core/src/waiting/waiting-queue.test.ts
@@ -173,6 +173,16 @@
 			expect(queue.listHopeless(1000)).to.deep.equal([item]);
 		});
 
+		// Guards against a refusal because one long prompt waits for several servers, while the room for others is free.
+		it('refuses nothing before its deadline while few requests are ahead', () => {
+			const queue = buildBusy();
+			take(queue, 10, 1001);
+			queue.add(buildRequest({cost: 1_000_000, deadlineAt: 60_000}), 'long', 1001);
+			const item = queue.add(buildRequest({urgency: 2, deadlineAt: 1500}), 'next', 1001);
+			expect(queue.listHopeless(1002)).to.deep.equal([]);
+			expect(queue.listHopeless(1500)).to.deep.equal([item]);
+		});
+
 		// Guards against refusals while the rate is not known, for example after a start.
 		it('refuses nothing before its deadline without a known rate', () => {
 			const queue = fill([{deadlineAt: 50, cost: 1_000_000}, {deadlineAt: 60}]);
--- a/packages/core/src/waiting/waiting-queue.ts
+++ b/packages/core/src/waiting/waiting-queue.ts
@@ -116,11 +116,15 @@
 		const ratePerMs = this.#rate.compute(now);
 		const hopeless: Array<WaitingItem<Value>> = [];
 		let costAhead = 0;
+		let requestsAhead = 0;
 		for (const [, item] of this.#listInOrder()) {
-			if (!item.request.hasBegun && isHopeless({costAhead, ratePerMs, leftMs: item.request.deadlineAt - now})) {
+			if (!item.request.hasBegun && isHopeless({
+				costAhead, requestsAhead, ratePerMs, leftMs: item.request.deadlineAt - now,
+			})) {
 				hopeless.push(item);
 			} else {
 				costAhead += item.cost;
+				requestsAhead++;
 			}
 		}
 
@@ -129,12 +133,17 @@
 
 	/** Inputs of the admission estimate for a request that arrives now. */
 	estimate({urgency, workspaceId, deadlineAt}: WaitingRequest, now: number): AdmissionInputs {
-		let costAhead = this.#levels.get(urgency)?.estimateCostAhead(workspaceId, 1) ?? 0;
+		const own = this.#levels.get(urgency);
+		let costAhead = own?.estimateCostAhead(workspaceId, 1) ?? 0;
+		let requestsAhead = own === undefined || own.cost === 0 ? 0 : Math.ceil(own.size * costAhead / own.cost);
 		for (const [level, queue] of this.#levels) {
 			costAhead += level < urgency ? queue.cost : 0;
+			requestsAhead += level < urgency ? queue.size : 0;
 		}
 
-		return {costAhead, ratePerMs: this.#rate.compute(now), leftMs: deadlineAt - now};
+		return {
+			costAhead, requestsAhead, ratePerMs: this.#rate.compute(now), leftMs: deadlineAt - now,
+		};
 	}
 
 	/** Inputs of the retry delay for the requests of one urgency: cost at the same or a higher one, rate in cost per ms, time in ms. */
--- a/packages/relay/src/waiting/waiting-task.ts
+++ b/packages/relay/src/waiting/waiting-task.ts
@@ -321,11 +321,11 @@
 		}
 	}
 
-	#recordRefusal({requestId, route, service, urgency, workspace}: QueuedRequest, reason: WaitingEnd, {costAhead, ratePerMs, leftMs}: AdmissionInputs, demand: PlacementDemand): void {
+	#recordRefusal({requestId, route, service, urgency, workspace}: QueuedRequest, reason: WaitingEnd, {costAhead, requestsAhead, ratePerMs, leftMs}: AdmissionInputs, demand: PlacementDemand): void {
 		const {metrics, log, listElsewhere} = this.#options;
 		metrics.countWaitingRefusal(service.name, urgency, reason);
 		log.writeRequest('waiting.refused', requestId, {
-			route, service: service.name, urgency, workspace, reason, waiting: this.#queues.get(service.name)?.queue.size, costAhead: Math.round(costAhead), ratePerMs, leftMs: Math.round(leftMs),
+			route, service: service.name, urgency, workspace, reason, waiting: this.#queues.get(service.name)?.queue.size, costAhead: Math.round(costAhead), requestsAhead, ratePerMs, leftMs: Math.round(leftMs),
 			waitedMs: Math.round(demand.waitedMs), tokens: demand.promptTokens, elsewhere: listElsewhere()?.filter(other => other.service === service.name),
 		});
 	}
