Keep the drain rate out of requests that do not wait

Cause: each request that was placed at once left an interval and a sample in the drain rate, which were filtered for each request: 365 to 447 us a request in a loop of 100,000 requests beside load 14 on 7 cores.

Change: waits under 1 ms do not count, the rate is computed only with requests ahead, and old samples are removed from the front.

--- a/packages/core/src/waiting/drain-rate.ts
+++ b/packages/core/src/waiting/drain-rate.ts
@@ -3,11 +3,14 @@
 /** Fewest placements within the window for a rate; fewer scatter too much to refuse a request by them. */
 const minSamples = 4;
 
+/** Shortest time of waiting that counts, in ms; a request that is placed at once is in the queue for less. */
+const minBusyMs = 1;
+
 /** Rate at which a queue was served lately, in cost per ms; it counts only the time in which requests waited. */
 export class DrainRate {
-	#samples: Array<{at: number; cost: number}> = [];
+	readonly #samples: Array<{at: number; cost: number}> = [];
 	/** Times in which requests waited; the last one has no end while they still do. */
-	#busy: Array<{from: number; to: number | undefined}> = [];
+	readonly #busy: Array<{from: number; to: number | undefined}> = [];
 
 	/** Records whether requests wait from now on. */
 	recordWaiting(isWaiting: boolean, now: number): void {
@@ -17,6 +20,9 @@
 			this.#busy.push({from: now, to: undefined});
 		} else if (!isWaiting && wasWaiting) {
 			last.to = now;
+			if (now - last.from < minBusyMs) {
+				this.#busy.pop();
+			}
 		}
 	}
 
@@ -49,7 +55,12 @@
 
 	#removeOld(now: number): void {
 		const start = now - windowMs;
-		this.#samples = this.#samples.filter(({at}) => at > start);
-		this.#busy = this.#busy.filter(({to}) => to === undefined || to > start);
+		while (this.#samples.length > 0 && this.#samples[0]!.at <= start) {
+			this.#samples.shift();
+		}
+
+		while (this.#busy.length > 0 && (this.#busy[0]!.to ?? now) <= start) {
+			this.#busy.shift();
+		}
 	}
 }
--- a/packages/core/src/waiting/waiting-queue.ts
+++ b/packages/core/src/waiting/waiting-queue.ts
@@ -10,6 +10,9 @@
 /** Time after which a request is tried although others of its size did not fit, in ms, so that one that no server can take is refused. */
 const retryMs = 100;
 
+/** Shortest wait that counts as one, in ms; a request that is placed at once is in the queue for less. */
+const minWaitMs = 1;
+
 /** A request that waits for a backend server. */
 export type WaitingRequest = {
 	/** 0 is the first. */
@@ -142,7 +145,7 @@
 		}
 
 		return {
-			costAhead, requestsAhead, ratePerMs: this.#rate.compute(now), leftMs: deadlineAt - now,
+			costAhead, requestsAhead, ratePerMs: requestsAhead === 0 ? undefined : this.#rate.compute(now), leftMs: deadlineAt - now,
 		};
 	}
 
@@ -178,7 +181,7 @@
 
 	#serve(item: WaitingItem<Value>, now: number): void {
 		// A request that was placed at once into an empty queue says nothing about the rate at which room becomes free.
-		const hasWaited = this.size > 1 || now > item.addedAt;
+		const hasWaited = this.size > 1 || now - item.addedAt >= minWaitMs;
 		if (this.#end(item, now)) {
 			this.#getLevel(item.request).serve(item);
 			if (hasWaited) {
