--- a/packages/core/src/placement/load-table.ts
+++ b/packages/core/src/placement/load-table.ts
@@ -65,8 +65,7 @@
 
 	/** Replaces the load that the entries of another failure domain have put on one backend server. */
 	setDomainLoad(failureDomain: string, serverId: string, load: ServerLoad, now: number): void {
-		// Cannot equal the id of an entry, which contains no slash.
-		const key = `domain/${failureDomain}`;
+		const key = formatDomainKey(failureDomain);
 		this.setPeerLoad(key, serverId, load, now);
 		this.#domains.set(key, this.#peers.get(key)!);
 	}
@@ -124,3 +123,6 @@
 		return load;
 	}
 }
+
+/** Key of what the entries of another failure domain report together; cannot equal the id of an entry, which contains no slash. */
+export const formatDomainKey = (failureDomain: string): string => `domain/${failureDomain}`;
--- a/packages/relay/src/metrics/relay-metrics.ts
+++ b/packages/relay/src/metrics/relay-metrics.ts
@@ -7,6 +7,8 @@
 const latencyBuckets = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2, 3, 5, 10, 15];
 /** Bucket bounds of the age of load figures in seconds, up to the age at which they no longer count. */
 const loadAgeBuckets = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1, 1.5];
+/** Bucket bounds of the time in a queue in seconds, from a run of the queue to the longest deadline. */
+const waitingBuckets = [0.002, 0.01, 0.025, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10];
 const msPerSecond = 1000;
 
 /** Counters and latency histograms of a relay process. */
@@ -48,18 +50,14 @@
 		buckets: loadAgeBuckets, registers: [this.registry],
 	});
 
-	/** Publishes a value for each service that is read each time the metrics are fetched; the name gets the prefix `relay_`. */
-	addServiceGauge(name: string, list: () => Iterable<[service: string, value: number]>): void {
-		const gauge: Gauge = new Gauge({
-			name: `relay_${name}`, help: `Present value of ${name.replaceAll('_', ' ')} by service`, labelNames: ['service'], registers: [this.registry],
-			collect() {
-				gauge.reset();
-				for (const [service, value] of list()) {
-					gauge.set({service}, value);
-				}
-			},
-		});
-	}
+	readonly #waited = new Histogram({
+		name: 'relay_waited_seconds', help: 'Time for which a request waited in the queue of its service', labelNames: ['service', 'urgency'],
+		buckets: waitingBuckets, registers: [this.registry],
+	});
+
+	readonly #waitingRefusals = new Counter({
+		name: 'relay_waiting_refusals_total', help: 'Requests that were refused in the queue of their service, by reason', labelNames: ['service', 'urgency', 'reason'], registers: [this.registry],
+	});
 
 	/** Publishes a value that is read each time the metrics are fetched; the name gets the prefix `relay_`. */
 	addGauge(name: string, read: () => number): void {
@@ -71,6 +69,19 @@
 		});
 	}
 
+	/** Publishes values with labels that are read each time the metrics are fetched; the name gets the prefix `relay_`. */
+	addLabelledGauge<Label extends string>(name: string, labelNames: readonly Label[], read: () => Array<{labels: Record<Label, string>; value: number}>): void {
+		const gauge: Gauge<Label> = new Gauge<Label>({
+			name: `relay_${name}`, help: `Present values of ${name.replaceAll('_', ' ')}`, labelNames, registers: [this.registry],
+			collect() {
+				gauge.reset();
+				for (const {labels, value} of read()) {
+					gauge.set(labels, value);
+				}
+			},
+		});
+	}
+
 	countAnswer(route: string, reason: string): void {
 		this.#answers.inc({route, reason});
 	}
@@ -98,6 +109,14 @@
 		this.#loadAge.observe({service}, ageMs / msPerSecond);
 	}
 
+	recordWaiting(service: string, urgency: number, waitedMs: number): void {
+		this.#waited.observe({service, urgency: String(urgency)}, waitedMs / msPerSecond);
+	}
+
+	countWaitingRefusal(service: string, urgency: number, reason: string): void {
+		this.#waitingRefusals.inc({service, urgency: String(urgency), reason});
+	}
+
 	recordFirstByte(route: string, durationMs: number): void {
 		this.#firstByte.observe({route}, durationMs / msPerSecond);
 	}
--- a/packages/relay/src/placement/placement-task.test.ts
+++ b/packages/relay/src/placement/placement-task.test.ts
@@ -35,7 +35,7 @@
 	};
 };
 
-type Fixture = {task: PlacementTask; collisions: string[]; agesMs: number[]; readBalance: () => Array<[string, number]>};
+type Fixture = {task: PlacementTask; collisions: string[]; agesMs: number[]; readBalance: () => Array<{labels: Record<string, string>; value: number}>};
 
 const createTask = (servers: readonly KnownServer[], changes: Partial<PlacementOptions> = {}): Fixture => {
 	const collisions: string[] = [];
@@ -47,8 +47,8 @@
 		storeState: {listUsableServers: () => [...servers], findServer: (id: string) => servers.find(server => server.id === id)} as unknown as StoreStateTask,
 		timer: {now: () => 1000} as unknown as PlacementOptions['timer'],
 		metrics: {
-			addServiceGauge(_, list) {
-				readBalance = () => [...list()];
+			addLabelledGauge(_, _labelNames, list) {
+				readBalance = () => list();
 			},
 			countCollision(service) {
 				collisions.push(service);
@@ -173,7 +173,7 @@
 			task.loads.setDomainLoad('north', 's11', {...noLoad, requests: 5}, 900);
 			expect(placeServer(task, buildService())).to.equal('s10');
 			expect(agesMs).to.deep.equal([300]);
-			expect(readBalance()).to.deep.equal([['pool', 10 / 6]]);
+			expect(readBalance()).to.deep.equal([{labels: {service: 'pool'}, value: 10 / 6}]);
 		});
 	});
 });
--- a/packages/relay/src/placement/placement-task.ts
+++ b/packages/relay/src/placement/placement-task.ts
@@ -61,7 +61,7 @@
 	entryId: string;
 	/** Ids of the entries that may be running, including this one once it is registered; the same array until the entries change. */
 	listEntryIds: () => readonly string[];
-	metrics: Pick<RelayMetrics, 'addServiceGauge' | 'countCollision' | 'recordLoadAge'>;
+	metrics: Pick<RelayMetrics, 'addLabelledGauge' | 'countCollision' | 'recordLoadAge'>;
 	/** Sorted failure domains with running entries while their loads come in summaries; empty while reports are direct. */
 	listSummaryDomains: () => readonly string[];
 	/** Called when the load that this entry puts on a backend server has changed. */
@@ -82,7 +82,7 @@
 
 	constructor(options: PlacementOptions) {
 		this.#options = options;
-		options.metrics.addServiceGauge('busiest_to_mean', () => this.#listBusiestToMean());
+		options.metrics.addLabelledGauge('busiest_to_mean', ['service'], () => this.#listBusiestToMean());
 	}
 
 	/** Selects backend servers for a request; returns `wait` when one may accept it soon, undefined when none can. */
@@ -172,9 +172,9 @@
 		}
 	}
 
-	#listBusiestToMean(): Array<[service: string, value: number]> {
+	#listBusiestToMean(): Array<{labels: {service: string}; value: number}> {
 		const now = this.#options.timer.now();
-		return [...this.#windows].map(([service, window]) => [service, window.computeBusiestToMean(now)]);
+		return [...this.#windows].map(([service, window]) => ({labels: {service}, value: window.computeBusiestToMean(now)}));
 	}
 
 	#countCollision(serverId: string): void {
