Decide in the core what happens to an answer whose caller reads slowly

Cause: reading of a backend server pauses as soon as the caller's buffer is full, without a bound on how long; backend servers now cut unread answers. Nothing uses it yet.

--- a/packages/core/src/streams/index.ts
+++ b/packages/core/src/streams/index.ts
@@ -1,1 +1,2 @@
 export * from './frame-validator.js';
+export * from './slow-reader.js';
