Bound what is held for callers that read slowly

Cause: an entry read a backend server only as fast as its caller read, for any time, and what an ended answer still had to write was kept for ever. Change: AnswerQueue holds what the socket has not taken in a ledger hold of kind answer. Below 1 MiB the backend server is read on; at the bound reading pauses for at most 3 s, then a resumable stream is detached after its last event and continued by a new attempt when its caller has taken everything; other answers are cut. A caller that takes nothing for its route's time limit is closed.

--- a/packages/relay/src/front/attempt-result.ts
+++ b/packages/relay/src/front/attempt-result.ts
@@ -39,6 +39,10 @@
 	| {type: 'not_sent'; cause: string}
 	/** No complete answer was received; the request may have run. `loss` is set when the backend server may have ended. */
 	| {type: 'broken'; cause: string; loss: LossKind | undefined}
+	/** The caller reads too slowly; another attempt continues the stream when the caller has taken what was passed on. */
+	| {type: 'detached'; cause: string}
+	/** The caller reads too slowly, and its connection was closed, because no other attempt can continue the answer. */
+	| {type: 'cut'; cause: string}
 	/** The request ended before the attempt: its caller disconnected or it timed out. */
 	| {type: 'cancelled'}
 );
--- a/packages/relay/src/front/relay-request.ts
+++ b/packages/relay/src/front/relay-request.ts
@@ -1,7 +1,7 @@
 import type {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
-	executionKinds, isRepeatable, selectTarget, type Route, type RouteTable,
+	executionKinds, isRepeatable, memoryKinds, selectTarget, type Route, type RouteTable,
 } from '@knapweedrack/core';
 import type {RequestEnvelope} from '../contracts.js';
 import {answerReasons, type AnswerReason} from './answer-reasons.js';
@@ -53,6 +53,7 @@
 
 		const {route, table, workspace} = admitted;
 		this.#route = route;
+		this.#setCaller(route, workspace);
 		const body = await readRequestBody(this.#request, table.configuration.limits, this.#services.timer);
 		if (body.type !== 'read') {
 			this.#answerUnreadBody(body.type);
@@ -84,6 +85,18 @@
 		}
 	}
 
+	/** Holds what the caller does not take of its answer in its workspace's account. */
+	#setCaller(route: Route, workspace: string | undefined): void {
+		const {timer, memory, metrics, log} = this.#services;
+		this.#writer.setCaller({
+			timer, hold: memory.open({kind: memoryKinds.answer, workspace}), stallMs: route.timeoutMs,
+			notifyClosed: reason => {
+				metrics.countEvent(`caller.answer_${reason}`);
+				log.writeRequest('caller.answer_cut', this.#envelope.requestId, {route: route.name, reason, afterMs: Math.round(timer.now() - this.#arrivedAt)});
+			},
+		});
+	}
+
 	#admit(): {route: Route; table: RouteTable; workspace: string | undefined} | AnswerReason {
 		const {storeState} = this.#services;
 		const {table} = storeState;
--- a/packages/relay/src/front/request-attempts.ts
+++ b/packages/relay/src/front/request-attempts.ts
@@ -108,6 +108,10 @@
 			const result = await this.#runToEnd(prepared);
 			latest = result;
 			failure = result.type === 'failed' ? result : failure;
+			if (result.type === 'detached') {
+				await this.#waitForReader();
+			}
+
 			if (writer.isOver || result.type === 'delivered') {
 				break;
 			}
@@ -122,6 +126,13 @@
 		return {type: 'over'};
 	}
 
+	/** Waits until the caller has taken what was passed on, or has gone; the rest of its stream is due from then on. */
+	async #waitForReader(): Promise<void> {
+		const {timer} = this.#services;
+		await this.#admitted.writer.waitUntilTaken();
+		this.#progress.latestPartAt &&= timer.now();
+	}
+
 	/** Logs why no attempt follows one that has ended. */
 	#logRetryRefusal(reason: RetryRefusal | undefined, latest: AttemptResult | undefined): void {
 		if (reason !== undefined && latest !== undefined) {
@@ -273,7 +284,7 @@
 	/** Lets the kept attempts go on when the one that led has broken off, and cancels them when it has ended the answer. */
 	#endLead(): void {
 		const {writer} = this.#admitted;
-		if (writer.canContinue && this.#progress.isResumable) {
+		if (writer.canContinue && this.#progress.isResumable && !writer.isFull) {
 			this.#resumeKept();
 			return;
 		}
@@ -325,6 +336,11 @@
 			this.#results.push(result);
 		}
 
+		if (result.type === 'detached') {
+			// Its caller is slow, so the server may continue the stream.
+			this.#excludedServerIds.delete(placed.server.id);
+		}
+
 		this.#recordSignal(placed.server.id, result);
 		recordCrashEvidence(this.#services, {
 			positions, requestId: this.#admitted.envelope.requestId, attempt: number, server: placed.server, sentAt,
--- a/packages/relay/src/front/run-attempt.ts
+++ b/packages/relay/src/front/run-attempt.ts
@@ -1,15 +1,19 @@
 import {Buffer} from 'node:buffer';
-import {executionKinds} from '@knapweedrack/core';
+import {
+	executionKinds, isRepeatable, readingDecisions, type ReadingDecision,
+} from '@knapweedrack/core';
 import {
 	startAttempt, type AnswerHead, type AttemptEnd, type AttemptListener, type RunningAttempt,
 } from '../exchange/attempt.js';
 import type {BackendConnection} from '../exchange/backend-connections.js';
 import {describeEvents, EventSplitter, type SplitEvents} from '../exchange/event-splitter.js';
+import {runAfterInput} from '../exchange/run-after-input.js';
 import type {PlacedRequest} from '../placement/placement-task.js';
 import {lossKinds} from '../quarantine/crash-detection-task.js';
 import {
 	hasRequestId, isEventStream, isFromServer, isSuccessOf, isUnusable,
 } from './answer-checks.js';
+import {untakenReasons, type UntakenReason} from './answer-writer.js';
 import type {AttemptOptions, CancelReason} from './attempt-options.js';
 import type {AttemptResult} from './attempt-result.js';
 import {KeptEvents} from './kept-events.js';
@@ -67,6 +71,8 @@
 	/** End of the answer of a kept attempt. */
 	#keptEnd: AttemptEnd | undefined;
 	#silence: SilenceWatch | undefined;
+	/** Cancels the decision at the end of a pause. */
+	#cancelPauseCheck: (() => void) | undefined;
 	#running: RunningAttempt | undefined;
 	#connection: BackendConnection | undefined;
 
@@ -114,7 +120,7 @@
 			this.options.writer.start(this.#head!);
 			this.#firstByteAt = this.services.timer.now();
 			this.#recordFirstByte();
-			return this.options.writer.write(this.#removeHeldBytes());
+			return this.#passOn(this.#removeHeldBytes());
 		}
 
 		if (this.#heldBytes > unforwardedLimitBytes) {
@@ -125,7 +131,7 @@
 	}
 
 	pass(chunk: Buffer): boolean {
-		return this.options.writer.write(chunk);
+		return this.#passOn(chunk);
 	}
 
 	/** Ends a stream that the backend server has ended; one that ends within an event was broken off. */
@@ -154,9 +160,9 @@
 			writer.start(head);
 		}
 
-		const rest = this.#splitter.removeIncompleteEvent();
-		if (rest.length > 0) {
-			writer.write(rest);
+		if (!writer.write(this.#splitter.removeIncompleteEvent())) {
+			writer.cut(untakenReasons.noMemory);
+			return {type: 'cut', cause: untakenReasons.noMemory};
 		}
 
 		writer.end();
@@ -193,6 +199,59 @@
 			: {type: 'failed', head, body: Buffer.concat(this.#heldChunks)};
 	}
 
+	/** Leaves the answer unread until the caller takes a part or the longest pause is over. */
+	pauseReading(): boolean {
+		const {services: {timer}, options: {writer}} = this;
+		this.#cancelPauseCheck ??= timer.schedule(writer.computePauseLeftMs(timer.now()), () => {
+			this.#cancelPauseCheck = runAfterInput(() => {
+				this.#cancelPauseCheck = undefined;
+				if (!this.#isOver) {
+					this.#followReader(true);
+				}
+			});
+		});
+		return false;
+	}
+
+	/** Ends the attempt after the last event that was passed on; another one continues the stream when the caller has taken that. */
+	detach(cause: UntakenReason): boolean {
+		this.#running?.cancel();
+		this.#finish({type: 'detached', cause});
+		return true;
+	}
+
+	/** Ends an answer that no other attempt can continue. */
+	cut(cause: UntakenReason): boolean {
+		this.options.writer.cut(cause);
+		this.#running?.cancel();
+		this.#finish({type: 'cut', cause});
+		return true;
+	}
+
+	/** Holds the events of a kept attempt, or passes on those after the caller's last one once it has reached that. */
+	#keepEvents(kept: KeptEvents, bytes: Buffer): boolean {
+		this.#silence?.recordEvent();
+		const {lastEventId} = this.options.progress;
+		if (!kept.add(bytes, lastEventId) && this.#isKept) {
+			this.#running?.cancel();
+			this.#finish(cancelResults.lost);
+			return true;
+		}
+
+		return this.#isKept || this.#passKept(kept);
+	}
+
+	/** Passes on the events of a kept attempt that follow the caller's last one. */
+	#passKept(kept: KeptEvents): boolean {
+		const rest = kept.removeAfter(this.options.progress.lastEventId);
+		if (rest === undefined) {
+			return true;
+		}
+
+		this.#kept = undefined;
+		return rest.length === 0 || this.#passComplete(rest, describeEvents(rest));
+	}
+
 	#passComplete(bytes: Buffer, {lastEventId, endsWithId}: SplitEvents): boolean {
 		const {writer, progress, placed} = this.options;
 		// Comments and other blocks without data are no part of the answer, so they do not end an attempt that may bring the next one.
@@ -214,34 +273,32 @@
 			this.#recordFirstByte();
 		}
 
-		progress.latestPartAt = this.services.timer.now();
-		progress.lastEventId = lastEventId ?? progress.lastEventId;
-		progress.isResumable = endsWithId ?? progress.isResumable;
-		return writer.write(Buffer.concat([this.#removeHeldBytes(), bytes]));
+		return this.#passOn(Buffer.concat([this.#removeHeldBytes(), bytes]), () => {
+			progress.latestPartAt = this.services.timer.now();
+			progress.lastEventId = lastEventId ?? progress.lastEventId;
+			progress.isResumable = endsWithId ?? progress.isResumable;
+		});
 	}
 
-	/** Holds the events of a kept attempt, or passes on those after the caller's last one once it has reached that. */
-	#keepEvents(kept: KeptEvents, bytes: Buffer): boolean {
-		this.#silence?.recordEvent();
-		const {lastEventId} = this.options.progress;
-		if (!kept.add(bytes, lastEventId) && this.#isKept) {
-			this.#running?.cancel();
-			this.#finish(cancelResults.lost);
-			return true;
+	/** Writes a part of the answer to the caller and records it once it is written; returns false to pause reading. */
+	#passOn(bytes: Buffer, recordPart: () => void = () => undefined): boolean {
+		const hasRoom = this.options.writer.write(bytes);
+		if (hasRoom) {
+			recordPart();
 		}
 
-		return this.#isKept || this.#passKept(kept);
+		return this.#followReader(hasRoom);
 	}
 
-	/** Passes on the events of a kept attempt that follow the caller's last one. */
-	#passKept(kept: KeptEvents): boolean {
-		const rest = kept.removeAfter(this.options.progress.lastEventId);
-		if (rest === undefined) {
+	/** Does with the answer what its caller's reading calls for; returns false to pause reading. */
+	#followReader(hasRoom: boolean): boolean {
+		const {services: {timer}, options: {writer, progress, route}} = this;
+		if (writer.isOver) {
 			return true;
 		}
 
-		this.#kept = undefined;
-		return rest.length === 0 || this.#passComplete(rest, describeEvents(rest));
+		const isResumable = this.#mode === answerModes.stream && isEventStream(this.#head!) && isRepeatable(route) && progress.isResumable;
+		return readingHandlers[writer.decideReading(timer.now(), {isResumable, hasRoom})](this, hasRoom ? untakenReasons.behind : untakenReasons.noMemory);
 	}
 
 	/** An attempt that has continued a stream can go on with it when the winner breaks off. */
@@ -324,15 +381,23 @@
 				}
 			},
 		});
-		this.#cleanups.push(this.options.writer.subscribeToDrain(() => {
+		this.#cleanups.push(this.options.writer.subscribeToRoom(() => {
+			this.#stopPauseCheck();
 			// Resuming delivers bytes that were read before, which may pause the answer again.
 			this.#silence?.resume();
 			running.resume();
-		}));
+		}), () => {
+			this.#stopPauseCheck();
+		});
 		this.#silence = new SilenceWatch(this.services, this.options, () => this.#mode === answerModes.waiting);
 		this.#silence.start();
 	}
 
+	#stopPauseCheck(): void {
+		this.#cancelPauseCheck?.();
+		this.#cancelPauseCheck = undefined;
+	}
+
 	#buildHeaders(): string[] {
 		const {services: {wire}, options: {placed, request, remainingMs, workspace, progress, reservations}} = this;
 		return wire.encodeDispatch(request.rawHeaders, {
@@ -515,6 +580,13 @@
 	passing: (task, chunk) => task.pass(chunk),
 };
 
+const readingHandlers: Record<ReadingDecision, (task: AttemptTask, cause: UntakenReason) => boolean> = {
+	[readingDecisions.read]: () => true,
+	[readingDecisions.pause]: task => task.pauseReading(),
+	[readingDecisions.detach]: (task, cause) => task.detach(cause),
+	[readingDecisions.cut]: (task, cause) => task.cut(cause),
+};
+
 const endHandlers: Record<AnswerMode, (task: AttemptTask, head: AnswerHead) => AttemptResult> = {
 	waiting: () => ({type: 'broken', cause: 'the answer ended before its head was received', loss: lossKinds.connection}),
 	stream: (task, head) => task.endStream(head),
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -258,6 +258,7 @@
 			readWallClock: Date.now,
 		});
 		const services: RelayServices = {
+			memory: {open: () => ({bytes: 0, tryAdd: () => true, remove: () => undefined, release: () => undefined})},
 			bounds, wire, timer, log, metrics, storeState: this.#storeState, placement: this.#placement, connections: this.#connections, reachability: this.#reachability,
 			orders: options.orders, silentServers,
 			crashDetection: this.#crashDetection, quarantine: this.#quarantine, serverLimits: this.#serverLimits, serverNotices: this.#serverNotices,
