--- a/packages/relay/src/metrics/relay-metrics.ts
+++ b/packages/relay/src/metrics/relay-metrics.ts
@@ -1,7 +1,8 @@
-import {createServer, type Server, type ServerResponse} from 'node:http';
+import type {Server, ServerResponse} from 'node:http';
 import {
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
+import {createBoundedServer} from '../listeners/bounded-server.js';
 
 /** Bucket bounds of the latency histograms in seconds, from an answer by the entry itself to the longest deadline. */
 const latencyBuckets = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2, 3, 5, 10, 15];
@@ -74,7 +75,7 @@
 
 /** Starts an HTTP server that serves the metrics as text at one path. */
 export const serveMetrics = (metrics: RelayMetrics, options: {host: string; port: number; path: string}): Server => {
-	const server = createServer((request, response) => {
+	const server = createBoundedServer((request, response) => {
 		if (request.url?.split('?')[0] === options.path) {
 			void sendMetrics(metrics, response);
 		} else {
