Add the memory ledger and the limits of the instance

Cause: a crowd of untrusted callers makes an entry hold more memory than its instance has, and nothing accounts for it.

--- a/packages/relay/src/contracts.ts
+++ b/packages/relay/src/contracts.ts
@@ -146,6 +146,14 @@
 	reservationMs: number;
 };
 
+/** What the instance gives the process. */
+export type InstanceResources = {
+	/** Memory of the instance in bytes. */
+	memoryBytes: number;
+	/** Most open file descriptors of the process, including those for files. */
+	descriptors: number;
+};
+
 /** Settings of a relay process; only `bounds` can change while it runs. */
 export type RelaySettings = {
 	entryId: string;
@@ -162,4 +170,5 @@
 	/** True when no earlier process of this entry has run. */
 	isFirstStart: boolean;
 	bounds: RelayBounds;
+	resources: InstanceResources;
 };
--- a/packages/relay/src/front/relay-services.ts
+++ b/packages/relay/src/front/relay-services.ts
@@ -1,4 +1,4 @@
-import type {SharedRetryBudget} from '@knapweedrack/core';
+import type {MemoryLedger, SharedRetryBudget} from '@knapweedrack/core';
 import type {TimerService} from '@knapweedrack/entry/contracts';
 import type {EngineOrderCodec, RelayBounds, WireCodec} from '../contracts.js';
 import type {BackendConnections} from '../exchange/backend-connections.js';
@@ -16,6 +16,8 @@
 /** Services of the process that a request uses. */
 export type RelayServices = {
 	bounds: RelayBounds;
+	/** Memory that the process holds for callers, backend servers, peers and the store. */
+	memory: MemoryLedger;
 	wire: WireCodec;
 	timer: TimerService;
 	log: DecisionLog;
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -1,5 +1,7 @@
 import {randomBytes} from 'node:crypto';
-import {SharedRetryBudget, type ClockReading} from '@knapweedrack/core';
+import {
+	computeMemoryLimits, MemoryLedger, SharedRetryBudget, type ClockReading,
+} from '@knapweedrack/core';
 import {createTimerService, waitFor} from '@knapweedrack/entry/timer-service';
 import type {ObjectStore} from '@knapweedrack/platform-client';
 import type {
@@ -73,6 +75,7 @@
 	readonly #tunnels: TunnelServer;
 	readonly #connections: BackendConnections;
 	readonly #budgets = new Map<string, SharedRetryBudget>();
+	readonly #memory: MemoryLedger;
 	readonly #front: FrontServer;
 	/** Time at which the last earlier process of this entry may have ended, on the clock of the timer service. */
 	readonly #startedAt: number;
@@ -88,6 +91,7 @@
 		// All tasks share this object, so that `applySettings` takes effect at once.
 		this.#bounds = {...settings.bounds};
 		const bounds = this.#bounds;
+		this.#memory = new MemoryLedger(computeMemoryLimits(settings.resources.memoryBytes));
 		const {timer} = this;
 		this.#log = options.log ?? createDecisionLog(settings.entryId, () => timer.now());
 		const log = this.#log;
@@ -258,7 +262,7 @@
 			readWallClock: Date.now,
 		});
 		const services: RelayServices = {
-			bounds, wire, timer, log, metrics, storeState: this.#storeState, placement: this.#placement, connections: this.#connections, reachability: this.#reachability,
+			bounds, memory: this.#memory, wire, timer, log, metrics, storeState: this.#storeState, placement: this.#placement, connections: this.#connections, reachability: this.#reachability,
 			orders: options.orders, silentServers,
 			crashDetection: this.#crashDetection, quarantine: this.#quarantine, serverLimits: this.#serverLimits, serverNotices: this.#serverNotices,
 			getBudget: service => this.#getBudget(service),
