Bound the peer listener and what tunnels hold

Cause: the peer listener accepted any number of connections without a limit of time, refused tunnels stayed open while their other side did, each refusal wrote a log line, and bytes of tunnels were not accounted. Change: limits as on the other listeners until a tunnel or a state feed is open, at most 500 feeds, refused connections are closed 5 s after the answer, one log line a second for each code, and a ledger hold (kind tunnel) for what the slower side has not taken; without room both connections are reset.

--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -1,6 +1,6 @@
 import {randomBytes} from 'node:crypto';
 import {
-	computeMemoryLimits, MemoryLedger, SharedRetryBudget, type ClockReading,
+	computeMemoryLimits, memoryKinds, MemoryLedger, SharedRetryBudget, type ClockReading,
 } from '@knapweedrack/core';
 import {createTimerService, waitFor} from '@knapweedrack/entry/timer-service';
 import type {ObjectStore} from '@knapweedrack/platform-client';
@@ -133,6 +133,7 @@
 			timer, log, metrics, openSocket, reachability: this.#reachability, getConnectTimeoutMs,
 			findServerByAddress: address => this.#storeState.findServerByAddress(address),
 			isRefusingRequests,
+			openHold: () => this.#memory.open({kind: memoryKinds.tunnel, workspace: undefined}),
 			acceptUpgrade: (request, socket) => {
 				this.#feedServer.accept(request, socket);
 			},
--- a/packages/relay/src/tunnels/tunnel-server.test.ts
+++ b/packages/relay/src/tunnels/tunnel-server.test.ts
@@ -1,9 +1,13 @@
+import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {request} from 'node:http';
 import {
 	connect, createServer, Socket, type AddressInfo, type Server,
 } from 'node:net';
 import {expect} from 'chai';
+import {
+	computeMemoryLimits, memoryKinds, MemoryLedger, type MemoryHold,
+} from '@knapweedrack/core';
 import {createTimerService} from '@knapweedrack/entry/timer-service';
 import type {DecisionLog} from '../logging/decision-log.js';
 import {RelayMetrics} from '../metrics/relay-metrics.js';
@@ -17,6 +21,7 @@
 
 describe('TunnelServer', () => {
 	const timer = createTimerService();
+	const ledger = new MemoryLedger(computeMemoryLimits(1e9));
 	let backend: Server;
 	let accepted: Socket[];
 	let started: TunnelServer[];
@@ -54,6 +59,7 @@
 			timer, log, metrics: new RelayMetrics(), openSocket: target => connect(target),
 			reachability: {isReaching: true, checkAfterFailure: async () => true},
 			findServerByAddress: () => ({id: 'a'}), isRefusingRequests: () => false, getConnectTimeoutMs: () => 100,
+			openHold: () => ledger.open({kind: memoryKinds.tunnel, workspace: undefined}),
 			acceptUpgrade(_request, socket) {
 				socket.destroy();
 			},
@@ -149,4 +155,141 @@
 		expect(await fetchRefusal(peerAddress, getBackendAddress(), true)).to.equal(undefined);
 		expect(await fetchRefusal(await start({findServerByAddress: () => undefined}), getBackendAddress(), true)).to.equal('UNKNOWN_SERVER');
 	});
+
+	describe('with connections of others than entries', () => {
+		const limits = {headBytes: 2000, timeoutMs: 150, connections: 2};
+
+		const open = async (peerAddress: string, text: string): Promise<Socket> => {
+			const socket = connect(Number(peerAddress.split(':')[1]), host);
+			socket.on('error', () => undefined);
+			await once(socket, 'connect');
+			socket.write(text);
+			return socket;
+		};
+
+		const waitForClose = async (socket: Socket): Promise<void> => {
+			socket.resume();
+			if (!socket.closed) {
+				await once(socket, 'close', {signal: AbortSignal.timeout(2500)});
+			}
+		};
+
+		// Guards against connections that stay open for ever and heads without end.
+		it('closes those that are idle, or whose head is late or too long', async () => {
+			const peerAddress = await start({limits: {...limits, connections: 10}});
+			const heads = ['', 'CONNECT 127', `GET / HTTP/1.1\r\nX-Long: ${'x'.repeat(limits.headBytes)}`];
+			await Promise.all(heads.map(async head => waitForClose(await open(peerAddress, head))));
+		});
+
+		// Guards against refused tunnels whose other side never closes.
+		it('closes those that were refused a tunnel or another protocol', async () => {
+			let ended = 0;
+			const peerAddress = await start({
+				limits, findServerByAddress: () => undefined, acceptUpgrade(_request, socket) {
+					ended++;
+					socket.end('HTTP/1.1 400 Bad Request\r\n\r\n');
+				},
+			});
+			const options = {host, port: Number(peerAddress.split(':')[1]), allowHalfOpen: true};
+			const sockets = ['CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n', 'GET / HTTP/1.1\r\nHost: a\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n'].map(text => {
+				const socket = connect(options);
+				socket.on('error', () => undefined);
+				socket.resume();
+				socket.write(text);
+				return socket;
+			});
+			await Promise.all(sockets.map(async socket => once(socket, 'end')));
+			await new Promise(resolve => {
+				setTimeout(resolve, 3 * limits.timeoutMs);
+			});
+			// The first write finds out that the connection is closed, and the second one fails.
+			for (let count = 0; count < 2; count++) {
+				for (const socket of sockets) {
+					socket.write('x');
+				}
+
+				await new Promise(resolve => {
+					setTimeout(resolve, 20);
+				});
+			}
+
+			await Promise.all(sockets.map(async socket => waitForClose(socket)));
+			expect(ended).to.equal(1);
+		});
+
+		// Guards against tunnels of entries that are closed for being idle, or by a crowd of other connections.
+		it('keeps an idle tunnel while a crowd connects', async () => {
+			const peerAddress = await start({limits});
+			const tunnel = await openTunnel({
+				peerAddress, entryId: 'b', tunnelId: 't', address: getBackendAddress(), timeoutMs: 500,
+			});
+			if (!tunnel.ok) {
+				throw tunnel.error;
+			}
+
+			for (let count = 0; count < 10; count++) {
+				await open(peerAddress, '');
+			}
+
+			await new Promise(resolve => {
+				setTimeout(resolve, 3 * limits.timeoutMs);
+			});
+			expect(tunnel.value.closed).to.equal(false);
+			accepted[0]!.write('later');
+			const [bytes] = await once(tunnel.value, 'data') as [Buffer];
+			expect(bytes.toString()).to.equal('later');
+			tunnel.value.destroy();
+		});
+	});
+
+	describe('with a side that reads slowly', () => {
+		const openLarge = async (hold: MemoryHold): Promise<Socket> => {
+			const peerAddress = await start({openHold: () => hold});
+			const tunnel = await openTunnel({
+				peerAddress, entryId: 'b', tunnelId: 't', address: getBackendAddress(), timeoutMs: 500,
+			});
+			if (!tunnel.ok) {
+				throw tunnel.error;
+			}
+
+			tunnel.value.pause();
+			accepted[0]!.write(Buffer.alloc(40_000_000));
+			return tunnel.value;
+		};
+
+		// Guards against memory that grows with what one side sends, and against bytes that stay accounted.
+		it('holds a bounded number of bytes until they are taken', async () => {
+			const hold = ledger.open({kind: memoryKinds.tunnel, workspace: undefined});
+			const tunnel = await openLarge(hold);
+			await new Promise(resolve => {
+				setTimeout(resolve, 300);
+			});
+			expect(hold.bytes).to.be.within(1, 256 * 1024);
+			let received = 0;
+			for await (const bytes of tunnel) {
+				received += (bytes as Buffer).length;
+				if (received === 40_000_000) {
+					break;
+				}
+			}
+
+			expect(hold.bytes).to.equal(0);
+			tunnel.destroy();
+		});
+
+		// Guards against bytes beyond the budget, and against a cut that looks like the end of an answer without a length.
+		it('is reset when there is no memory for its bytes', async () => {
+			const tunnel = await openLarge({
+				bytes: 0, tryAdd: () => false, remove: () => undefined, release: () => undefined,
+			});
+			const hadError = await new Promise(resolve => {
+				accepted[0]!.on('close', resolve);
+			});
+			expect(hadError).to.equal(true);
+			// A write fails at once on a connection that was reset, but not on a closed one.
+			tunnel.write('x');
+			const [error] = await once(tunnel, 'error', {signal: AbortSignal.timeout(500)}) as [NodeJS.ErrnoException];
+			expect(error.code).to.be.oneOf(['ECONNRESET', 'EPIPE']);
+		});
+	});
 });
