Account for the bytes of answers that cannot be forwarded yet

Cause: incomplete events, buffered answers and kept events were bounded for each attempt only, so that many answers together had no bound. Change: an attempt holds them in the ledger (kind held). Without room, a buffered answer is forwarded at once; one that cannot be forwarded ends as broken and may be retried. A failure that is kept for the caller while it is retried is not accounted yet.

--- a/packages/relay/src/front/kept-events.ts
+++ b/packages/relay/src/front/kept-events.ts
@@ -12,6 +12,11 @@
 	/** `afterId` is the id of the event before the next one of the attempt; undefined when it is not known. */
 	constructor(private afterId: string | undefined) {}
 
+	/** Bytes of the events that are held. */
+	get bytes(): number {
+		return this.#bytes;
+	}
+
 	/** Adds complete events; returns false when there are too many that the caller has not received. */
 	add(events: Buffer, lastEventId: string | undefined): boolean {
 		this.#chunks.push(events);
--- a/packages/relay/src/front/run-attempt.ts
+++ b/packages/relay/src/front/run-attempt.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {
-	executionKinds, isRepeatable, readingDecisions, type ReadingDecision,
+	executionKinds, isRepeatable, memoryKinds, readingDecisions, type MemoryHold, type ReadingDecision,
 } from '@knapweedrack/core';
 import {
 	startAttempt, type AnswerHead, type AttemptEnd, type AttemptListener, type RunningAttempt,
@@ -75,12 +75,16 @@
 	#cancelPauseCheck: (() => void) | undefined;
 	#running: RunningAttempt | undefined;
 	#connection: BackendConnection | undefined;
+	/** Memory for bytes that cannot be forwarded yet: incomplete events, buffered answers and kept events. */
+	readonly #hold: MemoryHold;
 
 	constructor(
 		private readonly services: RelayServices,
 		private readonly options: AttemptOptions,
 		private readonly settle: {resolve: (result: AttemptResult) => void; reject: (error: Error) => void},
-	) {}
+	) {
+		this.#hold = services.memory.open({kind: memoryKinds.held, workspace: options.workspace});
+	}
 
 	start(): void {
 		try {
@@ -102,17 +106,19 @@
 				this.#abort('an event of the stream is too long');
 			}
 
-			return true;
+			return this.#holdOrAbort();
 		}
 
-		return this.#kept === undefined ? this.#passComplete(events.bytes, events) : this.#keepEvents(this.#kept, events.bytes);
+		const canContinue = this.#kept === undefined ? this.#passComplete(events.bytes, events) : this.#keepEvents(this.#kept, events.bytes);
+		return this.#holdOrAbort() && canContinue;
 	}
 
-	/** Buffers an answer until it is complete or exceeds `heldAnswerLimitBytes`. */
+	/** Buffers an answer until it is complete or exceeds `heldAnswerLimitBytes`, or there is no memory to buffer it. */
 	hold(chunk: Buffer): boolean {
 		this.#heldChunks.push(chunk);
 		this.#heldBytes += chunk.length;
-		if (this.#mode === answerModes.held && this.#heldBytes > heldAnswerLimitBytes && this.options.writer.isOpen && !isUnusable(this.#head!) && this.options.claimAnswer()) {
+		const isBeyondLimit = !this.#tryHold() || this.#heldBytes > heldAnswerLimitBytes;
+		if (this.#mode === answerModes.held && isBeyondLimit && this.options.writer.isOpen && !isUnusable(this.#head!) && this.options.claimAnswer()) {
 			this.#mode = answerModes.passing;
 			// No other attempt can go on with this answer.
 			this.options.progress.isResumable = false;
@@ -120,14 +126,16 @@
 			this.options.writer.start(this.#head!);
 			this.#firstByteAt = this.services.timer.now();
 			this.#recordFirstByte();
-			return this.#passOn(this.#removeHeldBytes());
+			const bytes = this.#removeHeldBytes();
+			this.#tryHold();
+			return this.#passOn(bytes);
 		}
 
 		if (this.#heldBytes > unforwardedLimitBytes) {
 			this.#abort('the answer cannot be forwarded and is too long');
 		}
 
-		return true;
+		return this.#holdOrAbort();
 	}
 
 	pass(chunk: Buffer): boolean {
@@ -336,6 +344,27 @@
 		return true;
 	}
 
+	/** Accounts for the bytes that are held now; returns false when there is no memory for them. */
+	#tryHold(): boolean {
+		const added = this.#heldBytes + this.#splitter.heldBytes + (this.#kept?.bytes ?? 0) - this.#hold.bytes;
+		if (added <= 0) {
+			this.#hold.remove(-added);
+			return true;
+		}
+
+		return this.#hold.tryAdd(added);
+	}
+
+	/** Ends the attempt when there is no memory for the bytes that are held now; returns true, since no caller has to take them. */
+	#holdOrAbort(): boolean {
+		if (!this.#isOver && !this.#tryHold()) {
+			this.services.metrics.countEvent('attempt.no_memory');
+			this.#abort('there is no memory to hold the answer');
+		}
+
+		return true;
+	}
+
 	/** Removes and returns the bytes that are held, so that they no longer count against a limit. */
 	#removeHeldBytes(): Buffer {
 		const bytes = Buffer.concat(this.#heldChunks);
@@ -540,6 +569,7 @@
 
 	#stop(): void {
 		this.#isOver = true;
+		this.#hold.release();
 		this.#silence?.stop();
 		for (const cleanup of this.#cleanups) {
 			cleanup();
