Bound the bodies, connections and waiting requests of callers

Cause: 40 connections with bodies in chunks of one byte took 2,128 MB, since each part was kept as an object of its own; nothing bounded unfinished bodies, connections or pipelined requests. Connections are limited by descriptors and memory, idle ones are closed first. The next request of a connection starts when the answer before it was taken. Gauges, relay_refused_callers_total, and log lines limited to one a second for each reason.

--- a/packages/relay/src/front/answer-reasons.ts
+++ b/packages/relay/src/front/answer-reasons.ts
@@ -8,6 +8,10 @@
 	headTooLarge: {status: 431, isNotRun: true},
 	bodyTooLarge: {status: 413, isNotRun: true},
 	bodyIdle: {status: 408, isNotRun: true},
+	/** The time limit of the route passed before the body was complete. */
+	bodyLate: {status: 408, isNotRun: true},
+	/** There was no memory for the body, or it had to make room for others. */
+	bodyEvicted: {status: 503, isNotRun: true},
 	stopping: {status: 503, isNotRun: true},
 	noServer: {status: 503, isNotRun: true},
 	overloaded: {status: 503, isNotRun: true},
--- a/packages/relay/src/front/answer-writer.ts
+++ b/packages/relay/src/front/answer-writer.ts
@@ -7,6 +7,7 @@
 export class AnswerWriter {
 	#isStarted = false;
 	#isOver = false;
+	#closesConnection = false;
 
 	/** `isStopping` returns true once callers should move to other entries. */
 	constructor(private readonly response: ServerResponse, private readonly isStopping: () => boolean) {
@@ -30,6 +31,11 @@
 		return this.#isOver;
 	}
 
+	/** Has the connection closed after the entry's own answer. */
+	closeConnection(): void {
+		this.#closesConnection = true;
+	}
+
 	/** Calls the subscriber when the connection closes before the answer is complete. */
 	subscribeToCallerGone(subscriber: () => void): void {
 		this.response.on('close', () => {
@@ -85,7 +91,7 @@
 			return;
 		}
 
-		writeHead(this.response, {status, headers: {...headers, 'content-length': 0}, close: this.isStopping()});
+		writeHead(this.response, {status, headers: {...headers, 'content-length': 0}, close: this.#closesConnection || this.isStopping()});
 		this.response.end();
 	}
 }
--- a/packages/relay/src/front/front-server.ts
+++ b/packages/relay/src/front/front-server.ts
@@ -1,16 +1,21 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
+import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import type {CallerLimits} from '@knapweedrack/core';
 import {waitFor} from '@knapweedrack/entry/timer-service';
 import {UnreadableInput} from '@knapweedrack/entry/unreadable-input';
 import {closeIncompleteAnswer} from './caller-answer.js';
+import {CallerConnections, type ConnectionCounts} from './caller-connections.js';
 import {RelayRequest} from './relay-request.js';
 import type {RelayServices} from './relay-services.js';
 
 /** Maximum size of a request head for the parser; the configured limit can change at run time and is checked after parsing. */
 const parsedHeaderBytes = 128 * 1024;
+/** Factor and addition from the configured limit of the headers to the limit of the parser, which also counts the URL and the separators. */
+const headerSizeFactor = 2;
+const extraHeadBytes = 16 * 1024;
 /** Extra time beyond the configured idle time before an idle connection is closed, so that a request is not sent while it closes, in ms. */
 const idleMarginMs = 2000;
 /** Interval at which Node checks for connections with an overdue head, in ms. */
@@ -23,6 +28,7 @@
 /** HTTP server for callers. */
 export class FrontServer {
 	readonly #server: Server;
+	readonly #connections: CallerConnections;
 	readonly #openResponses = new Set<ServerResponse>();
 	/** Requests that are being handled. */
 	readonly #requests = new Set<RelayRequest>();
@@ -33,10 +39,21 @@
 	#totalCount = 0;
 
 	constructor(private readonly services: RelayServices) {
+		const {memory, metrics, refusalLog, timer, computeConnectionLimit} = services;
+		this.#connections = new CallerConnections({
+			memory, now: () => timer.now(), computeLimit: computeConnectionLimit,
+			notifyClosed: reason => {
+				metrics.countRefusedCaller(reason);
+				refusalLog.write('caller.closed', reason, undefined, {...this.#connections.count()});
+			},
+		});
 		this.#server = createServer({
 			maxHeaderSize: parsedHeaderBytes, connectionsCheckingInterval: connectionCheckMs, keepAlive: true, noDelay: true, requestTimeout: 0,
 		}, (request, response) => {
-			void this.#serve(request, response);
+			this.#serve(request, response);
+		});
+		this.#server.on('connection', (socket: Socket) => {
+			this.#connections.accept(socket);
 		});
 		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket: Duplex) => {
 			this.services.metrics.countEvent('caller.unreadable');
@@ -52,6 +69,11 @@
 		return this.#totalCount;
 	}
 
+	/** Connections of callers by state. */
+	countConnections(): ConnectionCounts {
+		return this.#connections.count();
+	}
+
 	async startListening(host: string, port: number): Promise<void> {
 		return new Promise((resolve, reject) => {
 			this.#server.once('error', reject);
@@ -76,6 +98,8 @@
 	applyLimits(limits: CallerLimits): void {
 		this.#server.headersTimeout = limits.headerTimeoutMs;
 		this.#server.keepAliveTimeout = limits.idleTimeoutMs + idleMarginMs;
+		// Read for each new connection: the parser keeps a head in arrival up to this size.
+		Object.assign(this.#server, {maxHeaderSize: Math.min(parsedHeaderBytes, (limits.headerBytes * headerSizeFactor) + extraHeadBytes)});
 	}
 
 	/** Waits until no request has been open for `idleMs`, at most until `deadline` (a time of the timer service, in ms). */
@@ -125,7 +149,7 @@
 		this.#server.closeIdleConnections();
 	}
 
-	async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+	#serve(request: IncomingMessage, response: ServerResponse): void {
 		if (!this.#unreadableInput.accept(request, response)) {
 			return;
 		}
@@ -138,6 +162,19 @@
 		});
 		const relayRequest = new RelayRequest(this.services, request, response);
 		this.#requests.add(relayRequest);
+		this.#connections.handle({
+			request, response,
+			start: () => {
+				void this.#run(relayRequest, response);
+			},
+			drop: () => {
+				this.#openResponses.delete(response);
+				this.#requests.delete(relayRequest);
+			},
+		});
+	}
+
+	async #run(relayRequest: RelayRequest, response: ServerResponse): Promise<void> {
 		try {
 			await relayRequest.run();
 		} catch (error) {
@@ -152,7 +189,8 @@
 
 	#answerUnreadable(error: NodeJS.ErrnoException, socket: Duplex): void {
 		const status = unreadableStatuses.get(error.code ?? '') ?? '400 Bad Request';
-		this.services.log.writeRequest('caller.unreadable', undefined, {code: error.code, status});
+		this.services.metrics.countRefusedCaller('unreadable');
+		this.services.refusalLog.write('caller.unreadable', status, undefined, {code: error.code, status});
 		socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
 	}
 }
--- a/packages/relay/src/front/relay-request.ts
+++ b/packages/relay/src/front/relay-request.ts
@@ -7,10 +7,11 @@
 import {answerReasons, type AnswerReason} from './answer-reasons.js';
 import {AnswerWriter} from './answer-writer.js';
 import type {AttemptResult} from './attempt-result.js';
+import {closeAfterAnswer, isCheaplyDiscarded} from './close-unread.js';
 import {computeRetryDelayMs} from './compute-retry-delay.js';
 import {hashContent, hashPart} from './hash-content.js';
 import {RequestAttempts, type AttemptsEnd} from './request-attempts.js';
-import {readRequestBody} from './request-body.js';
+import {readRequestBody, type BodyResult} from './request-body.js';
 import type {RelayServices} from './relay-services.js';
 import {computeBackoffMs, listUsableServers} from './server-availability.js';
 
@@ -22,10 +23,14 @@
 /** Time after which they are refused at the latest, in ms: by then callers know that this entry has left the list of entries. */
 const stopRefusalMs = 3000;
 
+/** A request whose body was read. */
+type WholeRequest = {route: Route; table: RouteTable; workspace: string | undefined; body: Buffer | undefined};
+
 /** Handles one caller request from its head to the final answer. */
 export class RelayRequest {
 	readonly #services: RelayServices;
 	readonly #request: IncomingMessage;
+	readonly #response: ServerResponse;
 	readonly #writer: AnswerWriter;
 	readonly #envelope: RequestEnvelope;
 	readonly #arrivedAt: number;
@@ -38,6 +43,7 @@
 	constructor(services: RelayServices, request: IncomingMessage, response: ServerResponse) {
 		this.#services = services;
 		this.#request = request;
+		this.#response = response;
 		this.#envelope = services.wire.decodeRequest(request.headers);
 		this.#arrivedAt = services.timer.now();
 		this.#writer = new AnswerWriter(response, () => services.getStoppingMs() !== undefined);
@@ -45,6 +51,11 @@
 
 	/** Serves the request; resolves when its answer has ended. */
 	async run(): Promise<void> {
+		if (this.#writer.isOver) {
+			// Refused while it waited for its turn.
+			return;
+		}
+
 		const admitted = this.#admit();
 		if (typeof admitted === 'string') {
 			this.#answer(admitted);
@@ -53,15 +64,41 @@
 
 		const {route, table, workspace} = admitted;
 		this.#route = route;
-		const body = await readRequestBody(this.#request, table.configuration.limits, this.#services.timer);
+		const {bodyArrivals: arrivals, timer} = this.#services;
+		const body = await readRequestBody(this.#request, {
+			limits: table.configuration.limits, remainingMs: this.#computeRemainingMs(route), workspace, arrivals, timer,
+		});
 		if (body.type !== 'read') {
 			this.#answerUnreadBody(body.type);
 			return;
 		}
 
+		try {
+			if (this.#writer.isOver) {
+				// Refused meanwhile, for example by a planned stop.
+				return;
+			}
+
+			await this.#runWhole({
+				route, table, workspace, body: body.body,
+			});
+		} finally {
+			body.hold?.release();
+		}
+	}
+
+	/** Refuses the request unless a backend server may have run it. */
+	refuse(): void {
+		if (!this.#mayHaveRun) {
+			this.#answer('stopping');
+		}
+	}
+
+	/** Serves the request after its body was read. */
+	async #runWhole({route, table, workspace, body}: WholeRequest): Promise<void> {
 		const {model, sharedPartIds = []} = this.#envelope.prompt ?? {};
 		const content = hashContent({
-			workspace, method: this.#request.method ?? '', path: this.#request.url ?? '', body: body.body,
+			workspace, method: this.#request.method ?? '', path: this.#request.url ?? '', body,
 		});
 		this.#fingerprints = [content, ...new Set(sharedPartIds.map(id => hashPart(model, id)))];
 		const cancelTimeout = this.#services.timer.schedule(Math.max(0, this.#computeRemainingMs(route)), () => {
@@ -71,19 +108,12 @@
 			this.#handleCallerGone(route);
 		});
 		await this.#runAttempts({
-			route, table, workspace, body: body.body,
+			route, table, workspace, body,
 		});
 		cancelTimeout();
 		this.#services.metrics.recordDuration(route.name, this.#services.timer.now() - this.#arrivedAt);
 	}
 
-	/** Refuses the request unless a backend server may have run it. */
-	refuse(): void {
-		if (!this.#mayHaveRun) {
-			this.#answer('stopping');
-		}
-	}
-
 	#admit(): {route: Route; table: RouteTable; workspace: string | undefined} | AnswerReason {
 		const {storeState} = this.#services;
 		const {table} = storeState;
@@ -130,7 +160,7 @@
 		return workspace === undefined ? 'unknownCredential' : {name: workspace.name};
 	}
 
-	async #runAttempts({route, table, workspace, body}: {route: Route; table: RouteTable; workspace: string | undefined; body: Buffer | undefined}): Promise<void> {
+	async #runAttempts({route, table, workspace, body}: WholeRequest): Promise<void> {
 		const {random, getBudget, timer} = this.#services;
 		const serviceName = selectTarget(route.targets, random());
 		const service = serviceName === undefined ? undefined : table.findService(serviceName);
@@ -193,9 +223,9 @@
 		this.#services.log.writeRequest('caller.gone', this.#envelope.requestId, {route: route.name, afterMs: Math.round(this.#services.timer.now() - this.#arrivedAt)});
 	}
 
-	#answerUnreadBody(type: 'too_large' | 'idle' | 'aborted'): void {
+	#answerUnreadBody(type: UnreadBodyType): void {
 		if (type !== 'aborted') {
-			this.#answer(type === 'idle' ? 'bodyIdle' : 'bodyTooLarge');
+			this.#answer(unreadBodyReasons[type]);
 		}
 	}
 
@@ -240,17 +270,29 @@
 			return;
 		}
 
-		const {wire, log, metrics, timer} = this.#services;
+		const {wire, log, metrics, timer, refusalLog} = this.#services;
 		const {status, isNotRun} = answerReasons[reason];
 		const retryAfterMs = isNotRun && status === 503 ? this.#computeRetryAfterMs(reason) : undefined;
 		metrics.countAnswer(this.#route?.name ?? 'none', reason);
-		log.writeRequest('answer', this.#envelope.requestId, {
+		const fields = {
 			route: this.#route?.name, reason, status, isNotRun, retryAfterMs, afterMs: Math.round(timer.now() - this.#arrivedAt), sentTo: this.#attempts?.sentAttempts ?? 0,
 			configuration: this.#services.storeState.table?.configuration.version, configurationAgeMs: Math.round(this.#services.storeState.computeConfigurationAgeMs()),
 			tokens: this.#envelope.prompt?.promptTokens, content: this.#fingerprints[0], parts: this.#fingerprints.slice(1),
 			...(reason === 'quarantined' && this.#describeQuarantine()),
 			holds: this.#services.serverNotices.describeHolds(listUsableServers(this.#services, this.#route)),
-		});
+		};
+		if (crowdReasons.has(reason)) {
+			metrics.countRefusedCaller(reason);
+			refusalLog.write('answer', reason, this.#envelope.requestId, fields);
+		} else {
+			log.writeRequest('answer', this.#envelope.requestId, fields);
+		}
+
+		if (!this.#request.complete && (bodyReasons.has(reason) || !isCheaplyDiscarded(this.#request))) {
+			this.#writer.closeConnection();
+			closeAfterAnswer(this.#request, this.#response, timer);
+		}
+
 		this.#writer.writeOwnAnswer(status, wire.encodeOwnAnswer({requestId: this.#envelope.requestId, retryAfterMs}));
 	}
 }
@@ -261,6 +303,18 @@
  */
 const notRunStatuses = new Set([408, 421, 429, 503]);
 
+type UnreadBodyType = Exclude<BodyResult['type'], 'read'>;
+
+const unreadBodyReasons = {
+	too_large: 'bodyTooLarge', idle: 'bodyIdle', late: 'bodyLate', evicted: 'bodyEvicted', // eslint-disable-line @typescript-eslint/naming-convention
+} as const satisfies Record<Exclude<UnreadBodyType, 'aborted'>, AnswerReason>;
+
+/** Reasons of requests whose body is not read to its end. */
+const bodyReasons = new Set<AnswerReason>(Object.values(unreadBodyReasons));
+
+/** Reasons that a crowd of callers causes by what it sends; their log lines are limited. */
+const crowdReasons = new Set<AnswerReason>(['headTooLarge', ...bodyReasons]);
+
 /** Reasons of refusals for which a caller should return once the first backend server accepts requests, while all of them back off. */
 const backoffReasons = new Set<AnswerReason>(['serversBackingOff', 'notRunByServers', 'timeoutNotRun']);
 
--- a/packages/relay/src/front/relay-services.ts
+++ b/packages/relay/src/front/relay-services.ts
@@ -12,12 +12,18 @@
 import type {QuarantineTask} from '../quarantine/quarantine-task.js';
 import type {ServerLimitTask} from '../server-limits/server-limit-task.js';
 import type {ServerNoticeTask} from '../server-notices/server-notice-task.js';
+import type {BodyArrivals} from './body-arrivals.js';
+import type {RefusalLog} from './refusal-log.js';
 
 /** Services of the process that a request uses. */
 export type RelayServices = {
 	bounds: RelayBounds;
 	/** Memory that the process holds for callers, backend servers, peers and the store. */
 	memory: MemoryLedger;
+	/** Bodies of callers that are not complete. */
+	bodyArrivals: BodyArrivals;
+	/** Log of refusals that a crowd causes. */
+	refusalLog: RefusalLog;
 	wire: WireCodec;
 	timer: TimerService;
 	log: DecisionLog;
@@ -34,6 +40,8 @@
 	orders: EngineOrderCodec;
 	/** Returns the retry budget of a service. */
 	getBudget: (service: string) => SharedRetryBudget;
+	/** Returns the most connections of callers that may be open now. */
+	computeConnectionLimit: () => number;
 	/** Number of entries that may be running, including this one. */
 	countEntries: () => number;
 	/** Time since the planned stop began, in ms; undefined while the process is not stopping. */
--- a/packages/relay/src/front/request-body.ts
+++ b/packages/relay/src/front/request-body.ts
@@ -1,60 +1,106 @@
-import {Buffer} from 'node:buffer';
+import type {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
+import type {MemoryHold} from '@knapweedrack/core';
 import type {TimerService} from '@knapweedrack/entry/contracts';
 import {runAfterInput} from '../exchange/run-after-input.js';
+import type {BodyArrivals} from './body-arrivals.js';
+import {BodyBuffer} from './body-buffer.js';
 
 /** Result of reading a request's body; a read body is undefined when the request has none. */
 export type BodyResult =
-	| {type: 'read'; body: Buffer | undefined}
+	/** `hold` is released when the request has ended. */
+	| {type: 'read'; body: Buffer | undefined; hold: MemoryHold | undefined}
 	| {type: 'too_large'}
 	/** No byte arrived within the idle timeout. */
 	| {type: 'idle'}
+	/** The time limit of the request passed before the end of the body. */
+	| {type: 'late'}
+	/** There is no memory for the body, or it had to make room for others. */
+	| {type: 'evicted'}
 	/** The connection failed or closed before the end of the body. */
 	| {type: 'aborted'};
 
+/** Bounds of one body, and the task that grants its memory. */
+export type BodyOptions = {
+	limits: {bodyBytes: number; idleTimeoutMs: number};
+	/** Time in which the body must be complete, in ms. */
+	remainingMs: number;
+	workspace: string | undefined;
+	arrivals: BodyArrivals;
+	timer: TimerService;
+};
+
 /** Reads the whole body within the limits, so that a retry can send it to another backend server. */
-export const readRequestBody = async (request: IncomingMessage, limits: {bodyBytes: number; idleTimeoutMs: number}, timer: TimerService): Promise<BodyResult> => {
-	const stated = Number(request.headers['content-length'] ?? 0);
-	if (stated > limits.bodyBytes) {
+export const readRequestBody = async (request: IncomingMessage, options: BodyOptions): Promise<BodyResult> => {
+	const isChunked = request.headers['transfer-encoding'] !== undefined;
+	const statedBytes = isChunked ? undefined : Number(request.headers['content-length'] ?? 0);
+	if (statedBytes !== undefined && statedBytes > options.limits.bodyBytes) {
 		return {type: 'too_large'};
 	}
 
-	if (stated === 0 && request.headers['transfer-encoding'] === undefined) {
-		return {type: 'read', body: undefined};
+	if (statedBytes === 0) {
+		return {type: 'read', body: undefined, hold: undefined};
 	}
 
-	return new Promise(resolve => {
-		const parts: Buffer[] = [];
-		let length = 0;
-		let cancelIdleTimer = (): void => undefined;
+	return receiveBody(request, statedBytes, options);
+};
+
+const receiveBody = async (request: IncomingMessage, statedBytes: number | undefined, {limits, remainingMs, workspace, arrivals, timer}: BodyOptions): Promise<BodyResult> =>
+	new Promise(resolve => {
+		const body = new BodyBuffer(statedBytes);
+		const startedAt = timer.now();
+		let receivedAt = startedAt;
+		let cancelTimer = (): void => undefined;
+		let isOver = false;
 		const end = (result: BodyResult): void => {
-			cancelIdleTimer();
-			request.removeAllListeners('data');
+			if (isOver) {
+				return;
+			}
+
+			isOver = true;
+			cancelTimer();
+			request.removeListener('data', receivePart);
+			arrival.end(result.type === 'read' ? body.length : 0);
 			resolve(result);
 		};
 
-		const resetIdleTimer = (): void => {
-			cancelIdleTimer();
-			cancelIdleTimer = timer.schedule(limits.idleTimeoutMs, () => {
-				cancelIdleTimer = runAfterInput(() => {
-					end({type: 'idle'});
-				});
-			});
+		const arrival = arrivals.begin(workspace, () => {
+			end({type: 'evicted'});
+		});
+		const receivePart = (part: Buffer): void => {
+			if (body.length + part.length > limits.bodyBytes) {
+				end({type: 'too_large'});
+				return;
+			}
+
+			const needed = body.computeNeeded(part.length);
+			if (needed > 0 && !arrival.tryReserve(needed)) {
+				end({type: 'evicted'});
+				return;
+			}
+
+			body.add(part, needed);
+			receivedAt = timer.now();
 		};
 
-		resetIdleTimer();
-		request.on('data', (part: Buffer) => {
-			length += part.length;
-			if (length > limits.bodyBytes) {
-				end({type: 'too_large'});
+		// One timer for each body and none for each part: a part only moves the time that is checked when the timer runs.
+		const checkTime = (): void => {
+			const now = timer.now();
+			const idleLeftMs = limits.idleTimeoutMs - (now - receivedAt);
+			const leftMs = remainingMs - (now - startedAt);
+			if (idleLeftMs <= 0 || leftMs <= 0) {
+				end({type: leftMs <= 0 ? 'late' : 'idle'});
 				return;
 			}
 
-			parts.push(part);
-			resetIdleTimer();
-		});
+			cancelTimer = timer.schedule(Math.max(1, Math.min(idleLeftMs, leftMs)), () => {
+				cancelTimer = runAfterInput(checkTime);
+			});
+		};
+
+		request.on('data', receivePart);
 		request.on('end', () => {
-			end({type: 'read', body: Buffer.concat(parts)});
+			end({type: 'read', body: body.toBuffer(), hold: arrival.hold});
 		});
 		request.on('error', () => {
 			end({type: 'aborted'});
@@ -64,5 +110,5 @@
 				end({type: 'aborted'});
 			}
 		});
+		checkTime();
 	});
-};
--- a/packages/relay/src/metrics/relay-metrics.ts
+++ b/packages/relay/src/metrics/relay-metrics.ts
@@ -26,6 +26,10 @@
 		name: 'relay_events_total', help: 'Changes of state by event', labelNames: ['event'], registers: [this.registry],
 	});
 
+	readonly #refusedCallers = new Counter({
+		name: 'relay_refused_callers_total', help: 'Callers refused or closed because of limits on what they send, by reason', labelNames: ['reason'], registers: [this.registry],
+	});
+
 	readonly #firstByte = new Histogram({
 		name: 'relay_first_byte_seconds', help: 'Time from the arrival of a request to the first byte of its answer', labelNames: ['route'],
 		buckets: latencyBuckets, registers: [this.registry],
@@ -63,6 +67,11 @@
 		this.#events.inc({event});
 	}
 
+	/** Counts a caller that was refused, or whose connection was closed, because of a limit. */
+	countRefusedCaller(reason: string): void {
+		this.#refusedCallers.inc({reason});
+	}
+
 	recordFirstByte(route: string, durationMs: number): void {
 		this.#firstByte.observe({route}, durationMs / msPerSecond);
 	}
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -1,6 +1,6 @@
 import {randomBytes} from 'node:crypto';
 import {
-	computeMemoryLimits, MemoryLedger, SharedRetryBudget, type ClockReading,
+	computeConnectionLimit, computeMemoryLimits, memoryKinds, MemoryLedger, SharedRetryBudget, type ClockReading,
 } from '@knapweedrack/core';
 import {createTimerService, waitFor} from '@knapweedrack/entry/timer-service';
 import type {ObjectStore} from '@knapweedrack/platform-client';
@@ -10,7 +10,9 @@
 import {BackendConnections} from './exchange/backend-connections.js';
 import {openTcpSocket, type SocketOpener} from './exchange/connection-opener.js';
 import {SilentServerTask} from './exchange/silent-server-task.js';
+import {BodyArrivals} from './front/body-arrivals.js';
 import {FrontServer} from './front/front-server.js';
+import {RefusalLog} from './front/refusal-log.js';
 import type {RelayServices} from './front/relay-services.js';
 import {FeedServer} from './state-feed/feed-server.js';
 import {StateSourceTask} from './state-feed/state-source-task.js';
@@ -76,6 +78,7 @@
 	readonly #connections: BackendConnections;
 	readonly #budgets = new Map<string, SharedRetryBudget>();
 	readonly #memory: MemoryLedger;
+	readonly #bodyArrivals: BodyArrivals;
 	readonly #front: FrontServer;
 	/** Time at which the last earlier process of this entry may have ended, on the clock of the timer service. */
 	readonly #startedAt: number;
@@ -93,6 +96,7 @@
 		const bounds = this.#bounds;
 		this.#memory = new MemoryLedger(computeMemoryLimits(settings.resources.memoryBytes));
 		const {timer} = this;
+		this.#bodyArrivals = new BodyArrivals(this.#memory, () => timer.now());
 		this.#log = options.log ?? createDecisionLog(settings.entryId, () => timer.now());
 		const log = this.#log;
 		const metrics = this.#metrics;
@@ -262,11 +266,13 @@
 			readWallClock: Date.now,
 		});
 		const services: RelayServices = {
-			bounds, memory: this.#memory, wire, timer, log, metrics, storeState: this.#storeState, placement: this.#placement, connections: this.#connections, reachability: this.#reachability,
+			bounds, wire, timer, log, metrics, storeState: this.#storeState, placement: this.#placement, connections: this.#connections, reachability: this.#reachability,
 			orders: options.orders, silentServers,
+			memory: this.#memory, bodyArrivals: this.#bodyArrivals, refusalLog: new RefusalLog(log, () => timer.now()),
 			crashDetection: this.#crashDetection, quarantine: this.#quarantine, serverLimits: this.#serverLimits, serverNotices: this.#serverNotices,
 			getBudget: service => this.#getBudget(service),
 			countEntries: () => this.#countEntries(),
+			computeConnectionLimit: () => this.#computeConnectionLimit(),
 			getStoppingMs: () => this.#stoppingSince === undefined ? undefined : timer.now() - this.#stoppingSince,
 			getStopLeftMs: () => this.#stopDeadline === undefined ? undefined : this.#stopDeadline - timer.now(),
 			random: Math.random,
@@ -428,6 +434,15 @@
 		return this.#peers.listReachingPeers().filter(({failureDomain}) => regionDomains?.has(failureDomain) ?? true);
 	}
 
+	#computeConnectionLimit(): number {
+		const maxByService = new Map((this.#storeState.table?.configuration.services ?? []).map(({name, maxConnections}) => [name, maxConnections]));
+		const serverConnections = this.#storeState.listServers().reduce((sum, {service}) => sum + (maxByService.get(service) ?? 0), 0);
+		return computeConnectionLimit({
+			descriptors: this.#options.settings.resources.descriptors, serverConnections, peers: this.#countEntries() - 1,
+			headBytes: this.#memory.limits.workspaceBytes.head,
+		});
+	}
+
 	#countEntries(): number {
 		return Math.max(1, this.#storeState.entries.size);
 	}
@@ -446,6 +461,15 @@
 		metrics.addGauge('open_tunnels', () => this.#tunnels.size);
 		metrics.addGauge('state_followers', () => this.#feedServer.followers);
 		metrics.addGauge('reads_store', () => this.#stateSource.readerId === undefined ? 1 : 0);
+		for (const kind of Object.values(memoryKinds)) {
+			metrics.addGauge(`held_bytes_${kind}`, () => this.#memory.getHeldBytes(kind));
+		}
+
+		metrics.addGauge('arriving_body_bytes', () => this.#bodyArrivals.heldBytes);
+		for (const state of ['busy', 'idle', 'head'] as const) {
+			metrics.addGauge(`connections_${state}`, () => this.#front.countConnections()[state]);
+		}
+
 		metrics.addGauge('open_requests', () => this.#front.openRequests);
 		metrics.addGauge('requests', () => this.#front.totalRequests);
 		metrics.addGauge('entries', () => this.#storeState.entries.size);
