--- a/packages/core/src/memory-ledger/memory-ledger.test.ts
+++ b/packages/core/src/memory-ledger/memory-ledger.test.ts
@@ -14,6 +14,23 @@
 const workspaces = ['mill', 'barn', undefined];
 const holdCount = 6;
 
+type OpenHold = {hold: MemoryHold; kind: MemoryKind; workspace: string | undefined};
+
+const addBytes = (open: OpenHold[]): number => open.reduce((sum, {hold}) => sum + hold.bytes, 0);
+
+/** Checks all sums of the ledger against the open holds, and against the limits. */
+const expectSums = (ledger: MemoryLedger, open: OpenHold[]): void => {
+	expect(ledger.getHeldBytes()).to.equal(addBytes(open)).and.to.be.within(0, limits.budgetBytes);
+	for (const kind of kinds) {
+		const ofKind = open.filter(entry => entry.kind === kind);
+		expect(ledger.getHeldBytes(kind)).to.equal(addBytes(ofKind)).and.to.be.at.most(limits.kindBytes[kind]);
+		for (const workspace of workspaces) {
+			const bytes = addBytes(ofKind.filter(entry => entry.workspace === workspace));
+			expect(ledger.getAccountBytes({kind, workspace})).to.equal(bytes).and.to.be.at.most(limits.workspaceBytes[kind]);
+		}
+	}
+};
+
 describe('memory ledger', () => {
 	describe('random sequences', () => {
 		const step = record({
@@ -28,20 +45,8 @@
 		it('stay within all limits, and return everything', () => {
 			assert(property(array(step, {maxLength: 60}), steps => {
 				const ledger = new MemoryLedger(limits);
-				const open: Array<{hold: MemoryHold; kind: MemoryKind; workspace: string | undefined}> = [];
+				const open: OpenHold[] = [];
 				const everOpened: MemoryHold[] = [];
-				const expectSums = (): void => {
-					expect(ledger.getHeldBytes()).to.equal(open.reduce((sum, {hold}) => sum + hold.bytes, 0)).and.to.be.within(0, limits.budgetBytes);
-					for (const kind of kinds) {
-						const ofKind = open.filter(entry => entry.kind === kind);
-						expect(ledger.getHeldBytes(kind)).to.equal(ofKind.reduce((sum, {hold}) => sum + hold.bytes, 0)).and.to.be.at.most(limits.kindBytes[kind]);
-						for (const workspace of workspaces) {
-							const bytes = ofKind.filter(entry => entry.workspace === workspace).reduce((sum, {hold}) => sum + hold.bytes, 0);
-							expect(ledger.getAccountBytes({kind, workspace})).to.equal(bytes).and.to.be.at.most(limits.workspaceBytes[kind]);
-						}
-					}
-				};
-
 				for (const {hold: index, action, bytes, kind, workspace} of steps) {
 					const entry = open[index];
 					if (entry === undefined || action === 'open') {
@@ -62,7 +67,7 @@
 						open.splice(index, 1);
 					}
 
-					expectSums();
+					expectSums(ledger, open);
 				}
 
 				for (const hold of everOpened) {
--- a/packages/relay/src/front/caller-connections.ts
+++ b/packages/relay/src/front/caller-connections.ts
@@ -21,8 +21,8 @@
 /** One of `closeReasons`. */
 export type CloseReason = (typeof closeReasons)[keyof typeof closeReasons];
 
-/** A request that is started once the answers before it were taken; `drop` is called when its connection closes before that. */
-export type Turn = {request: IncomingMessage; response: ServerResponse; start: () => void; drop: () => void};
+/** A request that is started once the answers before it were taken; `cancel` is called when its connection closes before that. */
+export type Turn = {request: IncomingMessage; response: ServerResponse; start: () => void; cancel: () => void};
 
 type WaitingTurn = Turn & {bodyBytes?: number};
 
@@ -90,7 +90,7 @@
 	handle(turn: Turn): void {
 		const connection = this.#connections.get(turn.request.socket);
 		if (connection === undefined) {
-			turn.drop();
+			turn.cancel();
 			turn.request.socket.destroy();
 			return;
 		}
@@ -101,7 +101,7 @@
 		}
 
 		if (connection.waiting.length >= waitingRequestLimit || !connection.hold.tryAdd(waitingRequestBytes)) {
-			turn.drop();
+			turn.cancel();
 			this.#closeOver(connection);
 			return;
 		}
@@ -207,8 +207,8 @@
 
 		this.#idle.delete(connection);
 		connection.hold.release();
-		for (const {drop} of connection.waiting.splice(0)) {
-			drop();
+		for (const {cancel} of connection.waiting.splice(0)) {
+			cancel();
 		}
 	}
 
--- a/packages/relay/src/front/front-server.ts
+++ b/packages/relay/src/front/front-server.ts
@@ -167,7 +167,7 @@
 			start: () => {
 				void this.#run(relayRequest, response);
 			},
-			drop: () => {
+			cancel: () => {
 				this.#openResponses.delete(response);
 				this.#requests.delete(relayRequest);
 			},
--- a/packages/relay/src/front/small-part-queue.ts
+++ b/packages/relay/src/front/small-part-queue.ts
@@ -10,14 +10,14 @@
 
 	/** Calls the subscriber when it is its turn; returns a function that withdraws it. */
 	subscribe(subscriber: () => void): () => void {
-		const turn = (): void => {
+		const runTurn = (): void => {
 			subscriber();
 		};
 
-		this.#waiting.add(turn);
+		this.#waiting.add(runTurn);
 		this.#schedule();
 		return () => {
-			this.#waiting.delete(turn);
+			this.#waiting.delete(runTurn);
 		};
 	}
 
