Take the memory of the instance in units of 10^6 bytes, and bound the rest of refused bodies

Cause: memoryMb was read as MiB, the larger reading of the unit; a refused body of at most 64 KiB could hold its connection for as long as its caller sent a byte now and then. Change: both units are 10^6 bytes (budget 77.5 MB of 250); the connection is closed when the rest has not arrived within 1 s.

--- a/packages/core/src/memory-ledger/memory-limits.ts
+++ b/packages/core/src/memory-ledger/memory-limits.ts
@@ -11,11 +11,11 @@
 };
 
 /** Memory that the program needs without callers, in bytes. */
-const programBytes = 110 * 1024 * 1024;
+const programBytes = 110_000_000;
 /** Share of the memory of the instance left for garbage that is not collected yet, for the allocator and for the system. */
 const marginShare = 0.25;
 /** Smallest budget in bytes; an instance below it is too small for the program itself. */
-const leastBudgetBytes = 16 * 1024 * 1024;
+const leastBudgetBytes = 16_000_000;
 /** Shares of the budget; they add up to 1, so that one kind that is full never takes room from another. */
 const kindShares: Readonly<Record<MemoryKind, number>> = {
 	head: 0.3, body: 0.3, answer: 0.2, held: 0.12, tunnel: 0.08,
--- a/packages/relay/src/front/close-unread.ts
+++ b/packages/relay/src/front/close-unread.ts
@@ -48,3 +48,17 @@
 
 	response.shouldKeepAlive = false;
 };
+
+/** Closes the connection of a refused request unless the rest of its body arrives soon; without a body, nothing is done. */
+export const limitDiscard = (request: IncomingMessage, timer: TimerService): void => {
+	if (request.complete || (request.headers['content-length'] ?? '0') === '0') {
+		return;
+	}
+
+	const cancel = timer.schedule(discardMs, () => {
+		if (!request.complete) {
+			request.socket.destroy();
+		}
+	});
+	request.once('close', cancel);
+};
--- a/packages/relay/src/front/relay-request.ts
+++ b/packages/relay/src/front/relay-request.ts
@@ -7,7 +7,7 @@
 import {answerReasons, type AnswerReason} from './answer-reasons.js';
 import {AnswerWriter} from './answer-writer.js';
 import type {AttemptResult} from './attempt-result.js';
-import {closeAfterAnswer, isCheaplyDiscarded} from './close-unread.js';
+import {closeAfterAnswer, isCheaplyDiscarded, limitDiscard} from './close-unread.js';
 import {computeRetryDelayMs} from './compute-retry-delay.js';
 import {hashContent, hashPart} from './hash-content.js';
 import {RequestAttempts, type AttemptsEnd} from './request-attempts.js';
@@ -291,6 +291,8 @@
 		if (!this.#request.complete && (bodyReasons.has(reason) || !isCheaplyDiscarded(this.#request))) {
 			this.#writer.closeConnection();
 			closeAfterAnswer(this.#request, this.#response, timer);
+		} else {
+			limitDiscard(this.#request, timer);
 		}
 
 		this.#writer.writeOwnAnswer(status, wire.encodeOwnAnswer({requestId: this.#envelope.requestId, retryAfterMs}));
