--- a/packages/relay/src/metrics/relay-metrics.ts
+++ b/packages/relay/src/metrics/relay-metrics.ts
@@ -1,7 +1,8 @@
-import {createServer, type Server, type ServerResponse} from 'node:http';
+import type {Server, ServerResponse} from 'node:http';
 import {
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
+import {createBoundedServer} from '../listeners/bounded-server.js';
 
 /** Bucket bounds of the latency histograms in seconds, from an answer by the entry itself to the longest deadline. */
 const latencyBuckets = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2, 3, 5, 10, 15];
@@ -30,6 +31,10 @@
 		name: 'relay_events_total', help: 'Changes of state by event', labelNames: ['event'], registers: [this.registry],
 	});
 
+	readonly #refusedCallers = new Counter({
+		name: 'relay_refused_callers_total', help: 'Callers refused or closed because of limits on what they send, by reason', labelNames: ['reason'], registers: [this.registry],
+	});
+
 	readonly #firstByte = new Histogram({
 		name: 'relay_first_byte_seconds', help: 'Time from the arrival of a request to the first byte of its answer', labelNames: ['route'],
 		buckets: latencyBuckets, registers: [this.registry],
@@ -117,6 +122,11 @@
 		this.#waitingRefusals.inc({service, urgency: String(urgency), reason});
 	}
 
+	/** Counts a caller that was refused, or whose connection was closed, because of a limit. */
+	countRefusedCaller(reason: string): void {
+		this.#refusedCallers.inc({reason});
+	}
+
 	recordFirstByte(route: string, durationMs: number): void {
 		this.#firstByte.observe({route}, durationMs / msPerSecond);
 	}
@@ -128,7 +138,7 @@
 
 /** Starts an HTTP server that serves the metrics as text at one path. */
 export const serveMetrics = (metrics: RelayMetrics, options: {host: string; port: number; path: string}): Server => {
-	const server = createServer((request, response) => {
+	const server = createBoundedServer((request, response) => {
 		if (request.url?.split('?')[0] === options.path) {
 			void sendMetrics(metrics, response);
 		} else {
