Name the refusal of requests whose deadline is out of reach by what it states

Cause: the name of the new reason said nothing of the deadline that decides it. Change: the reason and its functions are called deadlineUnreachable, isDeadlineUnreachable and listUnreachable; no behaviour changes.

--- a/packages/core/src/waiting/admission-estimate.ts
+++ b/packages/core/src/waiting/admission-estimate.ts
@@ -21,8 +21,8 @@
 	ratePerMs === undefined || ratePerMs <= 0 ? undefined : costAhead / ratePerMs;
 
 /**
- * True when a request would pass its deadline in the queue. Before its deadline, no request counts as hopeless while the rate is unknown or
+ * True when a request would pass its deadline in the queue. Before its deadline, no request is refused while the rate is unknown or
  * few requests are ahead of it.
  */
-export const isHopeless = ({leftMs, requestsAhead, ...inputs}: AdmissionInputs): boolean =>
+export const isDeadlineUnreachable = ({leftMs, requestsAhead, ...inputs}: AdmissionInputs): boolean =>
 	leftMs <= 0 || (requestsAhead >= minRequestsAhead && (estimateWaitMs(inputs) ?? 0) > leftMs);
--- a/packages/core/src/waiting/waiting-queue.test.ts
+++ b/packages/core/src/waiting/waiting-queue.test.ts
@@ -154,7 +154,7 @@
 		};
 
 		// Guards against requests that wait for their deadline although it cannot be met.
-		it('finds a request hopeless on arrival when the cost ahead takes longer than its time', () => {
+		it('refuses a request on arrival when the cost ahead takes longer than its time', () => {
 			const {costAhead, ratePerMs, leftMs} = buildBusy().estimate(buildRequest({deadlineAt: 1500}), 1000);
 			expect(costAhead).to.equal(1000);
 			expect(ratePerMs).to.equal(1);
@@ -162,15 +162,15 @@
 		});
 
 		// Guards against less urgent requests that hold their place until their deadline, so that the refusal is of no use to the caller.
-		it('displaces less urgent requests that a more urgent arrival makes hopeless', () => {
+		it('displaces less urgent requests that a more urgent arrival keeps from their deadline', () => {
 			const queue = buildBusy();
 			const item = queue.add(buildRequest({urgency: 2, deadlineAt: 2500}), 'late', 1000);
-			expect(queue.listHopeless(1000)).to.deep.equal([]);
+			expect(queue.listUnreachable(1000)).to.deep.equal([]);
 			for (let count = 0; count < 6; count++) {
 				queue.add(buildRequest({urgency: 0, deadlineAt: 60_000}), 'urgent', 1000);
 			}
 
-			expect(queue.listHopeless(1000)).to.deep.equal([item]);
+			expect(queue.listUnreachable(1000)).to.deep.equal([item]);
 		});
 
 		// Guards against a refusal because one long prompt waits for several servers, while the room for others is free.
@@ -179,15 +179,15 @@
 			take(queue, 10, 1001);
 			queue.add(buildRequest({cost: 1_000_000, deadlineAt: 60_000}), 'long', 1001);
 			const item = queue.add(buildRequest({urgency: 2, deadlineAt: 1500}), 'next', 1001);
-			expect(queue.listHopeless(1002)).to.deep.equal([]);
-			expect(queue.listHopeless(1500)).to.deep.equal([item]);
+			expect(queue.listUnreachable(1002)).to.deep.equal([]);
+			expect(queue.listUnreachable(1500)).to.deep.equal([item]);
 		});
 
 		// Guards against refusals while the rate is not known, for example after a start.
 		it('refuses nothing before its deadline without a known rate', () => {
 			const queue = fill([{deadlineAt: 50, cost: 1_000_000}, {deadlineAt: 60}]);
-			expect(queue.listHopeless(10)).to.deep.equal([]);
-			expect(queue.listHopeless(55).map(({value}) => value)).to.deep.equal(['0']);
+			expect(queue.listUnreachable(10)).to.deep.equal([]);
+			expect(queue.listUnreachable(55).map(({value}) => value)).to.deep.equal(['0']);
 		});
 
 		// Guards against a refused request that is placed nevertheless, so that the promise "not run" is wrong.
--- a/packages/core/src/waiting/waiting-queue.ts
+++ b/packages/core/src/waiting/waiting-queue.ts
@@ -1,5 +1,5 @@
 import {FairQueue, type FairQueueEntry} from '../fairness/fair-queue.js';
-import {estimateWaitMs, isHopeless, type AdmissionInputs} from './admission-estimate.js';
+import {estimateWaitMs, isDeadlineUnreachable, type AdmissionInputs} from './admission-estimate.js';
 import {DrainRate} from './drain-rate.js';
 import type {WaitingDemand} from './room-sharing.js';
 
@@ -115,23 +115,23 @@
 	}
 
 	/** Lists the requests that would pass their deadline in the queue; less urgent ones are so sooner when a more urgent one arrives. */
-	listHopeless(now: number): Array<WaitingItem<Value>> {
+	listUnreachable(now: number): Array<WaitingItem<Value>> {
 		const ratePerMs = this.#rate.compute(now);
-		const hopeless: Array<WaitingItem<Value>> = [];
+		const unreachable: Array<WaitingItem<Value>> = [];
 		let costAhead = 0;
 		let requestsAhead = 0;
 		for (const [, item] of this.#listInOrder()) {
-			if (!item.request.hasBegun && isHopeless({
+			if (!item.request.hasBegun && isDeadlineUnreachable({
 				costAhead, requestsAhead, ratePerMs, leftMs: item.request.deadlineAt - now,
 			})) {
-				hopeless.push(item);
+				unreachable.push(item);
 			} else {
 				costAhead += item.cost;
 				requestsAhead++;
 			}
 		}
 
-		return hopeless;
+		return unreachable;
 	}
 
 	/** Inputs of the admission estimate for a request that arrives now. */
--- a/packages/core/src/waiting/waiting-simulation-fixture.test.ts
+++ b/packages/core/src/waiting/waiting-simulation-fixture.test.ts
@@ -1,7 +1,7 @@
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {BinaryHeap} from '../fairness/binary-heap.js';
-import {isHopeless} from './admission-estimate.js';
+import {isDeadlineUnreachable} from './admission-estimate.js';
 import {
 	computeReservedServers, decideYield, yieldKinds, type WaitingDemand,
 } from './room-sharing.js';
@@ -129,7 +129,7 @@
 		const request = {
 			urgency: kind.urgency, workspaceId, cost: kind.cost, hasBegun: false, lateAt: this.#now + (kind.targetMs * lateShare), deadlineAt: caller.arrivedAt + kind.timeoutMs,
 		};
-		if (isHopeless(entry.queue.estimate(request, this.#now))) {
+		if (isDeadlineUnreachable(entry.queue.estimate(request, this.#now))) {
 			this.#refuse(entry, caller);
 			return;
 		}
@@ -164,7 +164,7 @@
 
 	#tick(entry: Entry): void {
 		entry.isTicking = false;
-		for (const item of entry.queue.listHopeless(this.#now)) {
+		for (const item of entry.queue.listUnreachable(this.#now)) {
 			entry.queue.remove(item, this.#now);
 			this.#refuse(entry, item.value);
 		}
--- a/packages/relay/src/front/answer-reasons.ts
+++ b/packages/relay/src/front/answer-reasons.ts
@@ -16,7 +16,7 @@
 	noServer: {status: 503, isNotRun: true},
 	overloaded: {status: 503, isNotRun: true},
 	/** The request would pass its deadline in the queue of its service. */
-	hopeless: {status: 503, isNotRun: true},
+	deadlineUnreachable: {status: 503, isNotRun: true},
 	/** All backend servers have asked this entry to send nothing for a time. */
 	serversBackingOff: {status: 503, isNotRun: true},
 	quarantined: {status: 503, isNotRun: true},
--- a/packages/relay/src/front/compute-retry-delay.test.ts
+++ b/packages/relay/src/front/compute-retry-delay.test.ts
@@ -36,7 +36,7 @@
 	// Guards against a delay that ignores the queue, and against a queue that delays callers refused for another reason.
 	it('follows the queue of a service whose requests differ in urgency', () => {
 		const queue = {urgency: 0, drainMs: 1000};
-		expect(computeRetryDelayMs({...refused, reason: 'hopeless', queue})).to.equal(1150);
+		expect(computeRetryDelayMs({...refused, reason: 'deadlineUnreachable', queue})).to.equal(1150);
 		expect(computeRetryDelayMs({...refused, reason: 'overloaded', queue: {...queue, drainMs: undefined}})).to.equal(450);
 		expect(computeRetryDelayMs({...refused, reason: 'noServer', queue})).to.equal(150);
 	});
--- a/packages/relay/src/front/compute-retry-delay.ts
+++ b/packages/relay/src/front/compute-retry-delay.ts
@@ -11,7 +11,7 @@
 const retryAfterShare = 1 / 3;
 
 /** Reasons of refusals after which the drain of the queue decides when a caller should return. */
-const queueReasons = new Set<AnswerReason>(['overloaded', 'hopeless']);
+const queueReasons = new Set<AnswerReason>(['overloaded', 'deadlineUnreachable']);
 
 /** What decides when a refused caller should come back. */
 export type RefusedRequest = {
--- a/packages/relay/src/front/prepare-attempt.ts
+++ b/packages/relay/src/front/prepare-attempt.ts
@@ -28,7 +28,7 @@
 	/** No backend server can take the request. */
 	| {type: 'unplaced'}
 	/** The request would pass its deadline in the queue of its service. */
-	| {type: 'hopeless'};
+	| {type: 'deadlineUnreachable'};
 
 /** Result of `prepareAttempt`. */
 export type AttemptPreparation = PreparedAttempt | UnpreparedAttempt;
@@ -68,8 +68,8 @@
 			continue;
 		}
 
-		if (placed === 'hopeless') {
-			return {type: 'hopeless'};
+		if (placed === 'deadlineUnreachable') {
+			return {type: 'deadlineUnreachable'};
 		}
 
 		if (placed === 'unplaced' || (placed === undefined && !canWaitForServer(services, admitted, demand, options))) {
--- a/packages/relay/src/front/relay-request.ts
+++ b/packages/relay/src/front/relay-request.ts
@@ -208,8 +208,8 @@
 			return;
 		}
 
-		if (end.type === 'hopeless') {
-			this.#answer(this.#mayHaveRun ? 'serverFailed' : 'hopeless');
+		if (end.type === 'deadlineUnreachable') {
+			this.#answer(this.#mayHaveRun ? 'serverFailed' : 'deadlineUnreachable');
 			return;
 		}
 
--- a/packages/relay/src/front/request-attempts.ts
+++ b/packages/relay/src/front/request-attempts.ts
@@ -474,7 +474,7 @@
 	stopping: retryRefusals.stopping,
 	content_refused: retryRefusals.content, // eslint-disable-line @typescript-eslint/naming-convention -- End of the attempts of a request.
 	unplaced: retryRefusals.noServer,
-	hopeless: retryRefusals.deadline,
+	deadlineUnreachable: retryRefusals.deadline,
 };
 
 const signalsByResult = new Map<AttemptResult['type'], HealthSignal>([
--- a/packages/relay/src/waiting/waiting-task.test.ts
+++ b/packages/relay/src/waiting/waiting-task.test.ts
@@ -175,10 +175,10 @@
 		full = undefined;
 		ask('unplaced', 1);
 		await play(202);
-		expect(ends.map(([name, end]) => [name, end])).to.deep.equal([['over', 'over'], ['deadline', 'hopeless'], ['unplaced', 'unplaced']]);
+		expect(ends.map(([name, end]) => [name, end])).to.deep.equal([['over', 'over'], ['deadline', 'deadlineUnreachable'], ['unplaced', 'unplaced']]);
 		expect(ends[1]![2]).to.be.within(100, 125);
 		expect(task.size).to.equal(0);
-		expect(lines.map(({event, requestId, reason}) => [event, requestId, reason])).to.deep.equal([['waiting.refused', 'deadline', 'hopeless'], ['waiting.refused', 'unplaced', 'unplaced']]);
+		expect(lines.map(({event, requestId, reason}) => [event, requestId, reason])).to.deep.equal([['waiting.refused', 'deadline', 'deadlineUnreachable'], ['waiting.refused', 'unplaced', 'unplaced']]);
 	});
 
 	// Guards against the rest of an answer that is refused like a new request.
--- a/packages/relay/src/waiting/waiting-task.ts
+++ b/packages/relay/src/waiting/waiting-task.ts
@@ -1,5 +1,5 @@
 import {
-	computeNeededServers, computeReservedServers, computeStaticShare, decideYield, isHopeless, trialResults, yieldKinds, WaitingQueue,
+	computeNeededServers, computeReservedServers, computeStaticShare, decideYield, isDeadlineUnreachable, trialResults, yieldKinds, WaitingQueue,
 	type AdmissionInputs, type Service, type TrialResult, type WaitingDemand, type WaitingItem,
 } from '@knapweedrack/core';
 import type {TimerService} from '@knapweedrack/entry/contracts';
@@ -41,7 +41,7 @@
 	/** No backend server can take it. */
 	unplaced: 'unplaced',
 	/** It would pass its deadline in the queue. */
-	hopeless: 'hopeless',
+	deadlineUnreachable: 'deadlineUnreachable',
 } as const;
 /** Value of `waitingEnds`. */
 export type WaitingEnd = (typeof waitingEnds)[keyof typeof waitingEnds];
@@ -99,9 +99,9 @@
 			cost: request.service.engine === undefined ? 1 : demand.promptTokens,
 		};
 		const inputs = queue.queue.estimate(waiting, now);
-		if (!demand.hasBegun && isHopeless(inputs)) {
-			this.#recordRefusal(request, waitingEnds.hopeless, inputs, demand);
-			return waitingEnds.hopeless;
+		if (!demand.hasBegun && isDeadlineUnreachable(inputs)) {
+			this.#recordRefusal(request, waitingEnds.deadlineUnreachable, inputs, demand);
+			return waitingEnds.deadlineUnreachable;
 		}
 
 		const ended = new Promise<PlacedRequest | WaitingEnd>((resolve, reject) => {
@@ -203,9 +203,9 @@
 			}
 		}
 
-		for (const item of queue.queue.listHopeless(now)) {
-			this.#recordRefusal(item.value, waitingEnds.hopeless, queue.queue.estimate(item.request, now), item.value.buildDemand());
-			this.#end(queue, item, waitingEnds.hopeless);
+		for (const item of queue.queue.listUnreachable(now)) {
+			this.#recordRefusal(item.value, waitingEnds.deadlineUnreachable, queue.queue.estimate(item.request, now), item.value.buildDemand());
+			this.#end(queue, item, waitingEnds.deadlineUnreachable);
 		}
 
 		this.#run(queue);
