Test that several workspaces together stay within a kind of memory

Cause: a new mutation that gives out the memory of a full kind was caught by no test; the random lists were too short to fill one. Change: lists of 40 to 80 steps, and a test of the case itself.

--- a/packages/core/src/memory-ledger/memory-ledger.test.ts
+++ b/packages/core/src/memory-ledger/memory-ledger.test.ts
@@ -43,7 +43,7 @@
 
 		// Guards against more memory than the instance has, and against bytes that are counted twice, negative, or never returned.
 		it('stay within all limits, and return everything', () => {
-			assert(property(array(step, {maxLength: 60}), steps => {
+			assert(property(array(step, {minLength: 40, maxLength: 80}), steps => {
 				const ledger = new MemoryLedger(limits);
 				const open: OpenHold[] = [];
 				const everOpened: MemoryHold[] = [];
@@ -101,6 +101,15 @@
 			expect(ledger.open({kind: 'body', workspace: 'mill'}).tryAdd(150)).to.equal(true);
 		});
 
+		// Guards against workspaces that each stay within their share, and together take more than the kind has.
+		it('of a kind is not exceeded by several workspaces', () => {
+			const ledger = new MemoryLedger(limits);
+			expect(ledger.open({kind: 'body', workspace: 'mill'}).tryAdd(250)).to.equal(true);
+			const barn = ledger.open({kind: 'body', workspace: 'barn'});
+			expect(barn.tryAdd(151)).to.equal(false);
+			expect(barn.tryAdd(150)).to.equal(true);
+		});
+
 		// Guards against sizes that are not numbers, which would make every later sum useless.
 		it('is refused for a size that is negative or not a number', () => {
 			const hold = new MemoryLedger(limits).open({kind: 'body', workspace: undefined});
