Let requests wait for the configuration right after a restart

Change: in the first second of a process that follows an earlier one (bootstrap false in the settings), a request waits up to 500 ms for the configuration and the credentials; after that it is refused as before. A first start is unchanged.

--- a/packages/relay/src/front/relay-request.ts
+++ b/packages/relay/src/front/relay-request.ts
@@ -3,6 +3,7 @@
 import {
 	executionKinds, isRepeatable, memoryKinds, selectTarget, type Route, type RouteTable,
 } from '@knapweedrack/core';
+import {waitFor} from '@knapweedrack/entry/timer-service';
 import type {RequestEnvelope} from '../contracts.js';
 import {answerReasons, type AnswerReason} from './answer-reasons.js';
 import {AnswerWriter} from './answer-writer.js';
@@ -26,6 +27,19 @@
 /** A request whose body was read. */
 type WholeRequest = {route: Route; table: RouteTable; workspace: string | undefined; body: Buffer | undefined};
 
+/**
+ * Time after a restart in which requests wait for the configuration, in ms: a process reads it within some hundred ms. When all entries
+ * restart at once, their callers have used up their retries, so that a refusal would be final for them.
+ */
+const restartWaitMs = 1000;
+/** Longest wait of one request, in ms; callers abandon a request that is not read within a second. */
+const startWaitMs = 500;
+/** Interval at which a waiting request is admitted again, in ms. */
+const startCheckMs = 10;
+
+/** What an admitted request uses, or why it is refused. */
+type Admission = {route: Route; table: RouteTable; workspace: string | undefined} | AnswerReason;
+
 /** Handles one caller request from its head to the final answer. */
 export class RelayRequest {
 	readonly #services: RelayServices;
@@ -60,7 +74,7 @@
 			return;
 		}
 
-		const admitted = this.#admit();
+		const admitted = await this.#admitAfterStart();
 		if (typeof admitted === 'string') {
 			this.#answer(admitted);
 			return;
@@ -131,7 +145,19 @@
 		});
 	}
 
-	#admit(): {route: Route; table: RouteTable; workspace: string | undefined} | AnswerReason {
+	/** Admits the request; right after a restart, once the configuration and the credentials were read. */
+	async #admitAfterStart(): Promise<Admission> {
+		const {getRestartedMs, timer} = this.#services;
+		let admitted = this.#admit();
+		while (isUnread(admitted) && (getRestartedMs() ?? restartWaitMs) < restartWaitMs && timer.now() - this.#arrivedAt < startWaitMs && !this.#writer.isOver) {
+			await waitFor(timer, startCheckMs);
+			admitted = this.#admit();
+		}
+
+		return admitted;
+	}
+
+	#admit(): Admission {
 		const {storeState} = this.#services;
 		const {table} = storeState;
 		if (table === undefined || !storeState.isLoaded) {
@@ -359,3 +385,6 @@
 
 	return bytes;
 };
+
+/** True when a request is refused because the process has not read the configuration or the credentials yet. */
+const isUnread = (admitted: unknown): boolean => admitted === 'unconfigured' || admitted === 'unconfirmedCredential';
--- a/packages/relay/src/front/relay-services.ts
+++ b/packages/relay/src/front/relay-services.ts
@@ -46,6 +46,8 @@
 	computeConnectionLimit: () => number;
 	/** Number of entries that may be running, including this one. */
 	countEntries: () => number;
+	/** Time since the process has followed an earlier one of the same entry, in ms; undefined when there was none. */
+	getRestartedMs: () => number | undefined;
 	/** Time since the planned stop began, in ms; undefined while the process is not stopping. */
 	getStoppingMs: () => number | undefined;
 	/** Time until a planned stop ends the requests that are still open, in ms; undefined while the process is not stopping. */
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -293,6 +293,7 @@
 			getBudget: service => this.#getBudget(service),
 			countEntries: () => this.#countEntries(),
 			computeConnectionLimit: () => this.#computeConnectionLimit(),
+			getRestartedMs: () => settings.isFirstStart ? undefined : timer.now() - this.#startedAt,
 			getStoppingMs: () => this.#stoppingSince === undefined ? undefined : timer.now() - this.#stoppingSince,
 			getStopLeftMs: () => this.#stopDeadline === undefined ? undefined : this.#stopDeadline - timer.now(),
 			random: Math.random,
