--- a/review/stand-ins-2/runner.mjs
+++ b/review/stand-ins-2/runner.mjs
@@ -17,9 +17,8 @@
 export class Runner {
 	#running = 0;
 	#queue = [];
-	#server = createServer((request, response) => {
-		this.#serve(request, response);
-	});
+	#server;
+	#port = 0;
 
 	constructor({id, service, zone = 'north', slots = 6, workMs = 20, record, run = answerPlain, receive = () => undefined}) {
 		Object.assign(this, {
@@ -28,10 +27,14 @@
 	}
 
 	async start() {
+		this.#server = createServer((request, response) => {
+			this.#serve(request, response);
+		});
 		this.#server.keepAliveTimeout = 5000;
 		await new Promise(resolve => {
-			this.#server.listen(0, '127.0.0.1', resolve);
+			this.#server.listen(this.#port, '127.0.0.1', resolve);
 		});
+		this.#port = this.#server.address().port;
 		this.address = `127.0.0.1:${this.#server.address().port}`;
 		this.born = Date.now();
 	}
@@ -44,6 +47,7 @@
 		};
 	}
 
+	/** Ends the runner at once, as a crash does; `start` starts it again at its address, as another incarnation. */
 	close() {
 		this.#server.close();
 		this.#server.closeAllConnections();
