--- a/review/stand-ins-2/deployment.mjs
+++ b/review/stand-ins-2/deployment.mjs
@@ -12,6 +12,34 @@
 /** Exit codes of a script. */
 export const results = {held: 0, broken: 1, notRun: 2};
 
+const children = new Set();
+
+/** Starts a program that ends with this process at the latest. */
+export const startProgram = (args, options) => {
+	const child = spawn(process.execPath, args, options);
+	children.add(child);
+	child.once('exit', () => {
+		children.delete(child);
+	});
+	return child;
+};
+
+process.once('exit', () => {
+	for (const child of children) {
+		child.kill('SIGKILL');
+	}
+});
+// Node.js would end with 1 on an error, which means a broken rule here.
+process.once('uncaughtException', error => {
+	console.error(error);
+	process.exit(results.notRun); // eslint-disable-line unicorn/no-process-exit
+});
+for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) {
+	process.once(signal, () => {
+		process.exit(results.notRun);
+	});
+}
+
 export const sleep = async ms => new Promise(resolve => {
 	setTimeout(resolve, ms);
 });
@@ -69,7 +97,7 @@
 		this.folder ??= await mkdtemp(path.join(tmpdir(), 'review-entry-'));
 		const file = path.join(this.folder, 'boot.toml');
 		await writeFile(file, this.#buildSettings(bootstrap));
-		this.process = spawn(process.execPath, ['--max-old-space-size=200', 'target/knapweedrackd.mjs', '--metrics', `${this.ports[5]}/metrics`], {
+		this.process = startProgram(['--max-old-space-size=200', 'target/knapweedrackd.mjs', '--metrics', `${this.ports[5]}/metrics`], {
 			cwd: root, env: {PATH: process.env.PATH, HOME: process.env.HOME, KNAPWEEDRACK_SETTINGS: file}, stdio: ['ignore', 'pipe', 'pipe'],
 		});
 		this.log = [];
