--- a/review/stand-ins-2/deployment.mjs
+++ b/review/stand-ins-2/deployment.mjs
@@ -32,7 +32,7 @@
 // Node.js would end with 1 on an error, which means a broken rule here.
 process.once('uncaughtException', error => {
 	console.error(error);
-	process.exit(results.notRun); // eslint-disable-line unicorn/no-process-exit
+	process.exit(results.notRun);
 });
 for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) {
 	process.once(signal, () => {
@@ -125,6 +125,12 @@
 				return true;
 			}
 
+			if (this.process.exitCode !== null) {
+				// Another program has taken one of the ports meanwhile.
+				this.ports = undefined;
+				await this.start();
+			}
+
 			await sleep(50);
 		}
 
